Lay out the workspace: packages by concern, link codec, checks

Cause: the repository was empty. The layout, import rules, lock file and the codec of the messages between nodes come first, so that every later part has its place and its check.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and the demo; see the Makefile."""
--- /dev/null
+++ b/packages/common/src/ragwort_common/__init__.py
@@ -0,0 +1,28 @@
+"""Ids, outcomes and small helpers that every package shares."""
+
+from ragwort_common._ids import (
+    CallId,
+    Epoch,
+    FailureDomain,
+    Incarnation,
+    Member,
+    NodeId,
+    Region,
+    Revision,
+    ServiceName,
+)
+from ragwort_common._outcome import Outcome, Reason
+
+__all__ = [
+    "CallId",
+    "Epoch",
+    "FailureDomain",
+    "Incarnation",
+    "Member",
+    "NodeId",
+    "Outcome",
+    "Reason",
+    "Region",
+    "Revision",
+    "ServiceName",
+]
--- /dev/null
+++ b/packages/node/src/ragwort_node/__init__.py
@@ -0,0 +1,1 @@
+"""The node that runs beside each server."""
--- /dev/null
+++ b/packages/platform/src/ragwort_platform/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the platform object API."""
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of the load balancer, as pure code."""
--- /dev/null
+++ b/packages/protocol/src/ragwort_protocol/_calls.py
@@ -0,0 +1,91 @@
+"""The messages that carry a call from the entry's node to the gate's node and back."""
+
+from ragwort_protocol._load import LoadReport
+from ragwort_protocol._message import Message
+
+
+class Request(Message, tag=1):
+    """Asks the peer's gate to run a call.
+
+    Attributes
+    ----------
+    call_id
+        Number of the call, unique on this link.
+    method, target
+        HTTP method and request target (path and query).
+    headers
+        Header fields to pass to the server, as raw bytes.
+    body
+        First part of the body; the whole of it unless ``more`` is set.
+    budget_ms
+        Time left until the caller's deadline, in milliseconds.
+    batch
+        True for work that may wait in the queue behind interactive calls.
+    member
+        Firm on whose share the call counts.
+    share
+        Weight of that member at the gate.
+    more
+        True when ``Data`` messages with the rest of the body follow.
+    epoch, key_range
+        Proof of the claim that allows a non-idempotent call with a key; zero without one.
+    """
+
+    call_id: int
+    method: str
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    budget_ms: float
+    batch: bool = False
+    member: str = ""
+    share: int = 1
+    more: bool = False
+    epoch: int = 0
+    key_range: int = 0
+
+
+class Data(Message, tag=2):
+    """Carries a further part of a request's or response's body."""
+
+    call_id: int
+    body: bytes
+    more: bool
+
+
+class Response(Message, tag=3):
+    """Ends a call with the server's answer.
+
+    ``more`` is set when ``Data`` messages with the rest of the body follow.
+    """
+
+    call_id: int
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    report: LoadReport
+    more: bool = False
+
+
+class Refusal(Message, tag=4):
+    """Ends a call without an answer.
+
+    Attributes
+    ----------
+    outcome, reason
+        Values of ``Outcome`` and ``Reason``.
+    retry_after_ms
+        When the caller may usefully ask again, in milliseconds; zero when it is not known.
+    """
+
+    call_id: int
+    outcome: str
+    reason: str
+    retry_after_ms: int
+    report: LoadReport
+
+
+class Cancel(Message, tag=5):
+    """Tells the gate that nobody waits for the call any more."""
+
+    call_id: int
--- /dev/null
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -0,0 +1,95 @@
+"""Encodes messages into frames and decodes them, with limits on version and size.
+
+A frame is a 4-byte big-endian length, a version byte and the MessagePack form of one message;
+the length counts the version byte and the message.
+"""
+
+import struct
+from typing import Any
+
+import msgspec
+
+from ragwort_protocol import _calls, _load
+from ragwort_protocol._message import Message
+
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 1 << 20
+BODY_PART_BYTES = 64 << 10
+HEADER = struct.Struct(">IB")
+
+
+class ProtocolError(Exception):
+    """A frame that this node cannot accept; the link that carried it is closed."""
+
+
+_MESSAGES: Any = (
+    _calls.Request
+    | _calls.Data
+    | _calls.Response
+    | _calls.Refusal
+    | _calls.Cancel
+    | _load.LoadReport
+)
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(_MESSAGES)
+
+
+def encode_frame(message: Message) -> bytes:
+    """Return the frame that carries a message.
+
+    Raises
+    ------
+    ProtocolError
+        When the frame would be over ``MAX_FRAME_BYTES``.
+    """
+    body = _encoder.encode(message)
+    size = len(body) + 1
+    if size > MAX_FRAME_BYTES:
+        raise ProtocolError(f"message of {size} bytes is over the frame limit")
+    return HEADER.pack(size, PROTOCOL_VERSION) + body
+
+
+class FrameReader:
+    """Cuts a byte stream into messages; it keeps the bytes of an incomplete frame."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Message]:
+        """Take in received bytes and return the messages that are now complete.
+
+        Raises
+        ------
+        ProtocolError
+            When a frame is over its limit, of an unknown version or malformed.
+        """
+        buffer = self._buffer
+        buffer += data
+        messages = []
+        start = 0
+        while len(buffer) - start >= HEADER.size:
+            size, version = HEADER.unpack_from(buffer, start)
+            _check_header(size, version)
+            end = start + 4 + size
+            if len(buffer) < end:
+                break
+            messages.append(_decode(buffer, start + HEADER.size, end))
+            start = end
+        del buffer[:start]
+        return messages
+
+
+def _check_header(size: int, version: int) -> None:
+    if not 1 <= size <= MAX_FRAME_BYTES:
+        raise ProtocolError(f"frame of {size} bytes is out of bounds")
+    if version != PROTOCOL_VERSION:
+        raise ProtocolError(f"frame of unknown version {version}")
+
+
+def _decode(buffer: bytearray, start: int, end: int) -> Message:
+    # The view has to be released before the buffer can shrink again.
+    with memoryview(buffer) as view, view[start:end] as body:
+        try:
+            return _decoder.decode(body)
+        except msgspec.MsgspecError as error:
+            raise ProtocolError(f"malformed message: {error}") from error
--- /dev/null
+++ b/packages/protocol/src/ragwort_protocol/_load.py
@@ -0,0 +1,30 @@
+"""What a gate reports about its server's load."""
+
+from ragwort_protocol._message import Message
+
+
+class LoadReport(Message, tag=10):
+    """The state of one gate at the moment it was asked or answered.
+
+    Attributes
+    ----------
+    in_flight
+        Calls that the server is running.
+    limit
+        Calls that the gate lets the server run at once.
+    queued
+        Calls that wait in the gate's queue.
+    service_time_us
+        Recent median time that the server needs for a call, in microseconds.
+    accepting
+        False while the server leaves or the gate refuses everything.
+    warm
+        Share of the full limit that a freshly started server may take, 0 to 1.
+    """
+
+    in_flight: int
+    limit: int
+    queued: int
+    service_time_us: int
+    accepting: bool = True
+    warm: float = 1.0
--- /dev/null
+++ b/packages/protocol/src/ragwort_protocol/_message.py
@@ -0,0 +1,11 @@
+"""The base of every message on a link.
+
+Each message is a positional MessagePack array that starts with its tag. Tags are given out in
+blocks: calls 1 to 9, load reports and probes 10 to 19, gossip 20 to 29, claims 30 to 39.
+"""
+
+import msgspec
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Base of the messages; a subclass sets its tag with ``tag=N``."""
--- /dev/null
+++ b/packages/rules/src/ragwort_rules/__init__.py
@@ -0,0 +1,1 @@
+"""The rules file: parsing, checking, printing and matching."""
--- /dev/null
+++ b/standins/src/ragwort_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for servers; never part of a deployment."""
--- /dev/null
+++ b/tests/helper.py
@@ -0,0 +1,1 @@
+"""Helpers that several test modules share."""
--- /dev/null
+++ b/tests/protocol/test_codec.py
@@ -0,0 +1,48 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from ragwort_protocol import Cancel, Data, FrameReader, ProtocolError, Request, encode_frame
+
+messages = st.one_of(
+    st.builds(Cancel, call_id=st.integers(0, 2**40)),
+    st.builds(
+        Data, call_id=st.integers(0, 2**40), body=st.binary(max_size=300), more=st.booleans()
+    ),
+)
+
+
+@given(st.lists(messages, max_size=8), st.lists(st.integers(1, 40), min_size=1, max_size=20))
+def test_any_cut_of_the_stream_gives_the_same_messages(sent, cuts):
+    stream = b"".join(encode_frame(message) for message in sent)
+    reader = FrameReader()
+    received = []
+    position = 0
+    while position < len(stream):
+        size = cuts[position % len(cuts)]
+        received += reader.feed(stream[position : position + size])
+        position += size
+    assert received == sent
+
+
+@given(st.binary(max_size=200))
+def test_garbage_is_a_protocol_error_and_nothing_else(data):
+    try:
+        FrameReader().feed(data)
+    except ProtocolError:
+        return
+
+
+def test_a_frame_over_the_limit_is_refused_before_its_body_arrives():
+    with pytest.raises(ProtocolError, match="out of bounds"):
+        FrameReader().feed(b"\xff\xff\xff\xff\x01")
+
+
+def test_an_unknown_version_is_refused():
+    with pytest.raises(ProtocolError, match="version 9"):
+        FrameReader().feed(b"\x00\x00\x00\x05\x09")
+
+
+def test_encoding_a_message_over_the_limit_is_refused():
+    request = Request(1, "POST", b"/", [], b"x" * (1 << 20), 100.0)
+    with pytest.raises(ProtocolError, match="over the frame limit"):
+        encode_frame(request)
