--- /dev/null
+++ b/packages/rules/src/ragwort_rules/_checker.py
@@ -0,0 +1,82 @@
+"""Finds rules that contradict themselves or each other, and rules that no call can meet."""
+
+from collections.abc import Iterator
+
+from ragwort_rules._model import ANY_METHOD, Mistake, Rule, Rules, list_rules
+from ragwort_rules._pattern import PatternTree, add_pattern, find_first_cover
+
+
+def check_rules(rules: Rules) -> list[Mistake]:
+    """Return the mistakes that show only in whole rules."""
+    found = list_rules(rules)
+    mistakes = [mistake for rule in found for mistake in _check_settings(rule)]
+    mistakes += _check_reach(found)
+    mistakes += _check_members(found, "share")
+    mistakes += _check_members(found, "limit")
+    return mistakes
+
+
+def _check_settings(rule: Rule) -> Iterator[Mistake]:
+    settings = rule.settings
+    if settings.idempotent:
+        if settings.key_required is not None:
+            message = "an idempotent rule has key=, expected key= on non-idempotent rules only"
+            yield Mistake(rule.line, message)
+        return
+    # Either one could run the work twice.
+    for name, value in (("retries", settings.retries), ("hedge", settings.hedge_percent)):
+        if value:
+            message = f"a non-idempotent rule has {name}=, expected it on idempotent rules only"
+            yield Mistake(rule.line, message)
+
+
+def _check_reach(rules: tuple[Rule, ...]) -> Iterator[Mistake]:
+    """Report each rule whose calls all meet one earlier rule."""
+    trees: dict[tuple[str, str], PatternTree] = {}
+    for number, rule in enumerate(rules):
+        earlier = _find_cover(trees, rule)
+        if earlier is not None:
+            yield _describe_cover(rule, rules[earlier])
+        tree = trees.setdefault((rule.service, rule.method), PatternTree())
+        add_pattern(tree, rule.path, number)
+
+
+def _find_cover(trees: dict[tuple[str, str], PatternTree], rule: Rule) -> int | None:
+    found = []
+    for method in {rule.method, ANY_METHOD}:
+        tree = trees.get((rule.service, method))
+        number = find_first_cover(tree, rule.path) if tree else None
+        if number is not None:
+            found.append(number)
+    return min(found, default=None)
+
+
+def _describe_cover(rule: Rule, earlier: Rule) -> Mistake:
+    same_calls = (rule.method, rule.path) == (earlier.method, earlier.path)
+    if same_calls and rule.settings == earlier.settings and rule.member == earlier.member:
+        message = f"the rule repeats line {earlier.line}, expected each rule once"
+    elif same_calls:
+        message = f"the rule contradicts line {earlier.line}, expected one rule for these calls"
+    else:
+        message = (
+            f"no call can meet the rule because line {earlier.line} takes all of them, "
+            "expected the narrower rule first"
+        )
+    return Mistake(rule.line, message)
+
+
+def _check_members(rules: tuple[Rule, ...], name: str) -> Iterator[Mistake]:
+    """Report values that differ although they hold for all of a member's calls to a service."""
+    first: dict[tuple[str, str], Rule] = {}
+    for rule in rules:
+        value = getattr(rule.settings, name)
+        if value is None:
+            continue
+        earlier = first.setdefault((rule.service, rule.member), rule)
+        known = getattr(earlier.settings, name)
+        if known != value:
+            yield Mistake(
+                rule.line,
+                f"{name}={value} contradicts {name}={known} on line {earlier.line}, "
+                f"expected one {name} for member {rule.member} at service {rule.service}",
+            )
--- /dev/null
+++ b/packages/rules/src/ragwort_rules/_difference.py
@@ -0,0 +1,84 @@
+"""Tells what changed from one rules file to another."""
+
+from bisect import bisect_left
+from dataclasses import dataclass
+from enum import Enum
+
+from ragwort_rules._model import Rule, Rules, list_rules
+
+
+class ChangeKind(Enum):
+    """What happened to a rule."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+    MOVED = "moved"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One rule that differs; ``old`` is None when it was added, ``new`` when it was removed."""
+
+    kind: ChangeKind
+    old: Rule | None
+    new: Rule | None
+
+
+_Calls = tuple[str, str, str]
+
+
+def compare_rules(old: Rules, new: Rules) -> tuple[Change, ...]:
+    """Return the rules that differ: those removed first, then the others in their new order.
+
+    A rule is known by its service, method and path. One that keeps its words but changes its
+    place among the others has moved, which matters because the first match decides.
+    """
+    before = {_get_calls(rule): rule for rule in list_rules(old)}
+    after = {_get_calls(rule): rule for rule in list_rules(new)}
+    moved = _find_moved(before, after)
+    changes = [
+        Change(ChangeKind.REMOVED, rule, None)
+        for calls, rule in before.items()
+        if calls not in after
+    ]
+    for calls, rule in after.items():
+        kind = _compare_rule(before.get(calls), rule, calls in moved)
+        if kind is not None:
+            changes.append(Change(kind, before.get(calls), rule))
+    return tuple(changes)
+
+
+def _get_calls(rule: Rule) -> _Calls:
+    return rule.service, rule.method, rule.path
+
+
+def _compare_rule(old: Rule | None, new: Rule, moved: bool) -> ChangeKind | None:
+    if old is None:
+        return ChangeKind.ADDED
+    if (old.settings, old.member, old.reason) != (new.settings, new.member, new.reason):
+        return ChangeKind.CHANGED
+    return ChangeKind.MOVED if moved else None
+
+
+def _find_moved(before: dict[_Calls, Rule], after: dict[_Calls, Rule]) -> set[_Calls]:
+    places = {calls: place for place, calls in enumerate(before)}
+    common = [calls for calls in after if calls in places]
+    kept = _find_longest_rise([places[calls] for calls in common])
+    return {calls for calls in common if places[calls] not in kept}
+
+
+def _find_longest_rise(values: list[int]) -> set[int]:
+    """Return the values of a longest rising subsequence; all values are distinct."""
+    tails: list[int] = []
+    previous: dict[int, int | None] = {}
+    for value in values:
+        length = bisect_left(tails, value)
+        previous[value] = tails[length - 1] if length else None
+        tails[length : length + 1] = [value]
+    rise = set()
+    value = tails[-1] if tails else None
+    while value is not None:
+        rise.add(value)
+        value = previous[value]
+    return rise
--- /dev/null
+++ b/packages/rules/src/ragwort_rules/_matcher.py
@@ -0,0 +1,125 @@
+"""Finds the rule that a call meets: the first in the file's order that fits it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ragwort_common import Member, ServiceName
+
+from ragwort_rules._model import (
+    ANY_METHOD,
+    DEFAULT_DEADLINE_MS,
+    DEFAULT_SHARE,
+    Priority,
+    Rule,
+    Rules,
+    Treatment,
+    list_rules,
+)
+from ragwort_rules._pattern import PatternTree, add_pattern, find_first, split_path
+
+Matcher = Callable[[ServiceName, str, str], Treatment | None]
+RuleFinder = Callable[[ServiceName, str, str], Rule | None]
+
+
+def build_matcher(rules: Rules) -> Matcher:
+    """Return a function that gives the treatment of a call.
+
+    The function takes the service, the HTTP method and the path without its query, and returns
+    None when no rule is for the call.
+    """
+    find = _build_search(rules)
+    treatments = list_treatments(rules)
+
+    def match(service: ServiceName, method: str, path: str) -> Treatment | None:
+        number = find(service, method, path)
+        return None if number is None else treatments[number]
+
+    return match
+
+
+def build_rule_finder(rules: Rules) -> RuleFinder:
+    """Return a function like that of ``build_matcher`` that gives the rule itself."""
+    find = _build_search(rules)
+    found = list_rules(rules)
+
+    def find_rule(service: ServiceName, method: str, path: str) -> Rule | None:
+        number = find(service, method, path)
+        return None if number is None else found[number]
+
+    return find_rule
+
+
+@dataclass(slots=True)
+class _ServiceIndex:
+    """The rules of one service: a tree for each method named, and one for all other methods."""
+
+    methods: dict[str, PatternTree] = field(default_factory=dict)
+    others: PatternTree = field(default_factory=PatternTree)
+
+
+def _build_search(rules: Rules) -> Callable[[ServiceName, str, str], int | None]:
+    services = _index_rules(list_rules(rules))
+
+    def find(service: ServiceName, method: str, path: str) -> int | None:
+        index = services.get(service)
+        if index is None:
+            return None
+        return find_first(index.methods.get(method, index.others), split_path(path))
+
+    return find
+
+
+def _index_rules(rules: tuple[Rule, ...]) -> dict[ServiceName, _ServiceIndex]:
+    services: dict[ServiceName, _ServiceIndex] = {}
+    for rule in rules:
+        index = services.setdefault(rule.service, _ServiceIndex())
+        index.methods.setdefault(rule.method, PatternTree())
+    for number, rule in enumerate(rules):
+        index = services[rule.service]
+        for tree in _list_trees(index, rule.method):
+            add_pattern(tree, rule.path, number)
+    return services
+
+
+def _list_trees(index: _ServiceIndex, method: str) -> list[PatternTree]:
+    # A rule for any method stands in every tree, so that a search visits only one.
+    if method == ANY_METHOD:
+        return [index.others, *index.methods.values()]
+    return [index.methods[method]]
+
+
+def list_treatments(rules: Rules) -> tuple[Treatment, ...]:
+    """Return the treatment of each rule, in the order of ``list_rules``.
+
+    A share or limit written on any line holds for all of that member's calls to the service.
+    """
+    found = list_rules(rules)
+    shares: dict[tuple[ServiceName, Member], int] = {}
+    limits: dict[tuple[ServiceName, Member], int] = {}
+    for rule in found:
+        if rule.settings.share is not None:
+            shares[rule.service, rule.member] = rule.settings.share
+        if rule.settings.limit is not None:
+            limits[rule.service, rule.member] = rule.settings.limit
+    return tuple(_build_treatment(rule, shares, limits) for rule in found)
+
+
+def _build_treatment(
+    rule: Rule,
+    shares: dict[tuple[ServiceName, Member], int],
+    limits: dict[tuple[ServiceName, Member], int],
+) -> Treatment:
+    owner = (rule.service, rule.member)
+    settings = rule.settings
+    return Treatment(
+        member=rule.member,
+        idempotent=bool(settings.idempotent),
+        priority=settings.priority or Priority.INTERACTIVE,
+        deadline_ms=settings.deadline_ms or DEFAULT_DEADLINE_MS,
+        retries=settings.retries or 0,
+        hedge_percent=settings.hedge_percent or 0.0,
+        share=shares.get(owner, DEFAULT_SHARE),
+        limit=limits.get(owner),
+        domains=frozenset(settings.domains or ()),
+        key_required=bool(settings.key_required),
+    )
--- /dev/null
+++ b/packages/rules/src/ragwort_rules/_pattern.py
@@ -0,0 +1,114 @@
+"""The path patterns of rules, and a tree that finds patterns by path.
+
+A pattern is compared with a path segment by segment. ``*`` stands for one segment that is not
+empty; ``**``, which may only come last, for one or more segments of any kind.
+"""
+
+import re
+from dataclasses import dataclass, field
+
+ONE = "*"
+REST = "**"
+MAX_SEGMENTS = 32
+
+_LITERAL = re.compile(r"[A-Za-z0-9._~!$&'()+,;=:@%-]+")
+_NEVER = 1 << 62
+
+
+def split_path(path: str) -> list[str]:
+    """Return the segments of a path that starts with a slash."""
+    return path.split("/")[1:]
+
+
+def find_pattern_problem(pattern: str) -> str:
+    """Return what keeps a text from being a pattern, and what was expected; empty when nothing."""
+    if not pattern.startswith("/"):
+        return f"path '{pattern}' has no leading slash, expected a path such as /drums/*"
+    segments = split_path(pattern)
+    if len(segments) > MAX_SEGMENTS:
+        return f"path has {len(segments)} segments, expected {MAX_SEGMENTS} at most"
+    if REST in segments[:-1]:
+        return f"path '{pattern}' goes on after **, expected ** only as the last segment"
+    if "" in segments[:-1]:
+        return f"path '{pattern}' has an empty segment, expected single slashes"
+    return _find_segment_problem(segments)
+
+
+def _find_segment_problem(segments: list[str]) -> str:
+    for segment in segments:
+        if segment not in ("", ONE, REST) and not _LITERAL.fullmatch(segment):
+            expected = "expected plain text, * for a whole segment, or ** at the end"
+            return f"path segment '{segment}' is not understood, {expected}"
+    return ""
+
+
+@dataclass(slots=True)
+class PatternTree:
+    """Patterns by segment; each remembers the lowest number that it was added with."""
+
+    literals: dict[str, "PatternTree"] = field(default_factory=dict)
+    one: "PatternTree | None" = None
+    rest: int = _NEVER
+    end: int = _NEVER
+
+
+def add_pattern(tree: PatternTree, pattern: str, number: int) -> None:
+    """Add a pattern to the tree under a number."""
+    segments = split_path(pattern)
+    if segments[-1] == REST:
+        node = _reach_node(tree, segments[:-1])
+        node.rest = min(node.rest, number)
+    else:
+        node = _reach_node(tree, segments)
+        node.end = min(node.end, number)
+
+
+def _reach_node(tree: PatternTree, segments: list[str]) -> PatternTree:
+    for segment in segments:
+        if segment == ONE:
+            tree.one = tree.one or PatternTree()
+            tree = tree.one
+        else:
+            tree = tree.literals.setdefault(segment, PatternTree())
+    return tree
+
+
+def find_first(tree: PatternTree, segments: list[str]) -> int | None:
+    """Return the lowest number whose pattern matches a path's segments."""
+    number = _find(tree, segments, 0, _NEVER)
+    return None if number == _NEVER else number
+
+
+def _find(node: PatternTree, segments: list[str], depth: int, best: int) -> int:
+    if depth == len(segments):
+        return min(best, node.end)
+    if node.rest < best:
+        best = node.rest
+    segment = segments[depth]
+    child = node.literals.get(segment)
+    if child is not None:
+        best = _find(child, segments, depth + 1, best)
+    if node.one is not None and segment:
+        best = _find(node.one, segments, depth + 1, best)
+    return best
+
+
+def find_first_cover(tree: PatternTree, pattern: str) -> int | None:
+    """Return the lowest number whose pattern matches every path that a pattern matches."""
+    segments = split_path(pattern)
+    number = _find_cover(tree, segments, 0, _NEVER)
+    return None if number == _NEVER else number
+
+
+def _find_cover(node: PatternTree, segments: list[str], depth: int, best: int) -> int:
+    if depth == len(segments):
+        return min(best, node.end)
+    best = min(best, node.rest)
+    segment = segments[depth]
+    if segment == REST:
+        return best
+    if segment != ONE and segment in node.literals:
+        best = _find_cover(node.literals[segment], segments, depth + 1, best)
+    if node.one is not None and segment:
+        best = _find_cover(node.one, segments, depth + 1, best)
+    return best
--- /dev/null
+++ b/packages/rules/src/ragwort_rules/_printer.py
@@ -0,0 +1,19 @@
+"""Writes rules back as a rules file."""
+
+from ragwort_rules._model import Note, Rule, Rules
+from ragwort_rules._settings import write_settings
+
+
+def print_rules(rules: Rules) -> str:
+    """Return the text of a rules file, with one space between words and every comment kept."""
+    return "".join(f"{_print_line(line)}\n" for line in rules.lines)
+
+
+def _print_line(line: Rule | Note) -> str:
+    return line.text if isinstance(line, Note) else print_rule(line)
+
+
+def print_rule(rule: Rule) -> str:
+    """Return the line of one rule."""
+    words = [rule.service, rule.method, rule.path, *write_settings(rule.settings)]
+    return f"{' '.join(words)}  # {rule.member}: {rule.reason}"
