--- a/packages/platform/src/ragwort_platform/__init__.py
+++ b/packages/platform/src/ragwort_platform/__init__.py
@@ -1,1 +1,49 @@
-"""The client of the platform object API."""
+"""The client of the platform object API, and the documents and leases kept there."""
+
+from ragwort_platform._budget import CallBudget
+from ragwort_platform._document import (
+    NODES_PREFIX,
+    RULES_PATH,
+    Announcement,
+    DocumentError,
+    RulesDocument,
+    decode_announcement,
+    decode_document,
+    encode_announcement,
+    encode_document,
+    history_path,
+)
+from ragwort_platform._error import ErrorKind, StoreError
+from ragwort_platform._record import Change, Changes, Listing, Stored
+from ragwort_platform._store import (
+    DEFAULT_BURST_CALLS,
+    DEFAULT_CALLS_PER_S,
+    MAX_OBJECT_BYTES,
+    CallKind,
+    ObjectStore,
+)
+
+__all__ = [
+    "DEFAULT_BURST_CALLS",
+    "DEFAULT_CALLS_PER_S",
+    "MAX_OBJECT_BYTES",
+    "NODES_PREFIX",
+    "RULES_PATH",
+    "Announcement",
+    "CallBudget",
+    "CallKind",
+    "Change",
+    "Changes",
+    "DocumentError",
+    "ErrorKind",
+    "Listing",
+    "ObjectStore",
+    "RulesDocument",
+    "StoreError",
+    "Stored",
+    "decode_announcement",
+    "decode_document",
+    "encode_announcement",
+    "encode_document",
+    "history_path",
+]
--- /dev/null
+++ b/packages/platform/src/ragwort_platform/_document.py
@@ -0,0 +1,126 @@
+"""The documents that nodes and operators share through the platform, and their JSON form."""
+
+import json
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from expression import Error, Ok, Result
+from ragwort_common import FailureDomain, Incarnation, NodeId, Region, Revision, ServiceName
+
+RULES_PATH = "rules/current"
+NODES_PREFIX = "nodes/"
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentError:
+    """Why stored bytes are not the document that they should be."""
+
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class RulesDocument:
+    """One revision of the rules file, with who applied it.
+
+    Attributes
+    ----------
+    revision
+        Number of this revision; each accepted change has a higher one.
+    author
+        Who applied it.
+    applied_at
+        When, in ISO 8601, for people to read; nothing compares it.
+    apply_id
+        Unique id of the attempt that wrote it, by which its author recognises the write as its
+        own when the reply was lost.
+    text
+        The rules file as the operator gave it.
+    """
+
+    revision: Revision
+    author: str
+    applied_at: str
+    apply_id: str
+    text: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """What a node tells others of itself when it starts."""
+
+    node_id: NodeId
+    service: ServiceName
+    region: Region
+    failure_domain: FailureDomain
+    link_address: str
+    entry_address: str
+    control_address: str
+    incarnation: Incarnation
+
+
+def history_path(revision: Revision) -> str:
+    """Return the path at which a revision is kept after a later one replaced it."""
+    return f"rules/history/{revision:010d}"
+
+
+def encode_document(document: RulesDocument) -> bytes:
+    """Return the stored form of a rules document."""
+    # Rules in UTF-8 stay readable in the platform's own tools; bytes that are not UTF-8 survive.
+    fields = asdict(document) | {"text": document.text.decode("utf-8", "surrogateescape")}
+    return json.dumps(fields, ensure_ascii=False).encode("utf-8", "surrogateescape")
+
+
+def decode_document(data: bytes) -> Result[RulesDocument, DocumentError]:
+    """Return the rules document in its stored form."""
+    try:
+        fields = json.loads(data.decode("utf-8", "surrogateescape"))
+        return Ok(
+            RulesDocument(
+                revision=Revision(_read_count(fields, "revision")),
+                author=_read_text(fields, "author"),
+                applied_at=_read_text(fields, "applied_at"),
+                apply_id=_read_text(fields, "apply_id"),
+                text=_read_text(fields, "text").encode("utf-8", "surrogateescape"),
+            )
+        )
+    except (KeyError, TypeError, ValueError, RecursionError) as error:
+        return Error(DocumentError(f"not a rules document: {error!r}"))
+
+
+def encode_announcement(announcement: Announcement) -> bytes:
+    """Return the stored form of an announcement."""
+    return json.dumps(asdict(announcement)).encode()
+
+
+def decode_announcement(data: bytes) -> Result[Announcement, DocumentError]:
+    """Return the announcement in its stored form."""
+    try:
+        fields = json.loads(data)
+        return Ok(
+            Announcement(
+                node_id=NodeId(_read_text(fields, "node_id")),
+                service=ServiceName(_read_text(fields, "service")),
+                region=Region(_read_text(fields, "region")),
+                failure_domain=FailureDomain(_read_text(fields, "failure_domain")),
+                link_address=_read_text(fields, "link_address"),
+                entry_address=_read_text(fields, "entry_address"),
+                control_address=_read_text(fields, "control_address"),
+                incarnation=Incarnation(_read_count(fields, "incarnation")),
+            )
+        )
+    except (KeyError, TypeError, ValueError, RecursionError) as error:
+        return Error(DocumentError(f"not an announcement: {error!r}"))
+
+
+def _read_text(fields: Any, name: str) -> str:
+    value = fields[name]
+    if not isinstance(value, str):
+        raise ValueError(f"{name} is not a string")
+    return value
+
+
+def _read_count(fields: Any, name: str) -> int:
+    value = fields[name]
+    if type(value) is not int or not 0 <= value < 1 << 63:
+        raise ValueError(f"{name} is not a count")
+    return value
--- /dev/null
+++ b/packages/platform/src/ragwort_platform/_store.py
@@ -0,0 +1,214 @@
+"""The client of the platform's object API."""
+
+import time
+from collections import Counter
+from dataclasses import dataclass
+from enum import Enum
+from types import TracebackType
+from typing import Self
+from urllib.parse import quote, urlencode
+
+import aiohttp
+from expression import Error, Ok, Result
+from yarl import URL
+
+from ragwort_platform._budget import CallBudget
+from ragwort_platform._error import ErrorKind, StoreError
+from ragwort_platform._record import Changes, Listing, Stored
+from ragwort_platform._reply import (
+    format_version,
+    parse_version,
+    read_changes,
+    read_failure,
+    read_listing,
+)
+
+MAX_OBJECT_BYTES = 1 << 20
+DEFAULT_CALLS_PER_S = 5.0
+DEFAULT_BURST_CALLS = 20.0
+
+
+class CallKind(Enum):
+    """The kinds of calls that are counted and budgeted."""
+
+    GET = "get"
+    CREATE = "create"
+    UPDATE = "update"
+    DELETE = "delete"
+    LIST = "list"
+    WATCH = "watch"
+
+
+_WRITES = {CallKind.CREATE, CallKind.UPDATE, CallKind.DELETE}
+
+
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """One request to the platform."""
+
+    kind: CallKind
+    method: str
+    path: str
+    headers: dict[str, str]
+    timeout_s: float
+    data: bytes = b""
+
+    @property
+    def is_write(self) -> bool:
+        return self.kind in _WRITES
+
+
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """What the platform replied: the version of the entity tag, if any, and the body."""
+
+    version: int | None
+    body: bytes
+
+
+class ObjectStore:
+    """Makes calls to the platform's object API; an async context manager.
+
+    Each call returns a value or a ``StoreError`` and never raises for what the platform or the
+    network does. Nothing is retried here: callers know whether a repeat is safe.
+
+    Parameters
+    ----------
+    base_url
+        Where the API is, such as ``http://192.0.2.1:8500``.
+    timeout_ms
+        How long a call may take; a watch may take as long again as it was told to wait.
+    budget
+        How many calls this node may make.
+
+    Attributes
+    ----------
+    calls
+        Count of calls sent, by ``CallKind``.
+    errors
+        Count of failed calls, by ``ErrorKind``.
+    """
+
+    def __init__(self, base_url: str, timeout_ms: float, budget: CallBudget | None = None) -> None:
+        self.calls: Counter[CallKind] = Counter()
+        self.errors: Counter[ErrorKind] = Counter()
+        self._base_url = base_url.rstrip("/")
+        self._timeout_s = timeout_ms / 1000
+        self._budget = budget or CallBudget(
+            DEFAULT_CALLS_PER_S, DEFAULT_BURST_CALLS, time.monotonic
+        )
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Self:
+        """Open the client's session."""
+        self._session = aiohttp.ClientSession()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the client's connections."""
+        assert self._session is not None
+        await self._session.close()
+
+    async def get(self, path: str) -> Result[Stored, StoreError]:
+        """Return the object at a path."""
+        call = _Call(CallKind.GET, "GET", _object_path(path), {}, self._timeout_s)
+        return (await self._send(call)).bind(lambda reply: _read_object(path, reply))
+
+    async def create(self, path: str, data: bytes) -> Result[Stored, StoreError]:
+        """Write an object where there is none yet."""
+        return await self._write(CallKind.CREATE, path, {"If-None-Match": "*"}, data)
+
+    async def update(
+        self, path: str, data: bytes, expected_version: int
+    ) -> Result[Stored, StoreError]:
+        """Replace an object if it still has the expected version."""
+        headers = {"If-Match": format_version(expected_version)}
+        return await self._write(CallKind.UPDATE, path, headers, data)
+
+    async def delete(self, path: str, expected_version: int) -> Result[None, StoreError]:
+        """Remove an object if it still has the expected version."""
+        headers = {"If-Match": format_version(expected_version)}
+        call = _Call(CallKind.DELETE, "DELETE", _object_path(path), headers, self._timeout_s)
+        return (await self._send(call)).map(lambda reply: None)
+
+    async def list_objects(self, prefix: str) -> Result[Listing, StoreError]:
+        """Return all objects whose path starts with a prefix."""
+        query = urlencode({"prefix": prefix})
+        call = _Call(CallKind.LIST, "GET", f"/objects?{query}", {}, self._timeout_s)
+        return (await self._send(call)).bind(lambda reply: read_listing(reply.body))
+
+    async def watch(
+        self, prefix: str, after_version: int, wait_ms: int
+    ) -> Result[Changes, StoreError]:
+        """Wait until an object below a prefix changes, or for ``wait_ms`` at most."""
+        query = urlencode({"prefix": prefix, "after": after_version, "wait_ms": wait_ms})
+        timeout_s = self._timeout_s + wait_ms / 1000
+        call = _Call(CallKind.WATCH, "GET", f"/objects?{query}", {}, timeout_s)
+        return (await self._send(call)).bind(lambda reply: read_changes(reply.body))
+
+    async def _write(
+        self, kind: CallKind, path: str, headers: dict[str, str], data: bytes
+    ) -> Result[Stored, StoreError]:
+        if len(data) > MAX_OBJECT_BYTES:
+            return self._fail(ErrorKind.INVALID, f"{len(data)} bytes are over the object limit")
+        # POST, since aiohttp by itself sends a PUT again after a broken connection: a repeat of
+        # a write that took effect would look like a conflict with another writer.
+        call = _Call(kind, "POST", _object_path(path), headers, self._timeout_s, data)
+        reply = await self._send(call)
+        if reply.is_error():
+            return Error(reply.error)
+        version = reply.ok.version
+        if version is None:
+            return self._fail(ErrorKind.UNCERTAIN, "the reply to a write has no version")
+        return Ok(Stored(path, version, data))
+
+    async def _send(self, call: _Call) -> Result[_Reply, StoreError]:
+        if not self._budget.take_call():
+            return self._fail(ErrorKind.OVER_BUDGET, "the node's budget of platform calls is used")
+        self.calls[call.kind] += 1
+        try:
+            return await self._exchange(call)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return self._fail(ErrorKind.UNAVAILABLE, f"connect failed: {error}")
+        except aiohttp.InvalidURL as error:
+            return self._fail(ErrorKind.INVALID, f"not a URL: {error}")
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            kind = ErrorKind.UNCERTAIN if call.is_write else ErrorKind.UNAVAILABLE
+            return self._fail(kind, f"no whole reply: {error!r}")
+
+    async def _exchange(self, call: _Call) -> Result[_Reply, StoreError]:
+        assert self._session is not None, "the store is used outside its context"
+        timeout = aiohttp.ClientTimeout(total=call.timeout_s, sock_connect=self._timeout_s)
+        url = URL(self._base_url + call.path, encoded=True)
+        async with self._session.request(
+            call.method,
+            url,
+            data=call.data or None,
+            headers=call.headers,
+            timeout=timeout,
+            allow_redirects=False,
+        ) as response:
+            body = await response.read()
+        if response.status in (200, 201, 204):
+            return Ok(_Reply(parse_version(response.headers.get("ETag")), body))
+        failure = read_failure(response.status, call.is_write)
+        return self._fail(failure.kind, failure.message)
+
+    def _fail(self, kind: ErrorKind, message: str) -> Result:
+        self.errors[kind] += 1
+        return Error(StoreError(kind, message))
+
+
+def _object_path(path: str) -> str:
+    return "/objects/" + quote(path, safe="/")
+
+
+def _read_object(path: str, reply: _Reply) -> Result[Stored, StoreError]:
+    if reply.version is None:
+        return Error(StoreError(ErrorKind.INVALID, "the reply has no version"))
+    return Ok(Stored(path, reply.version, reply.body))
--- /dev/null
+++ b/tests/platform/test_document.py
@@ -0,0 +1,58 @@
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from ragwort_platform import (
+    Announcement,
+    RulesDocument,
+    decode_announcement,
+    decode_document,
+    encode_announcement,
+    encode_document,
+    history_path,
+)
+
+words = st.text(st.characters(exclude_categories=["Cs"]), max_size=20)
+documents = st.builds(
+    RulesDocument,
+    revision=st.integers(0, 2**62),
+    author=words,
+    applied_at=words,
+    apply_id=words,
+    text=st.binary(max_size=200),
+)
+announcements = st.builds(Announcement, *[words] * 7, incarnation=st.integers(0, 2**62))
+
+
+@given(documents)
+def test_a_rules_document_survives_its_stored_form(document):
+    assert decode_document(encode_document(document)).ok == document
+
+
+@given(announcements)
+def test_an_announcement_survives_its_stored_form(announcement):
+    assert decode_announcement(encode_announcement(announcement)).ok == announcement
+
+
+broken = st.one_of(
+    st.binary(max_size=60),
+    st.recursive(st.none() | st.integers() | words, st.lists).map(lambda v: json.dumps(v).encode()),
+    documents.map(lambda d: encode_document(d)[:-3]),
+)
+
+
+@given(broken)
+def test_anything_else_is_an_error_value(data):
+    assert decode_document(data).is_error()
+    assert decode_announcement(data).is_error()
+
+
+@pytest.mark.parametrize("revision", [-1, "1", 1.0, True, None, 1 << 63])
+def test_a_revision_that_is_no_count_is_refused(revision):
+    fields = {"revision": revision, "author": "", "applied_at": "", "apply_id": "", "text": ""}
+    assert decode_document(json.dumps(fields).encode()).is_error()
+
+
+def test_history_paths_sort_by_revision():
+    assert history_path(9) == "rules/history/0000000009" < history_path(10)
