Prove the operators' command against fakes, nodes and the stand-in; tell refused connections at once

Cause: a node that is gone cost the whole timeout, since gRPC goes on trying to connect. The first failed connect now ends it, and the request surely was not sent. Shorter timeouts were ruled out: a slow node would then be told as gone.

--- a/packages/control/src/ragwort_control/_nodes.py
+++ b/packages/control/src/ragwort_control/_nodes.py
@@ -17,6 +17,12 @@
 
 MAX_ASKED_AT_ONCE = 32
 
+_CONNECT_ENDS = {
+    grpc.ChannelConnectivity.READY,
+    grpc.ChannelConnectivity.TRANSIENT_FAILURE,
+    grpc.ChannelConnectivity.SHUTDOWN,
+}
+
 
 @dataclass(frozen=True, slots=True)
 class NodeError:
@@ -58,11 +64,9 @@
 async def _call(address: str, timeout_ms: int, name: str, request) -> Result:
     timeout_s = timeout_ms / 1000
     async with grpc.aio.insecure_channel(address) as channel:
-        try:
-            # Until there is a connection, nothing can have been sent.
-            await asyncio.wait_for(channel.channel_ready(), timeout_s)
-        except TimeoutError:
-            return Error(NodeError(f"no connection to {address} within {timeout_ms} ms", False))
+        # Until there is a connection, nothing can have been sent.
+        if not await _connect(channel, timeout_s):
+            return Error(NodeError(f"no connection to {address}", False))
         try:
             return Ok(await getattr(ControlStub(channel), name)(request, timeout=timeout_s))
         except grpc.aio.AioRpcError as error:
@@ -70,6 +74,19 @@
             return Error(NodeError(message, True))
 
 
+async def _connect(channel: grpc.aio.Channel, timeout_s: float) -> bool:
+    """Tell whether the channel could connect; a refused connection is told at once."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            state = channel.get_state(try_to_connect=True)
+            while state not in _CONNECT_ENDS:
+                await channel.wait_for_state_change(state)
+                state = channel.get_state(try_to_connect=True)
+    except TimeoutError:
+        return False
+    return state is grpc.ChannelConnectivity.READY
+
+
 def is_address(word: str) -> bool:
     """Tell whether a word has the form HOST:PORT."""
     host, _, port = word.rpartition(":")
--- /dev/null
+++ b/tests/control/test_main.py
@@ -0,0 +1,217 @@
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+from fake_store import FakeStore, Fault
+from ragwort_control._store import open_platform
+from ragwort_control.main import COMMANDS, run_command
+from ragwort_platform import RULES_PATH, RulesDocument, encode_document
+from ragwort_standins.platform import PlatformStandIn
+
+ONE = "drums GET /a idempotent  # hanbit: lookups\n"
+TWO = ONE + "drums * /** deadline=3s  # hanbit: everything else\n"
+THREE = ONE.replace("idempotent", "batch")
+HANBIT = Path(__file__).parents[2] / "docs" / "examples" / "hanbit.rules"
+
+
+async def go_on(delay_s):
+    """Wait for nothing."""
+
+
+class Operator:
+    """Runs command lines against a store in memory, and keeps what they printed."""
+
+    def __init__(self, folder, capsys):
+        self.folder = folder
+        self.capsys = capsys
+        self.store = FakeStore()
+
+    def run(self, *words):
+        flags = ["--platform=http://fake", *(["--author=kim"] if words[0] == "apply" else [])]
+        return self.run_plain(*words, *flags)
+
+    def run_plain(self, *words):
+        status = run_command(words, self.store.open, go_on)
+        self.out, self.err = self.capsys.readouterr()
+        assert "Traceback" not in self.err
+        return status
+
+    def write(self, text, name="my.rules"):
+        path = self.folder / name
+        path.write_text(text)
+        return str(path)
+
+    def put_rival(self, revision=2, text=TWO):
+        document = RulesDocument(revision, "lee", "today", "rival", text.encode())
+        self.store.put(RULES_PATH, encode_document(document))
+
+
+@pytest.fixture
+def operator(tmp_path, capsys):
+    return Operator(tmp_path, capsys)
+
+
+@pytest.mark.parametrize("name", COMMANDS)
+def test_help_shows_examples_and_exit_statuses(operator, name):
+    assert operator.run_plain(name, "--help") == 0
+    assert f"  ragwortctl {name}" in operator.out
+    assert "3  could not tell" in operator.out
+
+
+@pytest.mark.parametrize(
+    ("words", "message"),
+    [
+        ([], "the command is missing, expected one of check"),
+        (["chekc"], "command 'chekc' is unknown, expected one of check"),
+        (["check"], "0 arguments given, expected 'ragwortctl check FILE'"),
+        (["check", "a", "b"], "2 arguments given"),
+        (["check", "/no/such"], "/no/such: No such file or directory, expected a file"),
+        (["check", "a\0b"], "expected a file that can be read"),
+        (["show", "--revison=1"], "'ragwortctl show --help' shows the flags"),
+        (["show", "--revision=x"], "invalid literal"),
+        (["show"], "the platform's URL is missing, expected --platform=http://HOST:PORT"),
+        (["show", "--platform=ftp://x"], "the platform's URL 'ftp://x' is not understood"),
+        (["explain", "drums", "GET", "a"], "path 'a' has no leading slash"),
+        (["status", "--node=x"], "node 'x' is not an address, expected HOST:PORT"),
+        (["drain", "n1"], "the token is missing, expected --token-file=FILE"),
+    ],
+)
+def test_a_users_mistake_is_one_line_and_status_2(operator, monkeypatch, words, message):
+    monkeypatch.delenv("RAGWORT_PLATFORM", raising=False)
+    assert operator.run_plain(*words) == 2
+    assert message in operator.err
+    assert operator.err.count("\n") == 1
+    assert operator.out == ""
+
+
+def test_check_tells_every_mistake_with_file_and_line(operator):
+    name = operator.write(ONE + "oops\n\ndrums GET /b retries=1  # hanbit: x\n")
+    assert operator.run_plain("check", name) == 2
+    lines = operator.err.splitlines()
+    assert [line.split(": ")[0] for line in lines] == [f"{name}:2", f"{name}:2", f"{name}:4"]
+    assert all("expected" in line for line in lines)
+    assert operator.run("apply", name) == 2
+    assert operator.store.accepted == []
+
+
+def test_check_reports_a_sound_file_for_people_and_for_programs(operator):
+    assert operator.run_plain("check", str(HANBIT)) == 0
+    assert "11 rules for cleaning-records, collections, drum-tracking" in operator.out
+    assert operator.run_plain("check", "--json", str(HANBIT)) == 0
+    assert json.loads(operator.out)["rules"] == 11
+
+
+def test_explain_names_the_rule_and_why_earlier_ones_do_not_fit(operator):
+    call = ["collections", "GET", "/stops?day=1"]
+    assert operator.run_plain("explain", f"--rules={HANBIT}", *call, "--json") == 0
+    found = json.loads(operator.out)
+    assert found["rule"].startswith("collections * /** ")
+    assert [each["reason"] for each in found["passed"]] == [
+        "the method is POST",
+        "the path does not fit",
+        "the method is POST",
+    ]
+    assert found["treatment"]["deadline_ms"] == 5000
+    assert operator.run("explain", "drums", "GET", "/a") == 1
+    assert "the platform holds no current rules" in operator.err
+    operator.run("apply", operator.write(ONE))
+    assert operator.run("explain", "drums", "GET", "/a") == 0
+    assert "GET /a meets line 1 of current" in operator.out
+    assert operator.run("explain", "drums", "GET", "/b") == 1
+    assert "no rule of current is for GET /b" in operator.err
+    assert operator.run("explain", "trucks", "GET", "/b") == 1
+    assert "no rule is for service 'trucks'" in operator.err
+
+
+def test_revisions_are_applied_shown_listed_and_compared(operator):
+    assert operator.run("history") == 0
+    assert "no rules yet" in operator.out
+    assert operator.run("apply", operator.write(ONE)) == 0
+    assert "revision 1 is the first: 1 added" in operator.out
+    assert operator.run("apply", "--expect-version=1", operator.write(TWO)) == 0
+    assert f"+{TWO.splitlines()[1]}" in operator.out
+    assert "revision 2 replaces revision 1: 1 added" in operator.out
+    assert operator.run("apply", operator.write(TWO)) == 0
+    assert "nothing to apply: revision 2 by kim" in operator.out
+    assert operator.run("show") == 0
+    assert (operator.out, operator.err[:17]) == (TWO, "revision 2 by kim")
+    assert operator.run("show", "--revision=1") == 0
+    assert operator.out == ONE
+    assert operator.run("show", "--revision=9") == 1
+    assert operator.run("history", "--json") == 0
+    assert [row["revision"] for row in json.loads(operator.out)["revisions"]] == [2, 1]
+    assert operator.run("diff", "1", "2", "--json") == 0
+    assert [change["kind"] for change in json.loads(operator.out)["changes"]] == ["added"]
+    assert operator.run("diff", operator.write(THREE)) == 0
+    assert "removed: drums * /**\nchanged: drums GET /a" in operator.out
+    assert operator.run("apply", "--expect-version=2", "--above=40", operator.write(ONE)) == 0
+    assert "revision 41 replaces revision 2" in operator.out
+
+
+@pytest.mark.parametrize(
+    ("flags", "status", "message"),
+    [
+        ([], 2, "revision 2 by lee at today is current and --expect-version is missing"),
+        (["--expect-version=1"], 1, "revision 2 by lee at today is current, --expect-version said"),
+    ],
+)
+def test_apply_refuses_to_replace_what_the_operator_has_not_read(operator, flags, status, message):
+    operator.put_rival()
+    assert operator.run("apply", operator.write(ONE), *flags) == status
+    assert message in operator.err
+    assert f"-{TWO.splitlines()[1]}" in operator.err
+    assert len(operator.store.accepted) == 1
+
+
+def test_the_operator_who_comes_second_is_told_what_changed_and_by_whom(operator):
+    operator.run("apply", operator.write(ONE))
+    operator.store.before_write = operator.put_rival
+    assert operator.run("apply", "--expect-version=1", operator.write(THREE)) == 1
+    assert "nothing was applied: revision 2 by lee at today came first" in operator.err
+    assert f"+{TWO.splitlines()[1]}" in operator.err
+    assert "--expect-version=2" in operator.err
+    assert [document.author for document in operator.store.accepted] == ["kim", "lee"]
+
+
+@pytest.mark.parametrize(
+    ("faults", "status", "message"),
+    [
+        ([Fault.NONE, Fault.LOST_REPLY], 0, ""),
+        ([Fault.UNAVAILABLE], 1, "the platform could not be read (unavailable)"),
+        ([Fault.NONE, *[Fault.UNAVAILABLE] * 9], 1, "nothing was applied: the platform did not"),
+        ([Fault.NONE, *[Fault.LOST_REQUEST] * 9], 3, "could not tell whether the rules were"),
+    ],
+)
+def test_apply_says_what_is_known_after_faults(operator, faults, status, message):
+    operator.store.faults.extend(faults)
+    assert operator.run("apply", operator.write(ONE)) == status
+    assert message in operator.err
+    assert len(operator.store.accepted) == (status == 0)
+
+
+def test_rules_over_the_platforms_limit_are_a_users_mistake(operator):
+    assert operator.run("apply", operator.write(ONE + "#" * (1 << 20))) == 2
+    assert "expected 1048576 at most" in operator.err
+
+
+def test_a_damaged_document_is_told_as_such(operator):
+    operator.store.put(RULES_PATH, b"[]")
+    assert operator.run("show") == 1
+    assert "rules/current is damaged" in operator.err
+
+
+def test_apply_and_history_work_over_http_when_a_reply_is_lost(operator):
+    async def scenario():
+        async with PlatformStandIn() as platform:
+            flags = [f"--platform={platform.url}", "--author=kim", "--timeout-ms=300"]
+            platform.table.faults.lost_replies = 1
+            words = ["apply", operator.write(ONE), *flags]
+            assert await asyncio.to_thread(run_command, words, open_platform, go_on) == 0
+            assert platform.table.objects[RULES_PATH].data.count(b"kim") == 1
+            platform.table.faults.outage = True
+            words = ["history", flags[0]]
+            assert await asyncio.to_thread(run_command, words, open_platform, go_on) == 1
+
+    asyncio.run(scenario())
+    assert "revision 1 is the first" in operator.capsys.readouterr().out
