--- /dev/null
+++ b/packages/node/src/ragwort_node/_once.py
@@ -0,0 +1,227 @@
+"""Runs a call with an idempotency key at most once: claims the key, runs, reports the result."""
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from expression import Result
+from ragwort_common import Epoch, NodeId, Outcome, Reason
+from ragwort_policy import OwnerMap
+from ragwort_protocol import Answer, ClaimReply, ClaimRequest, ClaimResult, ClaimVerdict
+
+log = logging.getLogger(__name__)
+
+CLAIM_TRIES = 3
+CLAIM_TIMEOUT_S = 1.0
+CLAIM_PAUSE_S = 0.05
+NO_OWNER_RETRY_MS = 5_000
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimError:
+    """A claim that got no reply; the owner may have received it."""
+
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedCall:
+    """What the owner has to know of a call with an idempotency key.
+
+    Attributes
+    ----------
+    key_hash, fingerprint, key_range, minted_ms
+        As in ``ClaimRequest``.
+    deadline_s
+        Monotonic time of the caller's deadline.
+    """
+
+    key_hash: bytes
+    fingerprint: bytes
+    key_range: int
+    minted_ms: int
+    deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """The right to run one call, to be shown to the gate."""
+
+    key_range: int
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class RunReport:
+    """How a granted call ended; ``answer`` is missing when it is not to be kept."""
+
+    outcome: Outcome
+    reason: Reason = Reason.NONE
+    answer: Answer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class OnceResult:
+    """How a call with a key ended.
+
+    Attributes
+    ----------
+    ran
+        True when this request was granted; the caller has been or is answered from its run.
+    outcome, reason
+        As for any call. ``not-run`` speaks of this request; an earlier one with the same key
+        may have run.
+    retry_after_ms
+        When a repeat may be of use; zero when it is not known.
+    answer
+        The first answer, for a repeat of a call that is done.
+    """
+
+    ran: bool
+    outcome: Outcome
+    reason: Reason = Reason.NONE
+    retry_after_ms: int = 0
+    answer: Answer | None = None
+
+
+SendClaim = Callable[[NodeId, ClaimRequest], Awaitable[Result[ClaimReply, ClaimError]]]
+SendResult = Callable[[NodeId, ClaimResult], None]
+Run = Callable[[Grant], Awaitable[RunReport]]
+
+_REFUSALS = {
+    ClaimVerdict.RUNNING: (Outcome.UNKNOWN, Reason.KEY_RUNNING),
+    ClaimVerdict.UNPROVEN: (Outcome.UNKNOWN, Reason.KEY_UNPROVEN),
+    ClaimVerdict.MISMATCH: (Outcome.NOT_RUN, Reason.KEY_MISMATCH),
+    ClaimVerdict.IN_FUTURE: (Outcome.NOT_RUN, Reason.KEY_IN_FUTURE),
+    ClaimVerdict.BUSY: (Outcome.NOT_RUN, Reason.OVERLOADED),
+    ClaimVerdict.NO_LEASE: (Outcome.NOT_RUN, Reason.NO_OWNER),
+    ClaimVerdict.NOT_OWNER: (Outcome.NOT_RUN, Reason.NO_OWNER),
+}
+
+
+class KeyClaims:
+    """Claims keys for one entry.
+
+    Parameters
+    ----------
+    owners
+        Last known owner of each key range.
+    make_attempt
+        Returns an id that no claim of any node has had or will have.
+    send_claim
+        Sends a claim over the link; a reply that comes after the wait has ended is dropped.
+    send_result
+        Puts a result on the link without waiting; one that is lost leaves the key unknown.
+    now
+        Monotonic clock in seconds.
+
+    Attributes
+    ----------
+    counts
+        Replies by verdict; claims without a reply under None.
+    """
+
+    def __init__(
+        self,
+        owners: OwnerMap,
+        make_attempt: Callable[[], bytes],
+        send_claim: SendClaim,
+        send_result: SendResult,
+        now: Callable[[], float],
+    ) -> None:
+        self.counts: Counter[ClaimVerdict | None] = Counter()
+        self._owners = owners
+        self._make_attempt = make_attempt
+        self._send_claim = send_claim
+        self._send_result = send_result
+        self._now = now
+
+    async def run_once(self, call: KeyedCall, run: Run) -> OnceResult:
+        """Run a call unless it has run or may have run under the same key.
+
+        ``run`` is awaited at most once. It may try several servers, as long as each attempt
+        before the last is provably not run.
+        """
+        attempt = self._make_attempt()
+        asked: list[NodeId] = []
+        reply = await self._claim(call, attempt, asked)
+        if reply is None:
+            self._give_up(call, attempt, asked)
+            return OnceResult(False, Outcome.NOT_RUN, Reason.NO_OWNER, NO_OWNER_RETRY_MS)
+        if reply.verdict is ClaimVerdict.GRANTED:
+            return await self._run_granted(call, attempt, asked[-1], reply, run)
+        if reply.verdict is ClaimVerdict.DONE:
+            return OnceResult(False, Outcome.ANSWERED, answer=reply.answer)
+        outcome, reason = _REFUSALS[reply.verdict]
+        return OnceResult(False, outcome, reason, reply.retry_after_ms)
+
+    async def _claim(
+        self, call: KeyedCall, attempt: bytes, asked: list[NodeId]
+    ) -> ClaimReply | None:
+        for turn in range(CLAIM_TRIES):
+            if turn:
+                await asyncio.sleep(CLAIM_PAUSE_S * turn)
+            owner = self._owners.find(call.key_range)
+            left_s = call.deadline_s - self._now()
+            if owner is None or left_s <= 0:
+                return None
+            request = _make_request(call, attempt, owner.epoch, left_s)
+            asked.append(owner.node)
+            reply = await self._ask_owner(owner.node, request, left_s)
+            self.counts[reply.verdict if reply else None] += 1
+            if reply is not None and not self._learn_hint(call, reply):
+                return reply
+        return None
+
+    async def _ask_owner(
+        self, owner: NodeId, request: ClaimRequest, left_s: float
+    ) -> ClaimReply | None:
+        try:
+            async with asyncio.timeout(min(left_s, CLAIM_TIMEOUT_S)):
+                result = await self._send_claim(owner, request)
+        except TimeoutError:
+            return None
+        return result.ok if result.is_ok() else None
+
+    def _learn_hint(self, call: KeyedCall, reply: ClaimReply) -> bool:
+        if reply.verdict is not ClaimVerdict.NOT_OWNER or not reply.hint:
+            return False
+        return self._owners.learn(call.key_range, NodeId(reply.hint), Epoch(reply.epoch))
+
+    async def _run_granted(
+        self, call: KeyedCall, attempt: bytes, owner: NodeId, reply: ClaimReply, run: Run
+    ) -> OnceResult:
+        # Whatever ends the run early, a cancelled caller too, leaves the key unknown.
+        report = RunReport(Outcome.UNKNOWN, Reason.CANCELLED)
+        try:
+            if self._now() >= call.deadline_s:
+                report = RunReport(Outcome.NOT_RUN, Reason.DEADLINE)
+            else:
+                report = await run(Grant(call.key_range, Epoch(reply.epoch)))
+        finally:
+            self._send_result(owner, _make_result(call, attempt, report))
+        return OnceResult(True, report.outcome, report.reason, answer=report.answer)
+
+    def _give_up(self, call: KeyedCall, attempt: bytes, asked: list[NodeId]) -> None:
+        # The claim may have been granted without a reply. It has not been run and will not be.
+        report = RunReport(Outcome.NOT_RUN)
+        for owner in dict.fromkeys(asked):
+            self._send_result(owner, _make_result(call, attempt, report))
+
+
+def _make_request(call: KeyedCall, attempt: bytes, epoch: Epoch, left_s: float) -> ClaimRequest:
+    return ClaimRequest(
+        attempt=attempt,
+        key_hash=call.key_hash,
+        fingerprint=call.fingerprint,
+        key_range=call.key_range,
+        epoch=epoch,
+        minted_ms=call.minted_ms,
+        budget_ms=left_s * 1_000,
+    )
+
+
+def _make_result(call: KeyedCall, attempt: bytes, report: RunReport) -> ClaimResult:
+    return ClaimResult(attempt, call.key_hash, call.key_range, report.outcome.value, report.answer)
--- /dev/null
+++ b/packages/node/src/ragwort_node/_range_owner.py
@@ -0,0 +1,346 @@
+"""Owns one key range in one epoch: decides its claims and writes its journal.
+
+All claims that wait for the journal share its next write. One write is under way at a time, and
+a token bucket paces them, so that the fleet's writes for keys stay within their budget however
+many calls arrive.
+"""
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from expression import Result
+from ragwort_common import Epoch
+from ragwort_platform import ErrorKind, Listing, Stored, StoreError
+from ragwort_policy import (
+    ClaimDecision,
+    ClaimLimits,
+    ClaimTable,
+    CloseSegment,
+    Journal,
+    JournalHead,
+    JournalLimits,
+    LoadSegments,
+    Need,
+    Phase,
+    ReadHead,
+    Segment,
+    Step,
+    WriteHead,
+    decode_head,
+    encode_head,
+    split_marks,
+)
+from ragwort_protocol import ClaimReply, ClaimRequest, ClaimResult, ClaimVerdict
+
+log = logging.getLogger(__name__)
+
+CLAIMS_PREFIX = "claims"
+RETRY_PAUSE_S = 0.25
+OPENING_RETRY_MS = 1_000
+
+
+class JournalStore(Protocol):
+    """The calls that the journal makes to the platform; ``ObjectStore`` has them."""
+
+    async def get(self, path: str) -> Result[Stored, StoreError]:
+        """Return the object at a path."""
+
+    async def create(self, path: str, data: bytes) -> Result[Stored, StoreError]:
+        """Write an object where there is none yet."""
+
+    async def update(
+        self, path: str, data: bytes, expected_version: int
+    ) -> Result[Stored, StoreError]:
+        """Replace an object if it still has the expected version."""
+
+    async def delete(self, path: str, expected_version: int) -> Result[None, StoreError]:
+        """Remove an object if it still has the expected version."""
+
+    async def list_objects(self, prefix: str) -> Result[Listing, StoreError]:
+        """Return all objects whose path starts with a prefix."""
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerClocks:
+    """The clocks of an owner.
+
+    Attributes
+    ----------
+    now
+        Monotonic seconds that also count while the host is suspended.
+    wall_ms
+        Wall time in milliseconds of Unix time.
+    sleep
+        Waits for some seconds.
+    """
+
+    now: Callable[[], float]
+    wall_ms: Callable[[], int]
+    sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerLimits:
+    """The limits of each key range that a node owns.
+
+    Attributes
+    ----------
+    writes_per_s, writes_burst
+        Pace of journal writes of one range; the fleet's budget divided by the ranges.
+    """
+
+    claims: ClaimLimits = field(default_factory=ClaimLimits)
+    journal: JournalLimits = field(default_factory=JournalLimits)
+    writes_per_s: float = 100 / 64
+    writes_burst: float = 4.0
+
+
+class RangeKeeper:
+    """The state of one owned key range; ``run`` is the task that writes its journal.
+
+    Attributes
+    ----------
+    counts
+        Verdicts by ``ClaimVerdict``.
+    writes
+        Count of head writes that were sent.
+    """
+
+    def __init__(
+        self,
+        key_range: int,
+        epoch: Epoch,
+        store: JournalStore,
+        clocks: OwnerClocks,
+        limits: OwnerLimits,
+    ) -> None:
+        self.key_range = key_range
+        self.epoch = epoch
+        self.counts: Counter[ClaimVerdict] = Counter()
+        self.writes = 0
+        self.journal = Journal(epoch, limits.journal)
+        self.table: ClaimTable | None = None
+        self._lease_until_s = 0.0
+        self._store = store
+        self._clocks = clocks
+        self._limits = limits
+        self._changed = asyncio.Event()
+        self._wake = asyncio.Event()
+        self._tokens = limits.writes_burst
+        self._filled_s = clocks.now()
+
+    def extend_lease(self, until_s: float) -> None:
+        """Take in the monotonic time up to which the lease is held."""
+        self._lease_until_s = until_s
+        if self.table is not None:
+            self.table.lease_until_s = until_s
+
+    async def answer_claim(self, claim: ClaimRequest) -> ClaimReply:
+        """Decide a claim, if need be after the journal's next write."""
+        deadline_s = self._clocks.now() + claim.budget_ms / 1_000
+        decision = self._decide(claim, deadline_s)
+        while decision.need is not Need.NONE and self._is_open(deadline_s):
+            self._want(claim, decision.need)
+            if not await self._wait_change(deadline_s):
+                break
+            decision = self._decide(claim, deadline_s)
+        self.counts[decision.verdict] += 1
+        return ClaimReply(
+            claim.attempt, decision.verdict, self.epoch, decision.retry_after_ms, decision.answer
+        )
+
+    def take_result(self, result: ClaimResult) -> bool:
+        """Take in how a claimed call ended; tell whether it was of use."""
+        return self.table is not None and self.table.settle(result, self._clocks.now())
+
+    async def run(self) -> None:
+        """Write the journal until the range is lost to another owner."""
+        while self.journal.phase is not Phase.LOST:
+            step = self.journal.next_step(self._clocks.wall_ms())
+            if step is None:
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            await self._take_token()
+            await self._make_step()
+        log.warning("range %d: epoch %d is over", self.key_range, self.epoch)
+        self._notify()
+
+    async def release(self) -> None:
+        """Stop granting, then write the horizon down to what was granted."""
+        self.extend_lease(0.0)
+        step = self.journal.make_release(self.table.highest_ms) if self.table else None
+        if step is not None:
+            await self._write_head(step)
+        self.close()
+
+    def close(self) -> None:
+        """End the epoch and the waiting claims with it."""
+        self.extend_lease(0.0)
+        self.journal.phase = Phase.LOST
+        self._notify()
+
+    async def drop_expired(self) -> None:
+        """Delete the segments that are past their retention."""
+        for segment in self.journal.take_expired(self._clocks.wall_ms()):
+            if self.table is not None:
+                self.table.drop_marks(split_marks(segment.head.marks))
+            found = await self._store.get(self._path_segment(segment.version))
+            if found.is_ok():
+                await self._store.delete(found.ok.path, found.ok.version)
+
+    def _decide(self, claim: ClaimRequest, deadline_s: float) -> ClaimDecision:
+        now = self._clocks.now()
+        if self.table is None or self.journal.phase is Phase.LOST:
+            return ClaimDecision(ClaimVerdict.NO_LEASE, OPENING_RETRY_MS)
+        wall_ms = self._clocks.wall_ms()
+        decision = self.table.decide(claim, now, wall_ms)
+        if decision.verdict is ClaimVerdict.GRANTED and claim.minted_ms:
+            self.journal.want_horizon(claim.minted_ms, wall_ms)
+            self._wake.set()
+        return decision
+
+    def _is_open(self, deadline_s: float) -> bool:
+        return self.journal.phase is not Phase.LOST and self._clocks.now() < deadline_s
+
+    def _want(self, claim: ClaimRequest, need: Need) -> None:
+        if need is Need.MARK:
+            self.journal.want_mark(claim.key_hash)
+        else:
+            self.journal.want_horizon(claim.minted_ms, self._clocks.wall_ms())
+        self._wake.set()
+
+    async def _wait_change(self, deadline_s: float) -> bool:
+        changed = self._changed
+        try:
+            async with asyncio.timeout(max(0.0, deadline_s - self._clocks.now())):
+                await changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _notify(self) -> None:
+        changed = self._changed
+        self._changed = asyncio.Event()
+        changed.set()
+
+    async def _take_token(self) -> None:
+        limits = self._limits
+        while True:
+            now = self._clocks.now()
+            earned = (now - self._filled_s) * limits.writes_per_s
+            self._tokens = min(limits.writes_burst, self._tokens + earned)
+            self._filled_s = now
+            if self._tokens >= 1:
+                self._tokens -= 1
+                return
+            await self._clocks.sleep((1 - self._tokens) / limits.writes_per_s)
+
+    async def _make_step(self) -> None:
+        # The step is asked for again here, so that the write takes all claims that have come in
+        # while the task waited for its turn.
+        step = self.journal.next_step(self._clocks.wall_ms())
+        done = step is None or await self._carry_out(step)
+        if not done:
+            await self._clocks.sleep(RETRY_PAUSE_S)
+
+    async def _carry_out(self, step: Step) -> bool:
+        match step:
+            case ReadHead():
+                return await self._read_head()
+            case WriteHead():
+                return await self._write_head(step)
+            case CloseSegment():
+                return await self._close_segment(step)
+            case LoadSegments():
+                return await self._load_segments()
+
+    async def _read_head(self) -> bool:
+        found = await self._store.get(self._path_head())
+        if found.is_error():
+            if found.error.kind is not ErrorKind.NOT_FOUND:
+                return False
+            self._admit(self.journal.take_head(None, None))
+            return True
+        head = decode_head(found.ok.data)
+        if head is None:
+            log.error("range %d: the head of the journal is malformed", self.key_range)
+            self.journal.phase = Phase.LOST
+            return True
+        self._admit(self.journal.take_head(found.ok.version, head))
+        return True
+
+    async def _write_head(self, step: WriteHead) -> bool:
+        self.writes += 1
+        data = encode_head(step.head)
+        if step.version is None:
+            written = await self._store.create(self._path_head(), data)
+        else:
+            written = await self._store.update(self._path_head(), data, step.version)
+        version = written.ok.version if written.is_ok() else None
+        self._admit(self.journal.take_write(step, version))
+        return written.is_ok()
+
+    async def _close_segment(self, step: CloseSegment) -> bool:
+        path = self._path_segment(step.version)
+        made = await self._store.create(path, encode_head(step.head))
+        # The name says which version is copied, so a copy that exists already is the same one.
+        done = made.is_ok() or made.error.kind is ErrorKind.CONFLICT
+        self.journal.take_close(step, done)
+        return done
+
+    async def _load_segments(self) -> bool:
+        listing = await self._store.list_objects(self._path_segments())
+        if listing.is_error():
+            return False
+        segments = [_read_segment(stored) for stored in listing.ok.items]
+        known = [segment for segment in segments if segment is not None]
+        if len(known) < len(segments):
+            log.error("range %d: a segment of the journal is malformed", self.key_range)
+            self.journal.phase = Phase.LOST
+            return True
+        self.journal.take_segments(known)
+        self._open_table()
+        return True
+
+    def _open_table(self) -> None:
+        head = self.journal.head
+        assert head is not None
+        self.table = ClaimTable(
+            self.epoch, head.floor_ms, self.journal.earlier, self._limits.claims
+        )
+        self.table.horizon_ms = head.horizon_ms
+        self.table.lease_until_s = self._lease_until_s
+        log.info("range %d: owned in epoch %d", self.key_range, self.epoch)
+        self._notify()
+
+    def _admit(self, key_hashes: list[bytes]) -> None:
+        head = self.journal.head
+        if self.table is None or head is None or self.journal.phase is not Phase.READY:
+            return
+        self.table.horizon_ms = head.horizon_ms
+        now = self._clocks.now()
+        for key_hash in key_hashes:
+            self.table.admit_durable(key_hash, now)
+        self._notify()
+
+    def _path_head(self) -> str:
+        return f"{CLAIMS_PREFIX}/{self.key_range:03d}/head"
+
+    def _path_segments(self) -> str:
+        return f"{CLAIMS_PREFIX}/{self.key_range:03d}/segments/"
+
+    def _path_segment(self, version: int) -> str:
+        return f"{self._path_segments()}{version:020d}"
+
+
+def _read_segment(stored: Stored) -> Segment | None:
+    head: JournalHead | None = decode_head(stored.data)
+    name = stored.path.rpartition("/")[2]
+    if head is None or not name.isdigit():
+        return None
+    return Segment(int(name), head)
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_claim.py
@@ -0,0 +1,322 @@
+"""Decides, for the owner of one key range, who may run the call of an idempotency key.
+
+A table knows the keys of its own epoch only. Of earlier epochs it knows two things, both read
+from the journal when the epoch began: the floor, a time up to which keys may have been granted
+before, and the marks of granted keys that carry no time. What it has to forget raises the floor
+or becomes a mark, so a forgotten key is never granted again.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from ragwort_common import Epoch, Outcome
+from ragwort_protocol import Answer, ClaimRequest, ClaimResult, ClaimVerdict
+
+MARK_BYTES = 8
+RUNNING_RETRY_MS = 1_000
+BUSY_RETRY_MS = 2_000
+NO_LEASE_RETRY_MS = 5_000
+RECORDS_CHECKED_PER_CLAIM = 2
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimLimits:
+    """How much a table holds, and for how long.
+
+    Attributes
+    ----------
+    max_keys
+        Keys held with their state.
+    max_marks
+        Keys without a time that are held for ``retention_s``.
+    answers_bytes, answer_bytes
+        Bytes of all answers held, and of a single one.
+    hold_s
+        Age below which no key is given up to make room; new ones are refused instead.
+    keep_s
+        Age at which a key's state and answer are dropped.
+    retention_s
+        Age up to which a key without a time is not granted again.
+    margin_s
+        Time after a call's deadline at which a claim without a result counts as unknown.
+    future_ms
+        How far ahead of the owner's clock a key's time may lie.
+    """
+
+    max_keys: int = 50_000
+    max_marks: int = 100_000
+    answers_bytes: int = 8 << 20
+    answer_bytes: int = 16 << 10
+    hold_s: float = 60.0
+    keep_s: float = 3_600.0
+    retention_s: float = 86_400.0
+    margin_s: float = 5.0
+    future_ms: int = 10_000
+
+
+class KeyState(Enum):
+    """What is known of a key's call."""
+
+    FREE = "free"
+    RUNNING = "running"
+    DONE = "done"
+    UNKNOWN = "unknown"
+
+
+class Need(Enum):
+    """What has to be durable in the journal before a claim can be granted."""
+
+    NONE = "none"
+    MARK = "mark"
+    HORIZON = "horizon"
+
+
+@dataclass(slots=True)
+class KeyRecord:
+    """The state of one key, and the attempt that holds it while it runs."""
+
+    added_s: float
+    minted_ms: int
+    state: KeyState = KeyState.FREE
+    attempt: bytes = b""
+    fingerprint: bytes = b""
+    expires_s: float = 0.0
+    answer: Answer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimDecision:
+    """What to reply to a claim; with a need, what to wait for before it is decided again."""
+
+    verdict: ClaimVerdict
+    retry_after_ms: int = 0
+    answer: Answer | None = None
+    need: Need = Need.NONE
+
+
+_GRANTED = ClaimDecision(ClaimVerdict.GRANTED)
+_UNPROVEN = ClaimDecision(ClaimVerdict.UNPROVEN)
+_MISMATCH = ClaimDecision(ClaimVerdict.MISMATCH)
+_IN_FUTURE = ClaimDecision(ClaimVerdict.IN_FUTURE)
+_RUNNING = ClaimDecision(ClaimVerdict.RUNNING, RUNNING_RETRY_MS)
+_BUSY = ClaimDecision(ClaimVerdict.BUSY, BUSY_RETRY_MS)
+_NO_LEASE = ClaimDecision(ClaimVerdict.NO_LEASE, NO_LEASE_RETRY_MS)
+_NEED_MARK = ClaimDecision(ClaimVerdict.BUSY, BUSY_RETRY_MS, need=Need.MARK)
+_NEED_HORIZON = ClaimDecision(ClaimVerdict.BUSY, BUSY_RETRY_MS, need=Need.HORIZON)
+
+
+def read_mark(key_hash: bytes) -> bytes:
+    """Return the part of a key's hash that the journal keeps.
+
+    Two keys with the same mark only cost an honest ``UNPROVEN``.
+    """
+    return key_hash[:MARK_BYTES]
+
+
+class ClaimTable:
+    """Holds the keys of one range in one epoch; it takes over the set of earlier marks.
+
+    Attributes
+    ----------
+    lease_until_s
+        Monotonic time up to which the lease is held.
+    horizon_ms
+        Durable promise of this epoch: no key minted later has been granted.
+    floor_ms
+        Keys minted up to here and not in the table may have been granted before.
+    highest_ms
+        Latest time of a key that was granted.
+    """
+
+    def __init__(
+        self, epoch: Epoch, floor_ms: int, earlier: set[bytes], limits: ClaimLimits
+    ) -> None:
+        self.epoch = epoch
+        self.floor_ms = floor_ms
+        self.horizon_ms = floor_ms
+        self.highest_ms = floor_ms
+        self.lease_until_s = 0.0
+        self._limits = limits
+        self._earlier = earlier
+        self._marked = 0
+        self._records: dict[bytes, KeyRecord] = {}
+        self._order: deque[bytes] = deque()
+        self._answered: deque[bytes] = deque()
+        self._answers_bytes = 0
+
+    @property
+    def keys(self) -> int:
+        """Number of keys in the table."""
+        return len(self._records)
+
+    @property
+    def marks(self) -> int:
+        """Number of keys without a time: of this epoch, of earlier ones and forgotten."""
+        return len(self._earlier) + self._marked
+
+    def decide(self, claim: ClaimRequest, now: float, wall_ms: int) -> ClaimDecision:
+        """Decide a claim; ``now`` is read from the monotonic clock just before the call."""
+        record = self._records.get(claim.key_hash)
+        if record is None:
+            return self._decide_unseen(claim, now, wall_ms)
+        self._expire(record, now)
+        if record.state is KeyState.FREE:
+            return self._grant(record, claim, now)
+        if record.fingerprint != claim.fingerprint:
+            return _MISMATCH
+        if record.state is KeyState.RUNNING:
+            return _GRANTED if record.attempt == claim.attempt else _RUNNING
+        if record.state is KeyState.DONE and record.answer is not None:
+            return ClaimDecision(ClaimVerdict.DONE, answer=record.answer)
+        return _UNPROVEN
+
+    def settle(self, result: ClaimResult, now: float) -> bool:
+        """Take in how a claimed call ended; tell whether the result was of use.
+
+        A key is freed only while its claim is running: once it counts as unknown, it stays so.
+        A real answer is taken in at any time.
+        """
+        record = self._records.get(result.key_hash)
+        if record is None or not self._is_current(record, result):
+            return False
+        self._expire(record, now)
+        if result.outcome in (Outcome.ANSWERED.value, Outcome.FAILED.value):
+            if record.state is KeyState.DONE:
+                return False
+            record.state = KeyState.DONE
+            self._keep_answer(result.key_hash, record, result.answer)
+            return True
+        if record.state is not KeyState.RUNNING:
+            return False
+        free = result.outcome == Outcome.NOT_RUN.value
+        record.state = KeyState.FREE if free else KeyState.UNKNOWN
+        return True
+
+    def admit_durable(self, key_hash: bytes, now: float) -> None:
+        """Add a key without a time whose mark has just become durable, free to be granted."""
+        if key_hash not in self._records:
+            self._marked += 1
+            self._add_record(key_hash, KeyRecord(now, 0))
+
+    def drop_marks(self, marks: Iterable[bytes]) -> None:
+        """Forget marks that are past their retention."""
+        self._earlier.difference_update(marks)
+
+    def _decide_unseen(self, claim: ClaimRequest, now: float, wall_ms: int) -> ClaimDecision:
+        if claim.minted_ms:
+            refusal = self._check_minted(claim.minted_ms, wall_ms)
+        else:
+            refusal = self._check_mark(claim.key_hash)
+        if refusal is not None and refusal.need is Need.NONE:
+            return refusal
+        if not self._holds_lease(now):
+            return _NO_LEASE
+        if not self._make_room(now):
+            return _BUSY
+        if refusal is not None:
+            return refusal
+        record = KeyRecord(now, claim.minted_ms)
+        self._add_record(claim.key_hash, record)
+        return self._grant(record, claim, now)
+
+    def _check_minted(self, minted_ms: int, wall_ms: int) -> ClaimDecision | None:
+        if self._is_before_floor(minted_ms):
+            return _UNPROVEN
+        if minted_ms > wall_ms + self._limits.future_ms:
+            return _IN_FUTURE
+        return _NEED_HORIZON if self._is_past_horizon(minted_ms) else None
+
+    def _check_mark(self, key_hash: bytes) -> ClaimDecision | None:
+        if read_mark(key_hash) in self._earlier:
+            return _UNPROVEN
+        if self.marks >= self._limits.max_marks:
+            return _BUSY
+        return _NEED_MARK if self._needs_mark() else None
+
+    def _grant(self, record: KeyRecord, claim: ClaimRequest, now: float) -> ClaimDecision:
+        if not self._holds_lease(now):
+            return _NO_LEASE
+        self.highest_ms = max(self.highest_ms, claim.minted_ms)
+        record.state = KeyState.RUNNING
+        record.attempt = claim.attempt
+        record.fingerprint = claim.fingerprint
+        record.expires_s = now + claim.budget_ms / 1_000 + self._limits.margin_s
+        return _GRANTED
+
+    # The guards below are methods of their own, so that a test can switch each one off.
+
+    def _holds_lease(self, now: float) -> bool:
+        return now < self.lease_until_s
+
+    def _is_before_floor(self, minted_ms: int) -> bool:
+        return minted_ms <= self.floor_ms
+
+    def _is_past_horizon(self, minted_ms: int) -> bool:
+        return minted_ms > self.horizon_ms
+
+    def _needs_mark(self) -> bool:
+        return True
+
+    def _is_current(self, record: KeyRecord, result: ClaimResult) -> bool:
+        return record.attempt == result.attempt
+
+    def _expire(self, record: KeyRecord, now: float) -> None:
+        # The entry that held the claim may be gone; whether the call ran will never be known.
+        if record.state is KeyState.RUNNING and now >= record.expires_s:
+            record.state = KeyState.UNKNOWN
+
+    def _add_record(self, key_hash: bytes, record: KeyRecord) -> None:
+        self._records[key_hash] = record
+        self._order.append(key_hash)
+
+    def _make_room(self, now: float) -> bool:
+        limits = self._limits
+        for _ in range(RECORDS_CHECKED_PER_CLAIM):
+            if self._order and now - self._find_oldest().added_s >= limits.keep_s:
+                self._forget_oldest(now)
+        if len(self._records) < limits.max_keys:
+            return True
+        if now - self._find_oldest().added_s < limits.hold_s:
+            return False
+        self._forget_oldest(now)
+        return True
+
+    def _find_oldest(self) -> KeyRecord:
+        return self._records[self._order[0]]
+
+    def _forget_oldest(self, now: float) -> None:
+        key_hash = self._order.popleft()
+        record = self._records.pop(key_hash)
+        if record.answer is not None:
+            self._answers_bytes -= _count_bytes(record.answer)
+        self._remember_granted(key_hash, record, now)
+
+    def _remember_granted(self, key_hash: bytes, record: KeyRecord, now: float) -> None:
+        if record.minted_ms:
+            self.floor_ms = max(self.floor_ms, record.minted_ms)
+            return
+        self._marked -= 1
+        if now - record.added_s < self._limits.retention_s:
+            self._earlier.add(read_mark(key_hash))
+
+    def _keep_answer(self, key_hash: bytes, record: KeyRecord, answer: Answer | None) -> None:
+        if answer is None or _count_bytes(answer) > self._limits.answer_bytes:
+            return
+        record.answer = answer
+        self._answered.append(key_hash)
+        self._answers_bytes += _count_bytes(answer)
+        while self._answers_bytes > self._limits.answers_bytes:
+            self._drop_answer(self._answered.popleft())
+
+    def _drop_answer(self, key_hash: bytes) -> None:
+        record = self._records.get(key_hash)
+        if record is not None and record.answer is not None:
+            self._answers_bytes -= _count_bytes(record.answer)
+            record.answer = None
+
+
+def _count_bytes(answer: Answer) -> int:
+    fields = sum(len(name) + len(value) for name, value in answer.headers)
+    return len(answer.body) + fields
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_journal.py
@@ -0,0 +1,317 @@
+"""Says what the owner of a key range has to write to the platform, and what each reply means.
+
+One object for each range, the head, carries the epoch that may write it, the marks of keys that
+were granted without a time, and the horizon: the owner's promise to grant no key minted later.
+Every write is conditional on the head's version. A new owner first seals the head: it writes its
+own epoch into it, after which no write of an earlier owner can take effect, and takes the
+horizon that it found as its floor. A full head is copied to a closed segment, named by the
+version it copies, before its marks leave the head.
+
+The code is a sequence of steps: ``next_step`` says what to do, a ``take_`` method what came
+back. A write without a clear success is always resolved by reading the head back.
+"""
+
+from dataclasses import dataclass, replace
+from enum import Enum
+from struct import Struct
+
+from ragwort_common import Epoch
+
+from ragwort_policy._claim import MARK_BYTES, read_mark
+
+FORMAT = 1
+HEADER = Struct(">BQQQQ")
+
+
+@dataclass(frozen=True, slots=True)
+class JournalLimits:
+    """How large segments grow, how far ahead the horizon lies, how long marks are kept.
+
+    Attributes
+    ----------
+    segment_marks
+        Marks in the head before it is closed; each write carries the whole head.
+    horizon_ms
+        How far ahead of the wall clock the horizon is written.
+    renew_ms
+        Time left until the horizon below which the next claim has it written anew.
+    retention_ms
+        Age at which a segment is dropped.
+    """
+
+    segment_marks: int = 2_000
+    horizon_ms: int = 60_000
+    renew_ms: int = 45_000
+    retention_ms: int = 86_400_000
+
+
+@dataclass(frozen=True, slots=True)
+class JournalHead:
+    """What the head object or a closed segment holds.
+
+    Attributes
+    ----------
+    epoch
+        The only epoch that may write the head.
+    floor_ms
+        Horizon that the epoch found when it sealed the head.
+    horizon_ms
+        No key minted later was granted in this epoch or before.
+    written_ms
+        Wall time at which the last mark was added.
+    marks
+        Marks of granted keys, one after the other.
+    """
+
+    epoch: Epoch
+    floor_ms: int
+    horizon_ms: int
+    written_ms: int
+    marks: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadHead:
+    """Read the head; the reply goes to ``take_head``."""
+
+
+@dataclass(frozen=True, slots=True)
+class WriteHead:
+    """Write the head if it still has this version (create it when None) for ``take_write``."""
+
+    version: int | None
+    head: JournalHead
+
+
+@dataclass(frozen=True, slots=True)
+class CloseSegment:
+    """Create the copy of the head of this version; the reply goes to ``take_close``."""
+
+    version: int
+    head: JournalHead
+
+
+@dataclass(frozen=True, slots=True)
+class LoadSegments:
+    """Read all closed segments of the range; the reply goes to ``take_segments``."""
+
+
+Step = ReadHead | WriteHead | CloseSegment | LoadSegments
+
+
+@dataclass(frozen=True, slots=True)
+class Segment:
+    """A closed segment and the version of the head that it copies."""
+
+    version: int
+    head: JournalHead
+
+
+class Phase(Enum):
+    """Where the owner stands with its journal."""
+
+    READ = "read"
+    SEAL = "seal"
+    LOAD = "load"
+    READY = "ready"
+    LOST = "lost"
+
+
+class Journal:
+    """Follows the head of one key range for one epoch.
+
+    Attributes
+    ----------
+    phase
+        Claims are decided only when it is ``READY``; after ``LOST`` the epoch is over.
+    head
+        The head as last written or read.
+    earlier
+        Marks of earlier epochs, complete when the phase is ``READY``.
+    """
+
+    def __init__(self, epoch: Epoch, limits: JournalLimits) -> None:
+        self.epoch = epoch
+        self.phase = Phase.READ
+        self.head: JournalHead | None = None
+        self.earlier: set[bytes] = set()
+        self._version: int | None = None
+        self._limits = limits
+        self._loaded = False
+        self._segments: list[Segment] = []
+        self._closed_version: int | None = None
+        self._wanted: dict[bytes, bytes] = {}
+        self._wanted_horizon_ms = 0
+
+    @property
+    def waiting(self) -> int:
+        """Number of keys whose marks wait to be written."""
+        return len(self._wanted)
+
+    @property
+    def segments(self) -> int:
+        """Number of closed segments that are known."""
+        return len(self._segments)
+
+    def want_mark(self, key_hash: bytes) -> None:
+        """Have a key's mark written; it stays wanted even when its claim has timed out."""
+        self._wanted.setdefault(read_mark(key_hash), key_hash)
+
+    def want_horizon(self, minted_ms: int, wall_ms: int) -> None:
+        """Have the horizon written when a key is minted past it or little time is left."""
+        horizon_ms = self.head.horizon_ms if self.head else 0
+        if minted_ms > horizon_ms or horizon_ms < wall_ms + self._limits.renew_ms:
+            wanted_ms = max(minted_ms, wall_ms + self._limits.horizon_ms)
+            self._wanted_horizon_ms = max(self._wanted_horizon_ms, wanted_ms)
+
+    def next_step(self, wall_ms: int) -> Step | None:
+        """Return what to do next, or None when there is nothing to write."""
+        if self.phase is Phase.READ:
+            return ReadHead()
+        if self.phase is Phase.SEAL:
+            return WriteHead(self._version, self._make_seal(wall_ms))
+        if self.phase is Phase.LOAD:
+            return LoadSegments()
+        if self.phase is Phase.LOST or not self._has_work():
+            return None
+        return self._make_write(wall_ms)
+
+    def take_head(self, version: int | None, head: JournalHead | None) -> list[bytes]:
+        """Take in the head as read, None when there is none; return keys that are now durable."""
+        known = self.head
+        sealed = known is not None and known.epoch == self.epoch
+        found = head.epoch if head is not None else Epoch(0)
+        if found > self.epoch or (sealed and found < self.epoch):
+            # Another owner has sealed the head, or the platform came back with an older copy.
+            self.phase = Phase.LOST
+            return []
+        self.head = head
+        self._version = version
+        if head is None or head.epoch < self.epoch:
+            self._start_seal()
+            return []
+        return self._adopt_head()
+
+    def take_write(self, step: WriteHead, version: int | None) -> list[bytes]:
+        """Take in the new version, or None when the write is not known to have succeeded.
+
+        Returns
+        -------
+        list of bytes
+            The hashes of the keys whose marks are now durable.
+        """
+        if version is None:
+            self.phase = Phase.READ
+            return []
+        self.head = step.head
+        self._version = version
+        return self._adopt_head()
+
+    def take_close(self, step: CloseSegment, done: bool) -> None:
+        """Take in whether the segment exists; otherwise the same copy is made again."""
+        if not done:
+            return
+        self._closed_version = step.version
+        self._segments.append(Segment(step.version, step.head))
+
+    def take_segments(self, segments: list[Segment]) -> None:
+        """Take in the closed segments; the journal is ready."""
+        self._segments = sorted(segments, key=lambda segment: segment.version)
+        for segment in segments:
+            self.earlier.update(split_marks(segment.head.marks))
+        self._loaded = True
+        self.phase = Phase.READY
+
+    def take_expired(self, wall_ms: int) -> list[Segment]:
+        """Remove and return the segments whose last mark is past its retention."""
+        limit_ms = wall_ms - self._limits.retention_ms
+        expired = [segment for segment in self._segments if segment.head.written_ms < limit_ms]
+        if expired:
+            self._segments = [s for s in self._segments if s.head.written_ms >= limit_ms]
+        return expired
+
+    def make_release(self, highest_ms: int) -> WriteHead | None:
+        """Return the last write of a graceful stop: a horizon no higher than what was granted.
+
+        The next owner can then grant every key that this one never saw.
+        """
+        if self.phase is not Phase.READY or self.head is None:
+            return None
+        horizon_ms = max(self.head.floor_ms, highest_ms)
+        return WriteHead(self._version, replace(self.head, horizon_ms=horizon_ms))
+
+    def _start_seal(self) -> None:
+        self.phase = Phase.SEAL
+
+    def _make_seal(self, wall_ms: int) -> JournalHead:
+        head = self.head
+        if head is None:
+            return JournalHead(self.epoch, wall_ms, wall_ms + self._limits.horizon_ms, wall_ms)
+        horizon_ms = max(head.horizon_ms, wall_ms + self._limits.horizon_ms)
+        return JournalHead(self.epoch, head.horizon_ms, horizon_ms, head.written_ms, head.marks)
+
+    def _adopt_head(self) -> list[bytes]:
+        assert self.head is not None
+        if self._wanted_horizon_ms <= self.head.horizon_ms:
+            self._wanted_horizon_ms = 0
+        if not self._loaded:
+            self.earlier.update(split_marks(self.head.marks))
+            self.phase = Phase.LOAD
+            return []
+        self.phase = Phase.READY
+        if not self._wanted:
+            return []
+        present = self._wanted.keys() & split_marks(self.head.marks)
+        return [self._wanted.pop(mark) for mark in sorted(present)]
+
+    def _is_closed(self) -> bool:
+        # A write whose reply was lost may have added marks after an earlier copy was made.
+        return self._closed_version == self._version
+
+    def _has_work(self) -> bool:
+        return bool(self._wanted) or self._wanted_horizon_ms > 0
+
+    def _make_write(self, wall_ms: int) -> Step:
+        assert self.head is not None
+        head = self._drop_old_marks(self.head, wall_ms)
+        room = self._limits.segment_marks - len(head.marks) // MARK_BYTES
+        if room <= 0 and self._wanted:
+            if not self._is_closed():
+                assert self._version is not None
+                return CloseSegment(self._version, head)
+            head = replace(head, marks=b"")
+            room = self._limits.segment_marks
+        batch = b"".join(list(self._wanted)[:room])
+        changed = replace(
+            head,
+            horizon_ms=max(head.horizon_ms, self._wanted_horizon_ms),
+            written_ms=max(head.written_ms, wall_ms) if batch else head.written_ms,
+            marks=head.marks + batch,
+        )
+        return WriteHead(self._version, changed)
+
+    def _drop_old_marks(self, head: JournalHead, wall_ms: int) -> JournalHead:
+        if head.written_ms < wall_ms - self._limits.retention_ms:
+            return replace(head, marks=b"")
+        return head
+
+
+def split_marks(marks: bytes) -> set[bytes]:
+    """Return the single marks of a head or segment."""
+    return {marks[at : at + MARK_BYTES] for at in range(0, len(marks), MARK_BYTES)}
+
+
+def encode_head(head: JournalHead) -> bytes:
+    """Return the bytes that the platform keeps."""
+    times = (head.floor_ms, head.horizon_ms, head.written_ms)
+    return HEADER.pack(FORMAT, head.epoch, *times) + head.marks
+
+
+def decode_head(data: bytes) -> JournalHead | None:
+    """Read what the platform kept, None when it is malformed."""
+    if len(data) < HEADER.size or (len(data) - HEADER.size) % MARK_BYTES:
+        return None
+    form, epoch, floor_ms, horizon_ms, written_ms = HEADER.unpack_from(data)
+    if form != FORMAT:
+        return None
+    return JournalHead(Epoch(epoch), floor_ms, horizon_ms, written_ms, data[HEADER.size :])
--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -4,6 +4,14 @@
 """
 
 from ragwort_protocol._calls import Cancel, Data, Refusal, Request, Response
+from ragwort_protocol._claims import (
+    Answer,
+    ClaimReply,
+    ClaimRequest,
+    ClaimResult,
+    ClaimVerdict,
+    OwnerNotice,
+)
 from ragwort_protocol._codec import (
     BODY_PART_BYTES,
     MAX_FRAME_BYTES,
@@ -19,14 +27,20 @@
     "BODY_PART_BYTES",
     "MAX_FRAME_BYTES",
     "PROTOCOL_VERSION",
+    "Answer",
     "Cancel",
+    "ClaimReply",
+    "ClaimRequest",
+    "ClaimResult",
     "Data",
     "FrameReader",
     "LoadReport",
     "Message",
+    "OwnerNotice",
     "ProtocolError",
     "Refusal",
     "Request",
     "Response",
+    "ClaimVerdict",
     "encode_frame",
 ]
--- /dev/null
+++ b/packages/protocol/src/ragwort_protocol/_claims.py
@@ -0,0 +1,107 @@
+"""The messages by which an entry claims an idempotency key from the owner of its key range."""
+
+from enum import Enum
+
+from ragwort_protocol._message import Message
+
+
+class ClaimVerdict(Enum):
+    """What the owner of a key range says to a claim."""
+
+    GRANTED = "granted"
+    DONE = "done"
+    RUNNING = "running"
+    UNPROVEN = "unproven"
+    MISMATCH = "mismatch"
+    IN_FUTURE = "in-future"
+    BUSY = "busy"
+    NO_LEASE = "no-lease"
+    NOT_OWNER = "not-owner"
+
+
+class Answer(Message, tag=33):
+    """The server's whole answer to a call, kept for repeats of the call."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class ClaimRequest(Message, tag=30):
+    """Asks the owner of a key range for the right to run a call.
+
+    Attributes
+    ----------
+    attempt
+        Id of the claim, unique for ever; a claim that is sent again carries the same one.
+    key_hash
+        Hash of service, member and key.
+    fingerprint
+        Hash of the call's method, target and body.
+    key_range
+        Number of the key range.
+    epoch
+        Highest epoch of the range that the entry has heard of; zero when it knows none.
+    minted_ms
+        When the key was made, as it says itself, in milliseconds of Unix time; zero when the
+        key carries no time.
+    budget_ms
+        Time left until the caller's deadline, in milliseconds.
+    """
+
+    attempt: bytes
+    key_hash: bytes
+    fingerprint: bytes
+    key_range: int
+    epoch: int
+    minted_ms: int
+    budget_ms: float
+
+
+class ClaimReply(Message, tag=31):
+    """Answers a claim.
+
+    Attributes
+    ----------
+    attempt
+        Id of the claim.
+    verdict
+        What the owner says.
+    epoch
+        Epoch of the owner's lease; zero without a lease.
+    retry_after_ms
+        When a repeat may be of use, in milliseconds; zero when it is not known.
+    answer
+        The first answer, with ``DONE``.
+    hint
+        Node that may own the range, with ``NOT_OWNER``; empty when it is not known.
+    """
+
+    attempt: bytes
+    verdict: ClaimVerdict
+    epoch: int
+    retry_after_ms: int = 0
+    answer: Answer | None = None
+    hint: str = ""
+
+
+class ClaimResult(Message, tag=32):
+    """Tells the owner how a claimed call ended.
+
+    ``outcome`` is a value of ``Outcome``; ``not-run`` promises that the call did not run and
+    will not run under this attempt. ``answer`` is missing when it is too large to keep.
+    """
+
+    attempt: bytes
+    key_hash: bytes
+    key_range: int
+    outcome: str
+    answer: Answer | None = None
+
+
+class OwnerNotice(Message, tag=34):
+    """Says which node owns a key range, and in which epoch; a higher epoch replaces a lower."""
+
+    key_range: int
+    epoch: int
+    node: str
--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ragwort_protocol import _calls, _load
+from ragwort_protocol import _calls, _claims, _load
 from ragwort_protocol._message import Message
 
 PROTOCOL_VERSION = 1
@@ -29,6 +29,11 @@
     | _calls.Refusal
     | _calls.Cancel
     | _load.LoadReport
+    | _claims.ClaimRequest
+    | _claims.ClaimReply
+    | _claims.ClaimResult
+    | _claims.Answer
+    | _claims.OwnerNotice
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_MESSAGES)
--- /dev/null
+++ b/tests/once_world.py
@@ -0,0 +1,279 @@
+"""Owners, entries, gates and a platform around the pure policies of keyed calls, for tests."""
+
+from dataclasses import dataclass, field
+
+from ragwort_common import Epoch, Outcome
+from ragwort_policy import (
+    ClaimLimits,
+    ClaimTable,
+    CloseSegment,
+    EpochFence,
+    Journal,
+    JournalLimits,
+    LoadSegments,
+    Need,
+    Phase,
+    ReadHead,
+    Segment,
+    WriteHead,
+    decode_head,
+    encode_head,
+)
+from ragwort_protocol import Answer, ClaimRequest, ClaimResult, ClaimVerdict
+
+TTL_S = 60.0
+BUDGET_MS = 2_000.0
+RANGE = 7
+SETTLE_STEPS = 20
+CLAIMS = ClaimLimits(max_keys=3, hold_s=5.0, keep_s=300.0, retention_s=1e6, margin_s=1.0)
+JOURNAL = JournalLimits(segment_marks=2, retention_ms=10**9)
+
+
+@dataclass
+class Platform:
+    """Keeps heads, segments and the lease; a late write takes effect when it is applied."""
+
+    head: tuple[int, bytes] | None = None
+    version: int = 0
+    segments: dict[int, bytes] = field(default_factory=dict)
+    epoch: int = 0
+    holder: str = ""
+    lease_until: float = 0.0
+    down: bool = False
+    late: list[WriteHead] = field(default_factory=list)
+
+    def write_head(self, step):
+        if (self.head[0] if self.head else None) != step.version:
+            return None
+        self.version += 1
+        self.head = (self.version, encode_head(step.head))
+        return self.version
+
+
+@dataclass
+class Owner:
+    name: str
+    lease_until: float = 0.0
+    lag_s: float = 0.0
+    journal: Journal | None = None
+    table: ClaimTable | None = None
+    waiting: list[ClaimRequest] = field(default_factory=list)
+
+
+@dataclass
+class Attempt:
+    """One claim of an entry; it stays open until its entry has run it or given it up."""
+
+    number: int
+    key: str
+    minted_ms: int
+    owner: Owner
+    epoch: int = 0
+    closed: bool = False
+    result: ClaimResult | None = None
+
+
+class World:
+    """Runs the steps that a test chooses; ``runs`` is the oracle."""
+
+    def __init__(self, gates=2):
+        self.now = 1_000.0
+        self.platform = Platform()
+        self.owners = [Owner("a"), Owner("b"), Owner("c")]
+        self.fences = [EpochFence() for _ in range(gates)]
+        self.attempts: list[Attempt] = []
+        self.replies: list[tuple[Attempt, object]] = []
+        self.reports: list[ClaimResult] = []
+        self.runs: dict[str, int] = {}
+        self.first_answers: dict[str, Answer] = {}
+
+    def wall_ms(self):
+        return int(self.now * 1_000)
+
+    def acquire(self, owner):
+        platform = self.platform
+        free = platform.holder == "" or self.now >= platform.lease_until
+        if platform.down or not free:
+            return
+        platform.epoch += 1
+        platform.holder = owner.name
+        owner.journal = Journal(Epoch(platform.epoch), JOURNAL)
+        owner.table = None
+        owner.waiting = []
+        self._hold(owner)
+
+    def renew(self, owner):
+        platform = self.platform
+        mine = owner.journal and platform.holder == owner.name
+        if mine and not platform.down and owner.journal.epoch == platform.epoch:
+            self._hold(owner)
+
+    def _hold(self, owner):
+        self.platform.lease_until = self.now + TTL_S
+        owner.lease_until = self.now - owner.lag_s + TTL_S
+        if owner.table:
+            owner.table.lease_until_s = owner.lease_until
+
+    def kill(self, owner):
+        owner.journal = owner.table = None
+        owner.waiting = []
+
+    def release(self, owner):
+        if owner.table is None:
+            return
+        owner.table.lease_until_s = 0.0
+        step = owner.journal.make_release(owner.table.highest_ms)
+        if step and not self.platform.down:
+            self.platform.write_head(step)
+            if self.platform.epoch == owner.journal.epoch:
+                self.platform.holder = ""
+        self.kill(owner)
+
+    def pump(self, owner, fate="ok"):
+        """Carry out the owner's next step; fates: ok, lost, reply-lost, late."""
+        step = owner.journal.next_step(self.wall_ms()) if owner.journal else None
+        platform = self.platform
+        heard = fate == "ok" and not platform.down
+        applied = fate in ("ok", "reply-lost") and not platform.down
+        durable = []
+        match step:
+            case ReadHead() if heard and platform.head is None:
+                durable = owner.journal.take_head(None, None)
+            case ReadHead() if heard:
+                version, data = platform.head
+                durable = owner.journal.take_head(version, decode_head(data))
+            case WriteHead():
+                version = platform.write_head(step) if applied else None
+                if fate == "late":
+                    platform.late.append(step)
+                durable = owner.journal.take_write(step, version if heard else None)
+            case CloseSegment():
+                if applied:
+                    platform.segments.setdefault(step.version, encode_head(step.head))
+                owner.journal.take_close(step, heard)
+            case LoadSegments() if heard:
+                self._open(owner)
+        self._admit(owner, durable)
+        return step
+
+    def _open(self, owner):
+        items = self.platform.segments.items()
+        owner.journal.take_segments([Segment(v, decode_head(data)) for v, data in items])
+        head = owner.journal.head
+        owner.table = ClaimTable(owner.journal.epoch, head.floor_ms, owner.journal.earlier, CLAIMS)
+        owner.table.lease_until_s = owner.lease_until
+
+    def _admit(self, owner, durable):
+        if owner.table is None or owner.journal.phase is not Phase.READY:
+            return
+        owner.table.horizon_ms = owner.journal.head.horizon_ms
+        for key_hash in durable:
+            owner.table.admit_durable(key_hash, self.now - owner.lag_s)
+        waiting, owner.waiting = owner.waiting, []
+        for request in waiting:
+            self._decide(owner, request)
+
+    def settle_journal(self, owner):
+        for _ in range(SETTLE_STEPS):
+            if self.pump(owner) is None:
+                return
+
+    def open(self, owner):
+        self.acquire(owner)
+        self.settle_journal(owner)
+
+    def apply_late(self, index):
+        if self.platform.late and not self.platform.down:
+            self.platform.write_head(self.platform.late.pop(index % len(self.platform.late)))
+
+    def claim(self, owner, key, minted_ms=0):
+        attempt = Attempt(len(self.attempts), key, minted_ms, owner)
+        self.attempts.append(attempt)
+        self.send(attempt, owner)
+        return attempt
+
+    def send(self, attempt, owner):
+        """Bring the attempt's claim to an owner, for the first time or again."""
+        attempt.owner = owner
+        number = attempt.number.to_bytes(16, "big")
+        key_hash = attempt.key.encode().ljust(16)
+        self._decide(
+            owner,
+            ClaimRequest(number, key_hash, b"call", RANGE, 0, attempt.minted_ms, BUDGET_MS),
+        )
+
+    def _decide(self, owner, request):
+        if owner.table is None or owner.journal.phase is Phase.LOST:
+            return
+        now = self.now - owner.lag_s
+        decision = owner.table.decide(request, now, self.wall_ms())
+        if decision.need is Need.MARK:
+            owner.journal.want_mark(request.key_hash)
+        elif decision.need is Need.HORIZON:
+            owner.journal.want_horizon(request.minted_ms, self.wall_ms())
+        if decision.need is not Need.NONE:
+            owner.waiting.append(request)
+            return
+        if decision.verdict is ClaimVerdict.GRANTED and request.minted_ms:
+            owner.journal.want_horizon(request.minted_ms, self.wall_ms())
+        attempt = self.attempts[int.from_bytes(request.attempt, "big")]
+        self.replies.append((attempt, owner.table.epoch, decision))
+
+    def deliver(self, index=-1):
+        """Bring a reply to its entry, which may have given up."""
+        if not self.replies:
+            return None
+        attempt, epoch, decision = self.replies.pop(index % len(self.replies))
+        if attempt.closed:
+            return None
+        if decision.verdict is ClaimVerdict.GRANTED:
+            attempt.epoch = epoch
+        else:
+            attempt.closed = True
+        if decision.verdict is ClaimVerdict.DONE:
+            assert decision.answer == self.first_answers[attempt.key]
+        return decision.verdict
+
+    def run(self, attempt, gate=0, fate="answered"):
+        """Run a granted attempt once; fates: answered, broken (no answer), refused, died."""
+        if attempt.closed or not attempt.epoch:
+            return
+        attempt.closed = True
+        admitted = self.fences[gate].admit(RANGE, attempt.epoch)
+        outcome, answer = Outcome.NOT_RUN, None
+        if admitted and fate != "refused":
+            runs = self.runs[attempt.key] = self.runs.get(attempt.key, 0) + 1
+            assert runs == 1, f"{attempt.key} ran twice"
+            answer = Answer(200, [], b"%d" % attempt.number)
+            self.first_answers[attempt.key] = answer
+            outcome = Outcome.ANSWERED if fate == "answered" else Outcome.UNKNOWN
+        if fate != "died":
+            self._report(attempt, outcome, answer if fate == "answered" else None)
+
+    def give_up(self, attempt):
+        if not attempt.closed:
+            attempt.closed = True
+            self._report(attempt, Outcome.NOT_RUN, None)
+
+    def _report(self, attempt, outcome, answer):
+        number = attempt.number.to_bytes(16, "big")
+        key_hash = attempt.key.encode().ljust(16)
+        attempt.result = ClaimResult(number, key_hash, RANGE, outcome.value, answer)
+        self.reports.append((attempt.owner, attempt.result))
+
+    def deliver_report(self, index=-1, again=False):
+        """Bring a result to its owner; ``again`` leaves a copy under way."""
+        if not self.reports:
+            return
+        index %= len(self.reports)
+        owner, result = self.reports[index] if again else self.reports.pop(index)
+        if owner.table is not None:
+            owner.table.settle(result, self.now - owner.lag_s)
+
+    def call(self, owner, key, minted_ms=0, gate=0, fate="answered"):
+        """Claim, wait for the journal, and run when granted; return the verdict."""
+        attempt = self.claim(owner, key, minted_ms)
+        self.settle_journal(owner)
+        verdict = self.deliver()
+        self.run(attempt, gate, fate)
+        return verdict
--- /dev/null
+++ b/tests/policy/test_once.py
@@ -0,0 +1,367 @@
+"""At most once: a state machine over owners, entries, gates and platform, and each guard alone."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from once_world import World
+from ragwort_policy import ClaimTable, EpochFence, Journal, KeyState, Phase
+from ragwort_protocol import ClaimVerdict
+
+index = st.integers(0, 11)
+owner = st.integers(0, 2)
+write_fate = st.sampled_from(["ok", "ok", "lost", "reply-lost", "late"])
+run_fate = st.sampled_from(["answered", "broken", "refused", "died"])
+
+
+class OnceMachine(RuleBasedStateMachine):
+    """Any order of claims, runs, losses, pauses, deaths, takeovers and outages."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+        self.keys = []
+
+    def pick(self, items, number):
+        return items[number % len(items)]
+
+    @rule(skew_ms=st.sampled_from([None, None, -90_000, 0, 0, 5_000, 9_000, 40_000]))
+    def make_key(self, skew_ms):
+        minted_ms = 0 if skew_ms is None else self.world.wall_ms() + skew_ms
+        self.keys.append((f"key {len(self.keys)}", minted_ms))
+
+    @rule(seconds=st.sampled_from([0.5, 4.0, 20.0, 61.0, 301.0]))
+    def advance(self, seconds):
+        self.world.now += seconds
+
+    @rule(owner=owner)
+    def acquire(self, owner):
+        self.world.acquire(self.world.owners[owner])
+
+    @rule(owner=owner)
+    def open(self, owner):
+        self.world.open(self.world.owners[owner])
+
+    @rule(owner=owner)
+    def renew(self, owner):
+        self.world.renew(self.world.owners[owner])
+
+    @rule(owner=owner)
+    def kill(self, owner):
+        self.world.kill(self.world.owners[owner])
+
+    @rule(owner=owner)
+    def release(self, owner):
+        self.world.release(self.world.owners[owner])
+
+    @rule(owner=owner, fate=write_fate)
+    def pump(self, owner, fate):
+        self.world.pump(self.world.owners[owner], fate)
+
+    @rule(number=index)
+    def apply_late(self, number):
+        self.world.apply_late(number)
+
+    @rule(down=st.booleans())
+    def switch_platform(self, down):
+        self.world.platform.down = down
+
+    @precondition(lambda self: self.keys)
+    @rule(owner=owner, number=index)
+    def claim(self, owner, number):
+        self.world.claim(self.world.owners[owner], *self.pick(self.keys, number))
+
+    @precondition(lambda self: self.keys and not self.world.platform.down)
+    @rule(owner=owner, number=index, gate=st.integers(0, 1), fate=run_fate)
+    def call(self, owner, number, gate, fate):
+        self.world.call(self.world.owners[owner], *self.pick(self.keys, number), gate, fate)
+
+    @precondition(lambda self: self.world.attempts)
+    @rule(owner=owner, number=index)
+    def send_again(self, owner, number):
+        self.world.send(self.pick(self.world.attempts, number), self.world.owners[owner])
+
+    @rule(number=index)
+    def deliver_reply(self, number):
+        self.world.deliver(number)
+
+    @precondition(lambda self: self.world.replies)
+    @rule(number=index)
+    def lose_reply(self, number):
+        self.world.replies.pop(number % len(self.world.replies))
+
+    @precondition(lambda self: self.world.attempts)
+    @rule(number=index, gate=st.integers(0, 1), fate=run_fate)
+    def run_call(self, number, gate, fate):
+        self.world.run(self.pick(self.world.attempts, number), gate, fate)
+
+    @precondition(lambda self: self.world.attempts)
+    @rule(number=index)
+    def give_up(self, number):
+        self.world.give_up(self.pick(self.world.attempts, number))
+
+    @rule(number=index, again=st.booleans())
+    def deliver_report(self, number, again):
+        self.world.deliver_report(number, again)
+
+    @invariant()
+    def nothing_ran_twice(self):
+        assert all(runs == 1 for runs in self.world.runs.values())
+
+
+TestOnce = OnceMachine.TestCase
+TestOnce.settings = settings(max_examples=120, stateful_step_count=60)
+
+
+# One scenario for each guard: it passes, and finds a second run once the guard is switched off.
+
+
+def run_floor(world):
+    """A caller repeats a key after its owner died."""
+    a, b, _ = world.owners
+    world.open(a)
+    world.call(a, "k", world.wall_ms() + 10)
+    world.now += 61
+    world.open(b)
+    world.call(b, "k", world.wall_ms() - 60_990)
+
+
+def run_horizon(world):
+    """A key is minted past the horizon that the next owner will find."""
+    a, b, _ = world.owners
+    world.open(a)
+    world.now += 40
+    world.renew(a)
+    world.now += 25
+    minted_ms = world.wall_ms()
+    world.claim(a, "k", minted_ms)
+    world.deliver()
+    world.run(world.attempts[0])
+    world.now += 61
+    world.open(b)
+    world.call(b, "k", minted_ms)
+
+
+def run_mark(world):
+    """A key without a time is repeated after its owner died; the journal was slow."""
+    a, b, _ = world.owners
+    world.open(a)
+    attempt = world.claim(a, "k")
+    world.deliver()
+    world.run(attempt)
+    world.now += 61
+    world.open(b)
+    world.call(b, "k")
+
+
+def run_read_back(world):
+    """A journal write fails without a reply and never takes effect."""
+    a, b, _ = world.owners
+    world.open(a)
+    attempt = world.claim(a, "k")
+    world.pump(a, "lost")
+    world.deliver()
+    world.run(attempt)
+    world.now += 61
+    world.open(b)
+    world.call(b, "k")
+
+
+def run_copy(world):
+    """More keys are granted than the head of the journal holds, then the owner dies."""
+    a, b, _ = world.owners
+    world.open(a)
+    for key in ("k", "l", "m"):
+        world.call(a, key)
+        world.now += 6
+    world.now += 61
+    world.open(b)
+    world.call(b, "k")
+
+
+def run_forget(world):
+    """The table is full and forgets the key that ran first."""
+    a = world.owners[0]
+    world.open(a)
+    for key in ("k", "l", "m", "n"):
+        world.call(a, key, world.wall_ms() + 10)
+        world.now += 6
+    world.call(a, "k", world.wall_ms() - 24_000 + 10)
+
+
+def run_expiry(world):
+    """The entry dies while its call runs, and the caller repeats it after the deadline."""
+    a = world.owners[0]
+    world.open(a)
+    minted_ms = world.wall_ms()
+    world.call(a, "k", minted_ms + 10, fate="died")
+    world.now += 4
+    world.call(a, "k", minted_ms + 10)
+
+
+def run_stale_report(world):
+    """A report that frees the key arrives a second time, while the next attempt runs."""
+    a = world.owners[0]
+    world.open(a)
+    minted_ms = world.wall_ms() + 10
+    world.call(a, "k", minted_ms, fate="refused")
+    world.deliver_report(again=True)
+    world.call(a, "k", minted_ms, fate="died")
+    world.deliver_report()
+    world.call(a, "k", minted_ms)
+
+
+def lose_horizon(world):
+    """Extend owner a's horizon, then have the platform come back with the copy before it."""
+    a = world.owners[0]
+    world.open(a)
+    older = world.platform.head
+    world.now += 50
+    world.renew(a)
+    world.call(a, "other", world.wall_ms())
+    assert world.platform.head != older
+    world.now += 20
+    world.platform.head = older
+    return world.wall_ms() + 10
+
+
+def run_lease(world):
+    """The journal is lost, and an entry with an old view asks the owner of before."""
+    minted_ms = lose_horizon(world)
+    a, b, _ = world.owners
+    world.now += 41
+    world.open(b)
+    world.call(b, "k", minted_ms, gate=0)
+    world.claim(a, "k", minted_ms)
+    world.deliver()
+    world.run(world.attempts[-1], gate=1)
+
+
+def run_fence(world):
+    """The journal is lost, and the owner pauses between its lease check and its reply."""
+    minted_ms = lose_horizon(world)
+    a, b, _ = world.owners
+    late = world.claim(a, "k", minted_ms)
+    world.now += 41
+    world.open(b)
+    world.call(b, "k", minted_ms)
+    world.deliver()
+    world.run(late)
+
+
+def run_seal(world):
+    """The owner's clock stood still, and its write comes through after the takeover."""
+    a, b, _ = world.owners
+    world.open(a)
+    world.now += 58
+    minted_ms = world.wall_ms() + 9_000
+    late = world.claim(a, "k", minted_ms)
+    world.pump(a, "late")
+    world.now += 4
+    a.lag_s = 4.0
+    world.open(b)
+    world.apply_late(0)
+    world.settle_journal(a)
+    world.deliver()
+    world.run(late, gate=0)
+    world.call(b, "k", minted_ms, gate=1)
+
+
+start_seal = Journal._start_seal
+
+
+def skip_seal(journal):
+    if journal.head is None:
+        return start_seal(journal)
+    journal.head = replace(journal.head, floor_ms=journal.head.horizon_ms)
+    journal.phase = Phase.READY if journal._loaded else Phase.LOAD
+    return None
+
+
+def free_expired(table, record, now):
+    if record.state is KeyState.RUNNING and now >= record.expires_s:
+        record.state = KeyState.FREE
+
+
+take_write = Journal.take_write
+
+
+def trust_write(journal, step, version):
+    return take_write(journal, step, version or (step.version or 0) + 1)
+
+
+GUARDS = {
+    "floor": (run_floor, ClaimTable, "_is_before_floor", lambda self, minted_ms: False),
+    "horizon before grant": (run_horizon, ClaimTable, "_is_past_horizon", lambda self, ms: False),
+    "mark before grant": (run_mark, ClaimTable, "_needs_mark", lambda self: False),
+    "read back": (run_read_back, Journal, "take_write", trust_write),
+    "copy before drop": (run_copy, Journal, "_is_closed", lambda self: True),
+    "forgotten raises floor": (run_forget, ClaimTable, "_remember_granted", lambda *args: None),
+    "unknown stays": (run_expiry, ClaimTable, "_expire", free_expired),
+    "attempt of report": (run_stale_report, ClaimTable, "_is_current", lambda *args: True),
+    "lease before grant": (run_lease, ClaimTable, "_holds_lease", lambda self, now: True),
+    "fence at gate": (run_fence, EpochFence, "admit", lambda self, key_range, epoch: True),
+    "seal on takeover": (run_seal, Journal, "_start_seal", skip_seal),
+}
+
+
+@pytest.mark.parametrize("guard", GUARDS)
+def test_each_guard_alone_prevents_a_second_run(guard, monkeypatch):
+    scenario, owner, name, switched_off = GUARDS[guard]
+    scenario(World())
+    monkeypatch.setattr(owner, name, switched_off)
+    with pytest.raises(AssertionError, match="ran twice"):
+        scenario(World())
+
+
+def test_a_repeat_gets_the_first_answer_or_still_running():
+    world = World()
+    a = world.owners[0]
+    world.open(a)
+    for key, minted_ms in [("timed", world.wall_ms() + 10), ("opaque", 0)]:
+        assert world.call(a, key, minted_ms) is ClaimVerdict.GRANTED
+        assert world.call(a, key, minted_ms) is ClaimVerdict.RUNNING
+        world.deliver_report()
+        assert world.call(a, key, minted_ms) is ClaimVerdict.DONE
+
+
+def test_after_a_graceful_release_only_keys_that_were_granted_are_unproven():
+    world = World()
+    a, b, _ = world.owners
+    world.open(a)
+    seen_ms = world.wall_ms() + 10
+    world.call(a, "seen", seen_ms)
+    world.release(a)
+    world.open(b)
+    assert world.call(b, "seen", seen_ms) is ClaimVerdict.UNPROVEN
+    assert world.call(b, "new", seen_ms + 1) is ClaimVerdict.GRANTED
+
+
+def test_a_key_freed_by_a_refusal_is_granted_again():
+    world = World()
+    a = world.owners[0]
+    world.open(a)
+    assert world.call(a, "k", fate="refused") is ClaimVerdict.GRANTED
+    world.deliver_report()
+    assert world.call(a, "k") is ClaimVerdict.GRANTED
+
+
+def test_a_key_from_the_future_is_refused_as_not_run():
+    world = World()
+    a = world.owners[0]
+    world.open(a)
+    assert world.call(a, "k", world.wall_ms() + 11_000) is ClaimVerdict.IN_FUTURE
+
+
+def test_nothing_is_granted_in_a_long_outage_and_the_epoch_goes_on_after_it():
+    world = World()
+    a = world.owners[0]
+    world.open(a)
+    world.platform.down = True
+    world.now += 61
+    assert world.call(a, "k", world.wall_ms()) is ClaimVerdict.NO_LEASE
+    world.platform.down = False
+    world.renew(a)
+    assert world.call(a, "k", world.wall_ms()) is ClaimVerdict.GRANTED
