--- a/tests/once_world.py
+++ b/tests/once_world.py
@@ -25,7 +25,7 @@
 BUDGET_MS = 2_000.0
 RANGE = 7
 SETTLE_STEPS = 20
-CLAIMS = ClaimLimits(max_keys=3, hold_s=5.0, keep_s=300.0, retention_s=1e6, margin_s=1.0)
+CLAIMS = ClaimLimits(max_keys=3, hold_s=1.0, keep_s=300.0, retention_s=1e6, margin_s=1.0)
 JOURNAL = JournalLimits(segment_marks=2, retention_ms=10**9)
 
 
@@ -250,6 +250,9 @@
         if fate != "died":
             self._report(attempt, outcome, answer if fate == "answered" else None)
 
+    def list_granted(self):
+        return [attempt for attempt in self.attempts if attempt.epoch and not attempt.closed]
+
     def give_up(self, attempt):
         if not attempt.closed:
             attempt.closed = True
@@ -270,9 +273,10 @@
         if owner.table is not None:
             owner.table.settle(result, self.now - owner.lag_s)
 
-    def call(self, owner, key, minted_ms=0, gate=0, fate="answered"):
+    def call(self, owner, key, minted_ms=0, gate=0, fate="answered", write="ok"):
         """Claim, wait for the journal, and run when granted; return the verdict."""
         attempt = self.claim(owner, key, minted_ms)
+        self.pump(owner, write)
         self.settle_journal(owner)
         verdict = self.deliver()
         self.run(attempt, gate, fate)
--- a/tests/policy/test_once.py
+++ b/tests/policy/test_once.py
@@ -11,9 +11,10 @@
 from ragwort_protocol import ClaimVerdict
 
 index = st.integers(0, 11)
-owner = st.integers(0, 2)
+seen_by = st.sampled_from([None, None, None, 0, 1])
 write_fate = st.sampled_from(["ok", "ok", "lost", "reply-lost", "late"])
 run_fate = st.sampled_from(["answered", "broken", "refused", "died"])
+skew = st.sampled_from([None, None, -20_000, 0, 0, 5_000, 9_000, 40_000])
 
 
 class OnceMachine(RuleBasedStateMachine):
@@ -22,97 +23,110 @@
     def __init__(self):
         super().__init__()
         self.world = World()
+        self.world.open(self.world.owners[0])
         self.keys = []
 
-    def pick(self, items, number):
-        return items[number % len(items)]
+    def find_owner(self, seen_by):
+        """Return the lease's holder, or another node that some entry takes for the owner."""
+        owners = self.world.owners
+        holder = self.world.platform.holder
+        return owners["abc".find(holder) if seen_by is None else seen_by]
 
-    @rule(skew_ms=st.sampled_from([None, None, -90_000, 0, 0, 5_000, 9_000, 40_000]))
     def make_key(self, skew_ms):
         minted_ms = 0 if skew_ms is None else self.world.wall_ms() + skew_ms
         self.keys.append((f"key {len(self.keys)}", minted_ms))
+        return self.keys[-1]
 
-    @rule(seconds=st.sampled_from([0.5, 4.0, 20.0, 61.0, 301.0]))
-    def advance(self, seconds):
-        self.world.now += seconds
+    @rule(seen_by=seen_by, skew_ms=skew, fate=run_fate, write=write_fate, report=st.booleans())
+    def call_new(self, seen_by, skew_ms, fate, write, report):
+        self.world.call(self.find_owner(seen_by), *self.make_key(skew_ms), 0, fate, write)
+        if report:
+            self.world.deliver_report()
 
-    @rule(owner=owner)
-    def acquire(self, owner):
-        self.world.acquire(self.world.owners[owner])
+    @precondition(lambda self: self.keys)
+    @rule(seen_by=seen_by, number=index, fate=run_fate, report=st.booleans())
+    def call_again(self, seen_by, number, fate, report):
+        key = self.keys[-1 - number % len(self.keys)]
+        self.world.call(self.find_owner(seen_by), *key, 1, fate)
+        if report:
+            self.world.deliver_report()
 
-    @rule(owner=owner)
-    def open(self, owner):
-        self.world.open(self.world.owners[owner])
+    @rule(seen_by=seen_by, skew_ms=skew)
+    def claim_new(self, seen_by, skew_ms):
+        self.world.claim(self.find_owner(seen_by), *self.make_key(skew_ms))
 
-    @rule(owner=owner)
-    def renew(self, owner):
-        self.world.renew(self.world.owners[owner])
+    @precondition(lambda self: self.keys)
+    @rule(seen_by=seen_by, number=index)
+    def claim_again(self, seen_by, number):
+        key = self.keys[-1 - number % len(self.keys)]
+        self.world.claim(self.find_owner(seen_by), *key)
 
-    @rule(owner=owner)
-    def kill(self, owner):
-        self.world.kill(self.world.owners[owner])
+    @precondition(lambda self: self.world.attempts)
+    @rule(seen_by=seen_by, number=index)
+    def send_again(self, seen_by, number):
+        attempts = self.world.attempts
+        self.world.send(attempts[-1 - number % len(attempts)], self.find_owner(seen_by))
 
-    @rule(owner=owner)
-    def release(self, owner):
-        self.world.release(self.world.owners[owner])
+    @precondition(lambda self: self.world.replies)
+    @rule(number=index, lose=st.sampled_from([False, False, True]))
+    def deliver_reply(self, number, lose):
+        if lose:
+            self.world.replies.pop(number % len(self.world.replies))
+        else:
+            self.world.deliver(number)
+
+    @precondition(lambda self: self.world.list_granted())
+    @rule(number=index, gate=st.integers(0, 1), fate=run_fate, give_up=st.booleans())
+    def end_attempt(self, number, gate, fate, give_up):
+        granted = self.world.list_granted()
+        attempt = granted[number % len(granted)]
+        if give_up:
+            self.world.give_up(attempt)
+        else:
+            self.world.run(attempt, gate, fate)
+
+    @precondition(lambda self: self.world.reports)
+    @rule(number=index, again=st.booleans())
+    def deliver_report(self, number, again):
+        self.world.deliver_report(number, again)
 
-    @rule(owner=owner, fate=write_fate)
-    def pump(self, owner, fate):
-        self.world.pump(self.world.owners[owner], fate)
+    @rule(seen_by=seen_by, fate=write_fate)
+    def pump(self, seen_by, fate):
+        self.world.pump(self.find_owner(seen_by), fate)
 
+    @precondition(lambda self: self.world.platform.late)
     @rule(number=index)
     def apply_late(self, number):
         self.world.apply_late(number)
 
-    @rule(down=st.booleans())
+    @rule(seconds=st.sampled_from([0.5, 4.0, 20.0]), renew=st.sampled_from([True, True, False]))
+    def advance(self, seconds, renew):
+        self.world.now += seconds
+        if renew:
+            self.world.renew(self.find_owner(None))
+
+    @rule(owner=st.integers(0, 2), how=st.sampled_from(["kill", "pause", "release"]))
+    def take_over(self, owner, how):
+        before = self.find_owner(None)
+        if how == "release":
+            self.world.release(before)
+        if how == "kill":
+            self.world.kill(before)
+        if how != "release":
+            self.world.now += 61
+        self.world.open(self.world.owners[owner])
+
+    @rule(down=st.sampled_from([False, False, True]))
     def switch_platform(self, down):
         self.world.platform.down = down
 
-    @precondition(lambda self: self.keys)
-    @rule(owner=owner, number=index)
-    def claim(self, owner, number):
-        self.world.claim(self.world.owners[owner], *self.pick(self.keys, number))
-
-    @precondition(lambda self: self.keys and not self.world.platform.down)
-    @rule(owner=owner, number=index, gate=st.integers(0, 1), fate=run_fate)
-    def call(self, owner, number, gate, fate):
-        self.world.call(self.world.owners[owner], *self.pick(self.keys, number), gate, fate)
-
-    @precondition(lambda self: self.world.attempts)
-    @rule(owner=owner, number=index)
-    def send_again(self, owner, number):
-        self.world.send(self.pick(self.world.attempts, number), self.world.owners[owner])
-
-    @rule(number=index)
-    def deliver_reply(self, number):
-        self.world.deliver(number)
-
-    @precondition(lambda self: self.world.replies)
-    @rule(number=index)
-    def lose_reply(self, number):
-        self.world.replies.pop(number % len(self.world.replies))
-
-    @precondition(lambda self: self.world.attempts)
-    @rule(number=index, gate=st.integers(0, 1), fate=run_fate)
-    def run_call(self, number, gate, fate):
-        self.world.run(self.pick(self.world.attempts, number), gate, fate)
-
-    @precondition(lambda self: self.world.attempts)
-    @rule(number=index)
-    def give_up(self, number):
-        self.world.give_up(self.pick(self.world.attempts, number))
-
-    @rule(number=index, again=st.booleans())
-    def deliver_report(self, number, again):
-        self.world.deliver_report(number, again)
-
     @invariant()
     def nothing_ran_twice(self):
         assert all(runs == 1 for runs in self.world.runs.values())
 
 
 TestOnce = OnceMachine.TestCase
-TestOnce.settings = settings(max_examples=120, stateful_step_count=60)
+TestOnce.settings = settings(max_examples=250, stateful_step_count=50)
 
 
 # One scenario for each guard: it passes, and finds a second run once the guard is switched off.
