Add the entry's choice, the gate's admission, and retry and hedge budgets

First usable version of the policy: choosing among stale reports, trust, probes within a byte budget, retry and hedge budgets, and the gate's limit, queue and fair shares. Also the probe's messages (tags 11 and 12).

--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_admission.py
@@ -0,0 +1,271 @@
+"""Decides at the gate whether a call runs now, waits for a short time or is refused at once.
+
+The gate sees every call that enters its server, so its counts are exact. The concurrency limit
+follows the server (see ``_limit``) with the slots as its ceiling. Interactive calls start
+before batch calls; members get starts by their shares (see ``_fairness``).
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ragwort_common import CallId, Member, Reason
+from ragwort_protocol import LoadReport
+
+from ragwort_policy._fairness import (
+    FairQueue,
+    add_waiting,
+    count_ahead,
+    list_waiting,
+    pop_waiting,
+    remove_waiting,
+)
+from ragwort_policy._limit import Limit, adjust_limit, get_limit, get_warmth, make_limit
+from ragwort_policy._service_time import (
+    ServiceTime,
+    add_call,
+    end_call,
+    estimate_time,
+    make_service_time,
+)
+
+
+class Verdict(Enum):
+    """What the gate does with a call that arrives."""
+
+    RUN = "run"
+    QUEUED = "queued"
+    REFUSED = "refused"
+
+
+@dataclass(slots=True, frozen=True)
+class Decision:
+    """The gate's answer to an arrival."""
+
+    verdict: Verdict
+    reason: Reason = Reason.NONE
+    retry_after_ms: int = 0
+
+
+RUN = Decision(Verdict.RUN)
+QUEUED = Decision(Verdict.QUEUED)
+
+
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """A call at the gate; its id is unique there, its deadline on the gate's clock."""
+
+    call_id: CallId
+    member: Member
+    share: int
+    batch: bool
+    deadline: float
+
+
+@dataclass(slots=True, frozen=True)
+class GateLimits:
+    """Bounds of one gate.
+
+    Attributes
+    ----------
+    slots
+        Calls that the server can run at once; ceiling of the limit.
+    expected_ms
+        Time of a call before anything has been measured.
+    queue_wait_ms
+        Longest expected wait with which an interactive call is queued.
+    batch_queue_calls
+        Batch calls that may wait.
+    batch_part
+        Part of the limit that batch calls may take.
+    batch_turn
+        One in so many starts from the queue is a batch call while both kinds wait, so that
+        batch work ends in the longest rush.
+    warm_ms
+        Time in which a freshly started server grows to its full limit.
+    """
+
+    slots: int
+    expected_ms: float = 20.0
+    queue_wait_ms: float = 60.0
+    batch_queue_calls: int = 200
+    batch_part: float = 0.75
+    batch_turn: int = 20
+    warm_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class GateState:
+    """Everything that a gate knows of its calls."""
+
+    limits: GateLimits
+    limit: Limit
+    service: ServiceTime
+    running: dict[CallId, Arrival] = field(default_factory=dict)
+    batch_running: int = 0
+    interactive: FairQueue[Arrival] = field(default_factory=FairQueue)
+    batch: FairQueue[Arrival] = field(default_factory=FairQueue)
+    waiting: dict[CallId, Arrival] = field(default_factory=dict)
+    lapsed: list[CallId] = field(default_factory=list)
+    turns: int = 0
+    leaving: bool = False
+
+
+def make_gate(limits: GateLimits, now: float) -> GateState:
+    """Return the state of a gate whose server starts now."""
+    expected_s = limits.expected_ms / 1e3
+    return GateState(
+        limits=limits,
+        limit=make_limit(limits.slots, expected_s, limits.warm_ms / 1e3, now),
+        service=make_service_time(expected_s, now),
+    )
+
+
+def arrive(state: GateState, now: float, call: Arrival) -> Decision:
+    """Decide on a call that arrives; a queued one is started by a later ``finish``."""
+    if state.leaving:
+        return Decision(Verdict.REFUSED, Reason.LEAVING)
+    service_s = estimate_time(state.service, now)
+    if call.deadline <= now:
+        return Decision(Verdict.REFUSED, Reason.DEADLINE)
+    limit = get_limit(state.limit, now)
+    if _has_room(state, call.batch, limit):
+        _start(state, call, now)
+        return RUN
+    refusal = _find_refusal(state, now, call, service_s / limit)
+    if refusal is not None:
+        return refusal
+    queue = state.batch if call.batch else state.interactive
+    add_waiting(queue, call.member, call.share, call.call_id, call)
+    state.waiting[call.call_id] = call
+    return QUEUED
+
+
+def finish(
+    state: GateState, now: float, call_id: CallId, latency: float, failed: bool
+) -> list[CallId]:
+    """Take in the end of a running call and return the queued calls that start now."""
+    _stop(state, now, call_id, counts=not failed)
+    if not failed:
+        adjust_limit(state.limit, latency, len(state.running) + 1)
+    return start_waiting(state, now)
+
+
+def cancel(state: GateState, now: float, call_id: CallId) -> list[CallId]:
+    """Forget a call that nobody waits for, queued or running; return the calls that start."""
+    call = state.waiting.pop(call_id, None)
+    if call is not None:
+        remove_waiting(state.batch if call.batch else state.interactive, call.member, call_id)
+        return []
+    if call_id in state.running:
+        _stop(state, now, call_id, counts=False)
+    return start_waiting(state, now)
+
+
+def expire(state: GateState, now: float) -> list[CallId]:
+    """Take out and return the queued calls whose deadline has passed; they never ran."""
+    late = [call for call in state.waiting.values() if call.deadline <= now]
+    for call in late:
+        del state.waiting[call.call_id]
+        remove_waiting(state.batch if call.batch else state.interactive, call.member, call.call_id)
+    expired = state.lapsed + [call.call_id for call in late]
+    state.lapsed = []
+    return expired
+
+
+def start_waiting(state: GateState, now: float) -> list[CallId]:
+    """Start queued calls while there is room; return them in the order of their start."""
+    started: list[CallId] = []
+    limit = get_limit(state.limit, now)
+    while True:
+        call = _take_next(state, limit)
+        if call is None:
+            return started
+        del state.waiting[call.call_id]
+        if call.deadline <= now:
+            state.lapsed.append(call.call_id)
+            continue
+        _start(state, call, now)
+        started.append(call.call_id)
+
+
+def make_report(state: GateState, now: float) -> LoadReport:
+    """Return the report that goes out with an answer, a refusal or a probe's reply."""
+    return LoadReport(
+        in_flight=len(state.running),
+        limit=get_limit(state.limit, now),
+        queued=state.interactive.size,
+        service_time_us=int(estimate_time(state.service, now) * 1e6),
+        accepting=not state.leaving,
+        warm=get_warmth(state.limit, now),
+    )
+
+
+def start_leaving(state: GateState) -> None:
+    """Refuse all new calls from now on; what runs or waits is still finished."""
+    state.leaving = True
+
+
+def list_queued(state: GateState) -> list[CallId]:
+    """Return the ids of all waiting calls."""
+    queues = (state.interactive, state.batch)
+    return [call.call_id for queue in queues for call in list_waiting(queue)]
+
+
+def _has_room(state: GateState, batch: bool, limit: int) -> bool:
+    if len(state.running) >= limit:
+        return False
+    if not batch:
+        return state.interactive.size == 0
+    return state.batch.size == 0 and state.batch_running < _get_batch_limit(state, limit)
+
+
+def _get_batch_limit(state: GateState, limit: int) -> int:
+    return max(1, int(limit * state.limits.batch_part))
+
+
+def _find_refusal(
+    state: GateState, now: float, call: Arrival, start_every_s: float
+) -> Decision | None:
+    if call.batch:
+        # A batch call may wait as long as its deadline allows; only its number is bounded.
+        full = state.batch.size >= state.limits.batch_queue_calls
+        ahead = float(state.batch.size + state.interactive.size)
+        reason = Reason.LIMIT if full else Reason.NONE
+    else:
+        ahead = count_ahead(state.interactive, call.member, call.share)
+        wait_s = (ahead + 1.0) * start_every_s
+        reason = Reason.NONE
+        if wait_s > state.limits.queue_wait_ms / 1e3:
+            reason = Reason.OVERLOADED
+        elif now + wait_s >= call.deadline:
+            reason = Reason.DEADLINE
+    if reason is Reason.NONE:
+        return None
+    retry_after_ms = max(1, int((ahead + 1.0) * start_every_s * 1e3))
+    return Decision(Verdict.REFUSED, reason, retry_after_ms)
+
+
+def _start(state: GateState, call: Arrival, now: float) -> None:
+    state.running[call.call_id] = call
+    state.batch_running += call.batch
+    add_call(state.service, now)
+
+
+def _stop(state: GateState, now: float, call_id: CallId, counts: bool) -> None:
+    call = state.running.pop(call_id)
+    state.batch_running -= call.batch
+    end_call(state.service, now, counts)
+
+
+def _take_next(state: GateState, limit: int) -> Arrival | None:
+    if len(state.running) >= limit:
+        return None
+    batch_ready = state.batch.size and state.batch_running < _get_batch_limit(state, limit)
+    if not state.interactive.size:
+        return pop_waiting(state.batch) if batch_ready else None
+    if batch_ready:
+        state.turns += 1
+        if state.turns >= state.limits.batch_turn:
+            state.turns = 0
+            return pop_waiting(state.batch)
+    return pop_waiting(state.interactive)
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_choice.py
@@ -0,0 +1,330 @@
+"""Chooses a server for a call at the entry, from reports that are always stale.
+
+The rule estimates for a few servers when an answer would be back, and takes the soonest. It
+starts from Prequal (Wydrowski, Kleinberg, Rumble and Archer, "Load is not what you should
+balance: Introducing Prequal", NSDI 2024): requests in flight and latency from a reused pool of
+reports. A report counts less with age, since the load it names moves back to the usual
+(Mitzenmacher, "How Useful Is Old Information?", 2000), and the entry adds the calls that it has
+sent itself since. Few servers are compared (power of two choices), so that entries with the
+same report don't all turn to one server.
+"""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from math import exp, sqrt
+from typing import Protocol
+
+from ragwort_common import CallId, FailureDomain, NodeId, Outcome, Reason, Region
+from ragwort_protocol import LoadReport
+
+from ragwort_policy._service_time import (
+    ServiceTime,
+    add_call,
+    end_call,
+    estimate_time,
+    make_service_time,
+)
+from ragwort_policy._trust import (
+    Trust,
+    end_trial,
+    get_error_cost,
+    is_error,
+    is_paused,
+    record_error,
+    record_success,
+    start_trial,
+)
+
+
+class RandomSource(Protocol):
+    """The part of ``random.Random`` that the policy uses."""
+
+    def random(self) -> float:
+        """Return a number in [0, 1)."""
+
+
+class Distance(Enum):
+    """How far a server is from the entry."""
+
+    SAME_DOMAIN = "same-domain"
+    SAME_REGION = "same-region"
+    OTHER_REGION = "other-region"
+
+
+@dataclass(slots=True, frozen=True)
+class ServerPlace:
+    """A server of the service and where it stands."""
+
+    node: NodeId
+    failure_domain: FailureDomain
+    region: Region
+
+
+@dataclass(slots=True, frozen=True)
+class ChoiceSettings:
+    """What an entry assumes before it has measured, and how many servers it compares."""
+
+    compared: int = 3
+    expected_ms: float = 20.0
+    expected_limit: int = 8
+    same_domain_ms: float = 0.4
+    same_region_ms: float = 2.0
+    other_region_ms: float = 60.0
+    crossing_margin_ms: float = 10.0
+    report_life_ms: float = 100.0
+
+
+@dataclass(slots=True, eq=False)
+class ServerView:
+    """What an entry knows of one server."""
+
+    place: ServerPlace
+    distance: Distance
+    round_trip_s: float
+    latency: ServiceTime
+    service_s: float
+    load: float
+    limit: float
+    reported_at: float = -1e9
+    accepting: bool = True
+    probed_at: float = -1e9
+    sent_since: int = 0
+    sent_at: dict[CallId, float] = field(default_factory=dict)
+    trust: Trust = field(default_factory=Trust)
+
+
+@dataclass(slots=True)
+class ChoiceState:
+    """What an entry knows of the servers of one service."""
+
+    settings: ChoiceSettings
+    failure_domain: FailureDomain
+    region: Region
+    servers: dict[NodeId, ServerView] = field(default_factory=dict)
+    near: list[ServerView] = field(default_factory=list)
+    far: list[ServerView] = field(default_factory=list)
+    usual_load: float = 0.5
+    crossing: bool = False
+
+
+def make_choice(
+    settings: ChoiceSettings, failure_domain: FailureDomain, region: Region
+) -> ChoiceState:
+    """Return the state of an entry that stands in this failure domain and region."""
+    return ChoiceState(settings, failure_domain, region)
+
+
+def update_servers(state: ChoiceState, places: Iterable[ServerPlace], now: float) -> None:
+    """Set the servers that may be chosen; what is known of those that stay is kept."""
+    known = state.servers
+    state.servers = {}
+    for place in places:
+        view = known.get(place.node)
+        if view is None or view.place != place:
+            view = _make_view(state, place, now)
+        state.servers[place.node] = view
+    views = state.servers.values()
+    state.near = [view for view in views if view.distance is not Distance.OTHER_REGION]
+    state.far = [view for view in views if view.distance is Distance.OTHER_REGION]
+
+
+def choose_server(
+    state: ChoiceState, now: float, random: RandomSource, exclude: Collection[NodeId] = ()
+) -> NodeId | None:
+    """Return the server whose answer is expected soonest, or None when there is none.
+
+    ``exclude`` names the servers that this call has tried already.
+    """
+    near = _compare(state, state.near, now, random, exclude)
+    far = None
+    if near is None or _is_crossing_worth_a_look(state, near.cost_s):
+        far = _compare(state, state.far, now, random, exclude)
+    best = _weigh_crossing(state, near, far)
+    if best is None:
+        best = _pick_paused(state, now, exclude)
+    return best.view.place.node if best else None
+
+
+def record_sent(state: ChoiceState, node: NodeId, call_id: CallId, now: float) -> None:
+    """Take in that a call is sent to a server."""
+    view = state.servers.get(node)
+    if view is None:
+        return
+    start_trial(view.trust)
+    view.sent_at[call_id] = now
+    view.sent_since += 1
+    add_call(view.latency, now)
+
+
+def record_report(state: ChoiceState, node: NodeId, report: LoadReport, now: float) -> None:
+    """Take in a server's report, from an answer, a refusal or a probe's reply."""
+    view = state.servers.get(node)
+    if view is None:
+        return
+    view.load = float(report.in_flight + report.queued)
+    view.limit = float(max(1, report.limit))
+    view.service_s = report.service_time_us / 1e6
+    view.accepting = report.accepting
+    view.reported_at = now
+    view.sent_since = _count_on_the_way(view, now)
+    state.usual_load += 0.05 * (view.load / view.limit - state.usual_load)
+
+
+def record_outcome(
+    state: ChoiceState,
+    node: NodeId,
+    call_id: CallId,
+    outcome: Outcome,
+    reason: Reason,
+    now: float,
+    jitter: float = 0.5,
+) -> None:
+    """Take in how a call ended; a call that isn't known at this server is passed over."""
+    view = state.servers.get(node)
+    if view is None or view.sent_at.pop(call_id, None) is None:
+        return
+    end_call(view.latency, now, counts=outcome is Outcome.ANSWERED)
+    if is_error(outcome, reason):
+        certain = reason is Reason.CONNECT_FAILED
+        record_error(view.trust, now, jitter, certain)
+    elif outcome is Outcome.ANSWERED:
+        record_success(view.trust)
+    else:
+        end_trial(view.trust)
+    if reason is Reason.LEAVING:
+        view.accepting = False
+
+
+@dataclass(slots=True)
+class Candidate:
+    """A server and the time in which its answer is expected."""
+
+    view: ServerView
+    cost_s: float
+
+
+def estimate_cost(state: ChoiceState, view: ServerView, now: float) -> float:
+    """Return the expected time until the answer of a call sent now, errors counted in."""
+    settings = state.settings
+    age_s = max(0.0, now - view.reported_at)
+    weight = exp(-age_s * 1e3 / settings.report_life_ms)
+    usual = state.usual_load * view.limit
+    load = usual + (view.load - usual) * weight + view.sent_since
+    load = max(load, float(len(view.sent_at)))
+    # A smooth bend at the limit: a server nearly full may be full when the call arrives.
+    over = load + 1.0 - view.limit
+    spread = 1.0 + 0.1 * view.limit
+    waiting = 0.5 * (over + sqrt(over * over + 4.0 * spread))
+    cost_s = view.round_trip_s + view.service_s * (1.0 + waiting / view.limit)
+    cost_s = max(cost_s, _estimate_from_own_calls(view, now))
+    return cost_s * get_error_cost(view.trust)
+
+
+def _estimate_from_own_calls(view: ServerView, now: float) -> float:
+    # Own calls that hang are evidence that no report has brought yet.
+    if not view.sent_at:
+        return 0.0
+    return 0.7 * estimate_time(view.latency, now)
+
+
+def _make_view(state: ChoiceState, place: ServerPlace, now: float) -> ServerView:
+    settings = state.settings
+    if place.region != state.region:
+        distance, round_trip_ms = Distance.OTHER_REGION, settings.other_region_ms
+    elif place.failure_domain != state.failure_domain:
+        distance, round_trip_ms = Distance.SAME_REGION, settings.same_region_ms
+    else:
+        distance, round_trip_ms = Distance.SAME_DOMAIN, settings.same_domain_ms
+    expected_s = settings.expected_ms / 1e3
+    limit = float(settings.expected_limit)
+    return ServerView(
+        place=place,
+        distance=distance,
+        round_trip_s=round_trip_ms / 1e3,
+        latency=make_service_time(expected_s + round_trip_ms / 1e3, now),
+        service_s=expected_s,
+        load=state.usual_load * limit,
+        limit=limit,
+    )
+
+
+def _compare(
+    state: ChoiceState,
+    views: list[ServerView],
+    now: float,
+    random: RandomSource,
+    exclude: Collection[NodeId],
+) -> Candidate | None:
+    count = len(views)
+    compared = state.settings.compared
+    if count > compared:
+        drawn = _draw(views, compared, random)
+        best = _find_best(state, drawn, now, exclude)
+        if best is not None:
+            return best
+    return _find_best(state, views, now, exclude)
+
+
+def _draw(views: list[ServerView], wanted: int, random: RandomSource) -> list[ServerView]:
+    count = len(views)
+    drawn: list[ServerView] = []
+    while len(drawn) < wanted:
+        view = views[int(random.random() * count)]
+        if view not in drawn:
+            drawn.append(view)
+    return drawn
+
+
+def _find_best(
+    state: ChoiceState, views: list[ServerView], now: float, exclude: Collection[NodeId]
+) -> Candidate | None:
+    best: Candidate | None = None
+    for view in views:
+        if not view.accepting or view.place.node in exclude or is_paused(view.trust, now):
+            continue
+        cost_s = estimate_cost(state, view, now)
+        if best is None or cost_s < best.cost_s:
+            best = Candidate(view, cost_s)
+    return best
+
+
+def _is_crossing_worth_a_look(state: ChoiceState, near_cost_s: float) -> bool:
+    return near_cost_s * 1e3 > state.settings.other_region_ms
+
+
+def _weigh_crossing(
+    state: ChoiceState, near: Candidate | None, far: Candidate | None
+) -> Candidate | None:
+    if near is None or far is None:
+        return near or far
+    # The margin stands once on each side, so that a near tie doesn't flip with each call.
+    margin_s = state.settings.crossing_margin_ms / 1e3
+    if state.crossing:
+        margin_s = -margin_s
+    state.crossing = far.cost_s + margin_s < near.cost_s
+    return far if state.crossing else near
+
+
+def _pick_paused(state: ChoiceState, now: float, exclude: Collection[NodeId]) -> Candidate | None:
+    # When every server is paused, errors say more about the calls than about the servers.
+    views = [view for view in state.servers.values() if view.accepting]
+    views = [view for view in views if view.place.node not in exclude]
+    views = [view for view in views if not view.trust.on_trial] or views
+    if not views:
+        return None
+    return min(
+        (Candidate(view, estimate_cost(state, view, now)) for view in views),
+        key=lambda candidate: candidate.cost_s,
+    )
+
+
+def _count_on_the_way(view: ServerView, now: float) -> int:
+    # The report left the gate half a round trip ago; later calls of ours aren't in it.
+    sent_after = now - view.round_trip_s
+    count = 0
+    for sent_at in reversed(view.sent_at.values()):
+        if sent_at < sent_after:
+            break
+        count += 1
+    return count
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_fairness.py
@@ -0,0 +1,109 @@
+"""A queue that shares its starts between members by weight.
+
+Start-time fair queueing (Goyal, Vin and Cheng, "Start-time Fair Queueing", SIGCOMM 1996), with
+the tags given when a call leaves the queue, so that a cancelled call costs its member nothing.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+from ragwort_common import Member
+
+Call = TypeVar("Call")
+
+
+@dataclass(slots=True)
+class Flow(Generic[Call]):
+    """The waiting calls of one member, oldest first, and its place in virtual time."""
+
+    share: int
+    finish_tag: float
+    calls: dict[int, Call] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class FairQueue(Generic[Call]):
+    """Waiting calls by member."""
+
+    flows: dict[Member, Flow[Call]] = field(default_factory=dict)
+    virtual_time: float = 0.0
+    size: int = 0
+
+
+def add_waiting(
+    queue: FairQueue[Call], member: Member, share: int, call_id: int, call: Call
+) -> None:
+    """Put a call at the end of its member's line."""
+    flow = queue.flows.get(member)
+    if flow is None:
+        flow = queue.flows[member] = Flow(share, queue.virtual_time)
+    flow.share = max(1, share)
+    if not flow.calls:
+        flow.finish_tag = max(flow.finish_tag, queue.virtual_time)
+    flow.calls[call_id] = call
+    queue.size += 1
+
+
+def remove_waiting(queue: FairQueue[Call], member: Member, call_id: int) -> Call | None:
+    """Take a call out of the line; None when it isn't there."""
+    flow = queue.flows.get(member)
+    call = flow.calls.pop(call_id, None) if flow else None
+    if call is not None:
+        queue.size -= 1
+        _forget_idle(queue)
+    return call
+
+
+def pop_waiting(queue: FairQueue[Call]) -> Call | None:
+    """Take out the next call: the oldest of the member that is furthest behind its share."""
+    flow = min(
+        (flow for flow in queue.flows.values() if flow.calls),
+        key=lambda flow: flow.finish_tag,
+        default=None,
+    )
+    if flow is None:
+        return None
+    call = flow.calls.pop(next(iter(flow.calls)))
+    queue.size -= 1
+    queue.virtual_time = max(queue.virtual_time, flow.finish_tag)
+    flow.finish_tag = queue.virtual_time + 1.0 / flow.share
+    _forget_idle(queue)
+    return call
+
+
+def list_waiting(queue: FairQueue[Call]) -> Iterator[Call]:
+    """Yield all waiting calls, member by member."""
+    for flow in queue.flows.values():
+        yield from flow.calls.values()
+
+
+def count_ahead(queue: FairQueue[Call], member: Member, share: int) -> float:
+    """Return how many calls start before a new call of this member, about.
+
+    Other members start in proportion to their shares while this member's line is served, but
+    no more than they have waiting.
+    """
+    own = queue.flows.get(member)
+    own_calls = len(own.calls) if own else 0
+    turns = (own_calls + 1) / max(1, share)
+    ahead = float(own_calls)
+    for name, flow in queue.flows.items():
+        if name != member and flow.calls:
+            ahead += min(len(flow.calls), turns * flow.share)
+    return ahead
+
+
+def _forget_idle(queue: FairQueue[Call]) -> None:
+    # A member without calls whose turn has passed is the same as a member never seen.
+    if queue.size == 0:
+        queue.flows.clear()
+        queue.virtual_time = 0.0
+        return
+    idle = [
+        member
+        for member, flow in queue.flows.items()
+        if not flow.calls and flow.finish_tag <= queue.virtual_time
+    ]
+    for member in idle:
+        del queue.flows[member]
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_hedge.py
@@ -0,0 +1,54 @@
+"""Decides when a slow idempotent read is sent to a second server as well.
+
+Hedged requests (Dean and Barroso, "The Tail at Scale", 2013) after a high quantile of recent
+latency, from a small budget of their own. The quantile is followed by a step up for each slower
+call and a smaller step down for each faster one (Ma, Muthukrishnan and Sandler, "Frugal
+Streaming for Estimating Quantiles", 2013).
+"""
+
+from dataclasses import dataclass, field
+
+from ragwort_policy._retry import AttemptBudget, earn_attempts, spend_attempt
+
+QUANTILE = 0.95
+HEDGE_PART = 0.02
+HEDGE_BURST_CALLS = 5.0
+STEP_PART = 0.05
+
+
+@dataclass(slots=True)
+class HedgeState:
+    """The followed quantile of latency, in seconds, and the hedges that calls have earned."""
+
+    quantile_s: float
+    budget: AttemptBudget = field(
+        default_factory=lambda: AttemptBudget(HEDGE_PART, HEDGE_BURST_CALLS, HEDGE_BURST_CALLS)
+    )
+
+
+def make_hedge(expected_s: float) -> HedgeState:
+    """Return a state that starts from an expected latency."""
+    return HedgeState(expected_s * 3.0)
+
+
+def record_latency(state: HedgeState, latency_s: float) -> None:
+    """Move the quantile by the latency of an answered call and credit the budget."""
+    earn_attempts(state.budget)
+    step_s = state.quantile_s * STEP_PART
+    if latency_s > state.quantile_s:
+        state.quantile_s += step_s * QUANTILE
+    else:
+        state.quantile_s = max(1e-4, state.quantile_s - step_s * (1.0 - QUANTILE))
+
+
+def get_hedge_delay(state: HedgeState) -> float:
+    """Return after how many seconds without an answer a hedge is worth sending."""
+    return state.quantile_s
+
+
+def take_hedge(state: HedgeState, idempotent: bool, nested: bool) -> bool:
+    """Tell whether a hedge is sent for this call now, and charge the budget if so.
+
+    The caller of this cancels the attempt that loses.
+    """
+    return idempotent and not nested and spend_attempt(state.budget)
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_probing.py
@@ -0,0 +1,87 @@
+"""Decides which servers an entry asks for a report, within a budget of bytes a second.
+
+Probes ride behind calls (Prequal, NSDI 2024): each call may cause one, for the server whose
+report is missed most. A report that is fresh is reused; no service without calls is probed.
+"""
+
+from dataclasses import dataclass
+
+from ragwort_common import NodeId
+
+from ragwort_policy._choice import ChoiceState, Distance, ServerView
+
+BURST_S = 0.25
+
+
+@dataclass(slots=True)
+class ProbeBudget:
+    """A token bucket in bytes."""
+
+    bytes_per_s: float
+    tokens_bytes: float
+    updated_at: float
+
+
+@dataclass(slots=True, frozen=True)
+class ProbeSettings:
+    """When a report is worth a probe, and what a probe and its reply cost."""
+
+    cost_bytes: int = 130
+    fresh_ms: float = 20.0
+    overdue_ms: float = 10.0
+    far_fresh_ms: float = 250.0
+    timeout_ms: float = 250.0
+
+
+def make_probe_budget(bytes_per_s: float, now: float) -> ProbeBudget:
+    """Return a full budget."""
+    return ProbeBudget(bytes_per_s, bytes_per_s * BURST_S, now)
+
+
+def plan_probe(
+    state: ChoiceState,
+    node_budget: ProbeBudget,
+    far_budget: ProbeBudget,
+    settings: ProbeSettings,
+    now: float,
+) -> NodeId | None:
+    """Return the server to probe now, or None; the budget is charged for it.
+
+    ``node_budget`` bounds all probes of the node, ``far_budget`` those to the other region.
+    """
+    best: ServerView | None = None
+    best_need = 1.0
+    for view in state.near:
+        need = _get_need(view, settings.fresh_ms, settings, now)
+        if need > best_need:
+            best, best_need = view, need
+    if state.crossing or best is None:
+        for view in state.far:
+            need = _get_need(view, settings.far_fresh_ms, settings, now)
+            if need > best_need:
+                best, best_need = view, need
+    if best is None:
+        return None
+    is_far = best.distance is Distance.OTHER_REGION
+    if is_far and not _charge(far_budget, settings.cost_bytes, now):
+        return None
+    if not _charge(node_budget, settings.cost_bytes, now):
+        return None
+    best.probed_at = now
+    return best.place.node
+
+
+def _get_need(view: ServerView, fresh_ms: float, settings: ProbeSettings, now: float) -> float:
+    if (now - view.probed_at) * 1e3 < max(fresh_ms, settings.overdue_ms):
+        return 0.0
+    return (now - view.reported_at) * 1e3 / fresh_ms
+
+
+def _charge(budget: ProbeBudget, cost_bytes: int, now: float) -> bool:
+    earned = (now - budget.updated_at) * budget.bytes_per_s
+    budget.updated_at = now
+    budget.tokens_bytes = min(budget.bytes_per_s * BURST_S, budget.tokens_bytes + earned)
+    if budget.tokens_bytes < cost_bytes:
+        return False
+    budget.tokens_bytes -= cost_bytes
+    return True
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_trust.py
@@ -0,0 +1,85 @@
+"""How far an entry trusts a server, from the outcomes of its own calls.
+
+Errors lower the trust, whatever the speed at which they came back. After several errors in a
+row the server is paused, for longer each time; a paused server gets one trial call at a time.
+"""
+
+from dataclasses import dataclass
+
+from ragwort_common import Outcome, Reason
+
+ERROR_MEMORY = 0.1
+PAUSE_AFTER_ERRORS = 3
+PAUSE_ERROR_RATIO = 0.4
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 5.0
+ERROR_COST = 8.0
+
+
+@dataclass(slots=True)
+class Trust:
+    """The evidence of errors against one server."""
+
+    error_ratio: float = 0.0
+    errors_in_row: int = 0
+    pause_s: float = FIRST_PAUSE_S
+    paused_until: float = 0.0
+    on_trial: bool = False
+
+
+def is_error(outcome: Outcome, reason: Reason) -> bool:
+    """Tell whether an outcome speaks against the server; a refusal for load doesn't."""
+    if outcome is Outcome.FAILED:
+        return True
+    if outcome is Outcome.UNKNOWN:
+        return reason in (Reason.CONNECTION_LOST, Reason.BAD_ANSWER)
+    return outcome is Outcome.NOT_RUN and reason is Reason.CONNECT_FAILED
+
+
+def record_success(trust: Trust) -> None:
+    """Take in an answer; a trial that succeeds ends the pause."""
+    trust.errors_in_row = 0
+    trust.error_ratio *= 1.0 - ERROR_MEMORY
+    if trust.on_trial:
+        trust.on_trial = False
+        trust.error_ratio *= 0.5
+        trust.pause_s = max(FIRST_PAUSE_S, trust.pause_s * 0.5)
+        trust.paused_until = 0.0
+
+
+def record_error(trust: Trust, now: float, jitter: float, certain: bool) -> None:
+    """Take in an error; ``certain`` is set when the server can't be reached at all.
+
+    ``jitter`` between 0 and 1 spreads the trials of many entries.
+    """
+    trust.errors_in_row += 1
+    trust.error_ratio += ERROR_MEMORY * (1.0 - trust.error_ratio)
+    failing = trust.errors_in_row >= PAUSE_AFTER_ERRORS or trust.error_ratio > PAUSE_ERROR_RATIO
+    if not (failing or certain or trust.on_trial):
+        return
+    if now < trust.paused_until:
+        return
+    trust.paused_until = now + trust.pause_s * (0.75 + 0.5 * jitter)
+    trust.pause_s = min(LONGEST_PAUSE_S, trust.pause_s * 2.0)
+    trust.on_trial = False
+
+
+def is_paused(trust: Trust, now: float) -> bool:
+    """Tell whether the server gets no call now, because of its pause or a trial under way."""
+    return trust.on_trial or now < trust.paused_until
+
+
+def start_trial(trust: Trust) -> None:
+    """Mark the call that is being sent as the trial, when one is due."""
+    if trust.paused_until > 0.0:
+        trust.on_trial = True
+
+
+def end_trial(trust: Trust) -> None:
+    """Allow another trial after one that showed nothing, such as a refusal for load."""
+    trust.on_trial = False
+
+
+def get_error_cost(trust: Trust) -> float:
+    """Return the factor by which errors make a server's calls dearer, at least 1."""
+    return 1.0 + ERROR_COST * trust.error_ratio
--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -12,7 +12,7 @@
     ProtocolError,
     encode_frame,
 )
-from ragwort_protocol._load import LoadReport
+from ragwort_protocol._load import LoadReport, Probe, ProbeReply
 from ragwort_protocol._message import Message
 
 __all__ = [
@@ -24,6 +24,8 @@
     "FrameReader",
     "LoadReport",
     "Message",
+    "Probe",
+    "ProbeReply",
     "ProtocolError",
     "Refusal",
     "Request",
--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -29,6 +29,8 @@
     | _calls.Refusal
     | _calls.Cancel
     | _load.LoadReport
+    | _load.Probe
+    | _load.ProbeReply
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_MESSAGES)
--- a/packages/protocol/src/ragwort_protocol/_load.py
+++ b/packages/protocol/src/ragwort_protocol/_load.py
@@ -1,4 +1,4 @@
-"""What a gate reports about its server's load."""
+"""What a gate reports about its server's load, and how an entry asks for it."""
 
 from ragwort_protocol._message import Message
 
@@ -15,7 +15,8 @@
     queued
         Calls that wait in the gate's queue.
     service_time_us
-        Recent median time that the server needs for a call, in microseconds.
+        Recent time that the server needs for a call, in microseconds; calls that are still
+        running count, so it rises as soon as they hang.
     accepting
         False while the server leaves or the gate refuses everything.
     warm
@@ -28,3 +29,16 @@
     service_time_us: int
     accepting: bool = True
     warm: float = 1.0
+
+
+class Probe(Message, tag=11):
+    """Asks the peer's gate for its report."""
+
+    probe_id: int
+
+
+class ProbeReply(Message, tag=12):
+    """Answers a probe."""
+
+    probe_id: int
+    report: LoadReport
