Carry a call from any entry to a chosen server and back

Cause: nothing served a call yet. An entry (a bare ASGI callable under uvicorn) reads the call whole, matches its rule, chooses a server with the policy, and sends the call over a multiplexed link of MessagePack frames to the gate beside that server, which admits it and calls the server through aiohttp. Settings, statsd counters, sampled spans, the administration API and the gRPC exchanges are in place, each thin.

--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,296 @@
+"""Starts a whole deployment as processes on loopback: platform, servers and nodes."""
+
+import asyncio
+import contextlib
+import json
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+from ruamel.yaml import YAML
+
+READY_TIMEOUT_S = 30
+STOP_TIMEOUT_S = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A deployment's services and places; each service has one server in each failure domain."""
+
+    services: tuple[str, ...]
+    domains: tuple[tuple[str, str], ...]
+    slots: int
+    connections: int
+    service_ms: float
+
+
+HANBIT = Plan(
+    services=("drum-tracking", "collections", "cleaning-records"),
+    domains=(
+        ("gyeonggi", "siheung"),
+        ("gyeonggi", "hwaseong"),
+        ("gyeongnam", "changwon"),
+        ("gyeongnam", "gimhae"),
+    ),
+    slots=13,
+    connections=250,
+    service_ms=2.0,
+)
+
+INDICE = Plan(
+    services=("price-portal", "batch-intake", "survey-forms"),
+    domains=(
+        ("meseta", "alajuela"),
+        ("meseta", "sanjose"),
+        ("pacifico-norte", "canas"),
+        ("pacifico-norte", "santacruz"),
+    ),
+    slots=6,
+    connections=240,
+    service_ms=2.0,
+)
+
+
+@dataclass(slots=True)
+class Place:
+    """One server with its node, and the ports they listen on."""
+
+    node: str
+    service: str
+    region: str
+    domain: str
+    ports: dict[str, int]
+    server: asyncio.subprocess.Process | None = None
+    process: asyncio.subprocess.Process | None = None
+
+    def entry_url(self, path: str) -> str:
+        """Return the address of a path at this node's entry."""
+        return f"http://127.0.0.1:{self.ports['entry']}{path}"
+
+    def server_url(self, path: str) -> str:
+        """Return the address of a path at the server itself."""
+        return f"http://127.0.0.1:{self.ports['server']}{path}"
+
+    def admin_url(self, path: str) -> str:
+        """Return the address of a path of the node's administration API."""
+        return f"http://127.0.0.1:{self.ports['admin']}{path}"
+
+
+@dataclass(slots=True)
+class Fleet:
+    """The running processes of a deployment."""
+
+    plan: Plan
+    folder: Path
+    platform_port: int
+    places: list[Place] = field(default_factory=list)
+    processes: list[asyncio.subprocess.Process] = field(default_factory=list)
+
+    @property
+    def platform_url(self) -> str:
+        """Base address of the platform stand-in."""
+        return f"http://127.0.0.1:{self.platform_port}"
+
+    def find_places(self, service: str) -> list[Place]:
+        """Return the places of one service."""
+        return [place for place in self.places if place.service == service]
+
+
+def take_ports(count: int) -> list[int]:
+    """Return distinct ports that are free now."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            sock = stack.enter_context(socket.socket())
+            sock.bind(("127.0.0.1", 0))
+            ports.append(sock.getsockname()[1])
+        return ports
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(plan: Plan, settings: dict[str, dict] | None = None) -> AsyncIterator[Fleet]:
+    """Run a deployment; every process it started has ended when this returns.
+
+    ``settings`` is laid over each node's settings.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(plan, Path(folder), take_ports(1)[0])
+        try:
+            await _start_platform(fleet)
+            fleet.places = _plan_places(plan)
+            await asyncio.gather(*(start_server(fleet, place) for place in fleet.places))
+            await asyncio.gather(*(start_node(fleet, place, settings) for place in fleet.places))
+            yield fleet
+        finally:
+            await _stop_all(fleet)
+
+
+async def start_process(fleet: Fleet, *arguments: str) -> asyncio.subprocess.Process:
+    """Start a Python process of the fleet; what it logs is kept in the fleet's folder."""
+    output = (fleet.folder / f"{len(fleet.processes)}.log").open("wb")
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *arguments,
+        stdin=asyncio.subprocess.DEVNULL,
+        stdout=output,
+        stderr=output,
+        start_new_session=True,
+    )
+    output.close()
+    fleet.processes.append(process)
+    return process
+
+
+async def start_server(fleet: Fleet, place: Place) -> None:
+    """Start a place's stand-in server."""
+    plan = fleet.plan
+    place.server = await start_process(
+        fleet,
+        "-m",
+        "ragwort_standins.server",
+        f"--port={place.ports['server']}",
+        f"--name={place.node}",
+        f"--slots={plan.slots}",
+        f"--service-ms={plan.service_ms}",
+    )
+
+
+async def start_node(fleet: Fleet, place: Place, settings: dict[str, dict] | None = None) -> None:
+    """Start a place's node."""
+    path = fleet.folder / f"{place.node}.yaml"
+    with path.open("w") as file:
+        YAML().dump(_make_settings(fleet, place, settings or {}), file)
+    place.process = await start_process(
+        fleet, "-c", "from ragwort_node.main import run; run()", f"--settings={path}"
+    )
+
+
+async def wait_ready(fleet: Fleet) -> None:
+    """Wait until every node says that it is ready.
+
+    Raises
+    ------
+    TimeoutError
+        When one is not within ``READY_TIMEOUT_S``.
+    """
+    async with aiohttp.ClientSession() as session, asyncio.timeout(READY_TIMEOUT_S):
+        await asyncio.gather(*(_wait_ready(session, place, fleet) for place in fleet.places))
+
+
+async def apply_rules(fleet: Fleet, path: Path, author: str) -> None:
+    """Apply a rules file with the operators' command.
+
+    Raises
+    ------
+    RuntimeError
+        When the command fails.
+    """
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        "from ragwort_control.main import run; run()",
+        "apply",
+        str(path),
+        f"--platform={fleet.platform_url}",
+        f"--author={author}",
+        stdin=asyncio.subprocess.DEVNULL,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    output, _ = await process.communicate()
+    if process.returncode:
+        raise RuntimeError(f"ragwortctl apply failed: {output.decode()}")
+
+
+async def order_server(session: aiohttp.ClientSession, place: Place, **behaviour: object) -> None:
+    """Change what a stand-in server does."""
+    async with session.post(place.server_url("/_control/set"), json=behaviour) as response:
+        response.raise_for_status()
+
+
+async def count_runs(session: aiohttp.ClientSession, fleet: Fleet) -> dict[str, int]:
+    """Return how often each request id was run by the servers that still answer."""
+    totals: dict[str, int] = {}
+    for place in fleet.places:
+        with contextlib.suppress(aiohttp.ClientError):
+            async with session.get(place.server_url("/_control/runs")) as response:
+                for request_id, runs in json.loads(await response.read()).items():
+                    totals[request_id] = totals.get(request_id, 0) + runs
+    return totals
+
+
+def _plan_places(plan: Plan) -> list[Place]:
+    names = ("server", "entry", "link", "control", "admin")
+    ports = take_ports(len(names) * len(plan.services) * len(plan.domains))
+    places = []
+    for service in plan.services:
+        for region, domain in plan.domains:
+            own = {name: ports.pop() for name in names}
+            places.append(Place(f"{service}-{domain}", service, region, domain, own))
+    return places
+
+
+def _make_settings(fleet: Fleet, place: Place, extra: dict[str, dict]) -> dict[str, dict]:
+    ports = place.ports
+    settings = {
+        "node": {
+            "id": place.node,
+            "service": place.service,
+            "region": place.region,
+            "failure_domain": place.domain,
+        },
+        "addresses": {
+            name: f"127.0.0.1:{ports[name]}" for name in ("entry", "link", "control", "admin")
+        },
+        "server": {
+            "url": f"http://127.0.0.1:{ports['server']}",
+            "slots": fleet.plan.slots,
+            "connections": fleet.plan.connections,
+        },
+        "platform": {"url": fleet.platform_url},
+    }
+    for section, values in extra.items():
+        settings.setdefault(section, {}).update(values)
+    return settings
+
+
+async def _start_platform(fleet: Fleet) -> None:
+    await start_process(fleet, "-m", "ragwort_standins.platform", f"--port={fleet.platform_port}")
+    async with aiohttp.ClientSession() as session, asyncio.timeout(READY_TIMEOUT_S):
+        while True:
+            with contextlib.suppress(aiohttp.ClientError):
+                async with session.get(f"{fleet.platform_url}/control/counts"):
+                    return
+            await asyncio.sleep(0.05)
+
+
+async def _wait_ready(session: aiohttp.ClientSession, place: Place, fleet: Fleet) -> None:
+    while True:
+        with contextlib.suppress(aiohttp.ClientError):
+            async with session.get(place.admin_url("/readyz")) as response:
+                if response.status == 200:
+                    return
+        if place.process is not None and place.process.returncode is not None:
+            raise RuntimeError(f"node {place.node} has ended with {place.process.returncode}")
+        await asyncio.sleep(0.1)
+
+
+async def _stop_all(fleet: Fleet) -> None:
+    running = [process for process in fleet.processes if process.returncode is None]
+    for process in reversed(running):
+        with contextlib.suppress(ProcessLookupError):
+            # A frozen process takes the signal only once it goes on.
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            await asyncio.gather(*(process.wait() for process in running))
+    for process in running:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
--- /dev/null
+++ b/packages/node/src/ragwort_node/_caller.py
@@ -0,0 +1,238 @@
+"""Runs a call for an entry: chooses a server, sends the call there and repairs a miss."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ragwort_common import CallId, NodeId, Outcome, Reason, ServiceName
+from ragwort_policy import (
+    Attempt,
+    choose_server,
+    earn_attempts,
+    get_hedge_delay,
+    record_latency,
+    record_outcome,
+    record_report,
+    record_sent,
+    take_hedge,
+    take_retry,
+)
+from ragwort_protocol import Cancel, LoadReport, Refusal, Request, Response
+from ragwort_rules import Priority, Treatment
+
+from ragwort_node._gate import Gate
+from ragwort_node._link import Link, LinkLost, Reply
+from ragwort_node._metrics import Counters
+from ragwort_node._pool import LinkPool
+from ragwort_node._prober import Prober
+from ragwort_node._services import Services, ServiceState
+
+NO_REPORT = LoadReport(0, 0, 0, 0, accepting=False)
+NO_SERVER_RETRY_AFTER_MS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A caller's call, read whole and matched with its rule.
+
+    ``nested`` is set when a server made the call on behalf of another call; ``deadline`` is on
+    the node's monotonic clock, in seconds.
+    """
+
+    service: ServiceName
+    treatment: Treatment
+    method: str
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    deadline: float
+    nested: bool = False
+
+
+def refuse_call(outcome: Outcome, reason: Reason, retry_after_ms: int = 0) -> Refusal:
+    """Return a refusal that this node decided by itself."""
+    return Refusal(0, outcome.value, reason.value, retry_after_ms, NO_REPORT)
+
+
+class Caller:
+    """Sends calls to the gates of chosen servers; owns no connection of its own."""
+
+    def __init__(
+        self,
+        node_id: NodeId,
+        gate: Gate,
+        pool: LinkPool,
+        services: Services,
+        prober: Prober,
+        counters: Counters,
+        clock: Callable[[], float],
+        random_source: random.Random,
+    ) -> None:
+        self._node_id = node_id
+        self._gate = gate
+        self._pool = pool
+        self._services = services
+        self._prober = prober
+        self._counters = counters
+        self._clock = clock
+        self._random = random_source
+        self._ids = itertools.count(1)
+
+    async def run_call(self, call: Call) -> Response | Refusal:
+        """Run a call and return its answer, or the refusal that ends it."""
+        state = self._services.find(call.service)
+        if state is None:
+            return _refuse_unserved()
+        self._prober.probe(state)
+        earn_attempts(state.retries)
+        tried = _list_barred(state, call.treatment)
+        last = _refuse_unserved()
+        for number in itertools.count(1):
+            if self._clock() >= call.deadline:
+                return refuse_call(Outcome.NOT_RUN, Reason.DEADLINE)
+            node = self._choose(state, tried)
+            if node is None:
+                return last
+            last = await self._try_hedged(state, node, call, tried)
+            if isinstance(last, Response) or not self._may_retry(state, last, call, number):
+                return last
+            self._counters.add("entry.retries")
+        raise AssertionError("unreachable")
+
+    def _choose(self, state: ServiceState, tried: set[NodeId]) -> NodeId | None:
+        node = choose_server(state.choice, self._clock(), self._random, tried)
+        if node is not None:
+            tried.add(node)
+        return node
+
+    def _may_retry(self, state: ServiceState, refusal: Refusal, call: Call, number: int) -> bool:
+        outcome, reason = Outcome(refusal.outcome), Reason(refusal.reason)
+        treatment = call.treatment
+        # A first attempt that may have run counts against the retries that the rule allows.
+        repeatable = treatment.idempotent and number <= treatment.retries
+        attempt = Attempt(outcome, reason, repeatable, call.nested, number)
+        return take_retry(state.retries, attempt)
+
+    async def _try_hedged(
+        self, state: ServiceState, node: NodeId, call: Call, tried: set[NodeId]
+    ) -> Response | Refusal:
+        """Run an attempt, with a second one beside it when it is slow and the rule allows."""
+        if call.treatment.hedge_percent <= 0:
+            return await self._try_server(state, node, call)
+        first = asyncio.ensure_future(self._try_server(state, node, call))
+        attempts = {first}
+        try:
+            await asyncio.wait(attempts, timeout=get_hedge_delay(state.hedge))
+            if first.done() or not take_hedge(state.hedge, call.treatment.idempotent, call.nested):
+                return await first
+            second = self._choose(state, tried)
+            if second is None:
+                return await first
+            self._counters.add("entry.hedges")
+            attempts.add(asyncio.ensure_future(self._try_server(state, second, call)))
+            return await _take_first_answer(attempts)
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
+
+    async def _try_server(
+        self, state: ServiceState, node: NodeId, call: Call
+    ) -> Response | Refusal:
+        """Run one attempt and let the choice learn from it."""
+        call_id = CallId(next(self._ids))
+        started = self._clock()
+        record_sent(state.choice, node, call_id, started)
+        self._counters.add("entry.attempts")
+        outcome, reason = Outcome.UNKNOWN, Reason.CANCELLED
+        try:
+            reply = await self._send(node, call)
+            outcome, reason = _judge_reply(reply)
+        finally:
+            now = self._clock()
+            record_outcome(state.choice, node, call_id, outcome, reason, now, self._random.random())
+        if reply.report is not NO_REPORT:
+            record_report(state.choice, node, reply.report, now)
+        if outcome is Outcome.ANSWERED:
+            record_latency(state.hedge, now - started)
+        return reply
+
+    async def _send(self, node: NodeId, call: Call) -> Response | Refusal:
+        if node == self._node_id:
+            return await self._gate.run_call(self._make_request(0, call))
+        link = self._pool.find_link(node) or await self._pool.open_link(node)
+        if link is None:
+            return refuse_call(Outcome.NOT_RUN, Reason.CONNECT_FAILED)
+        request = self._make_request(link.take_call_id(), call)
+        return await _exchange(link, request)
+
+    def _make_request(self, call_id: int, call: Call) -> Request:
+        treatment = call.treatment
+        return Request(
+            call_id=call_id,
+            method=call.method,
+            target=call.target,
+            headers=call.headers,
+            body=call.body,
+            budget_ms=(call.deadline - self._clock()) * 1000,
+            idempotent=treatment.idempotent,
+            batch=treatment.priority is Priority.BATCH,
+            member=treatment.member,
+            share=treatment.share,
+        )
+
+
+def _refuse_unserved() -> Refusal:
+    return refuse_call(Outcome.NOT_RUN, Reason.NO_SERVER, NO_SERVER_RETRY_AFTER_MS)
+
+
+def _list_barred(state: ServiceState, treatment: Treatment) -> set[NodeId]:
+    """Return the servers in failure domains that the rule does not allow."""
+    if not treatment.domains:
+        return set()
+    return {
+        node
+        for node, view in state.choice.servers.items()
+        if view.place.failure_domain not in treatment.domains
+    }
+
+
+def _judge_reply(reply: Response | Refusal) -> tuple[Outcome, Reason]:
+    if isinstance(reply, Refusal):
+        return Outcome(reply.outcome), Reason(reply.reason)
+    if reply.status >= 500:
+        return Outcome.FAILED, Reason.NONE
+    return Outcome.ANSWERED, Reason.NONE
+
+
+async def _exchange(link: Link, request: Request) -> Response | Refusal:
+    """Send a request over a link and return what ends it, at the deadline at the latest."""
+    reply = link.start_call(request)
+    try:
+        async with asyncio.timeout(request.budget_ms / 1000):
+            result: Reply = await reply
+    except (TimeoutError, asyncio.CancelledError) as error:
+        link.forget_call(request.call_id)
+        link.send(Cancel(request.call_id))
+        if isinstance(error, asyncio.CancelledError):
+            raise
+        return refuse_call(Outcome.UNKNOWN, Reason.DEADLINE)
+    if isinstance(result, LinkLost):
+        return refuse_call(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
+    return result
+
+
+async def _take_first_answer(
+    attempts: set["asyncio.Task[Response | Refusal]"],
+) -> Response | Refusal:
+    """Return the first answer; a refusal only when no attempt is left that may answer."""
+    pending = set(attempts)
+    while True:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        replies = [task.result() for task in done]
+        for reply in replies:
+            if isinstance(reply, Response):
+                return reply
+        if not pending:
+            return replies[-1]
--- /dev/null
+++ b/packages/node/src/ragwort_node/_control.py
@@ -0,0 +1,71 @@
+"""Answers the rare gRPC exchanges of peers and of the operators' command."""
+
+import hmac
+from collections.abc import Callable
+
+import grpc
+from ragwort_protocol.control import (
+    ControlServicer,
+    FetchRulesReply,
+    FetchRulesRequest,
+    GetStatusReply,
+    GetStatusRequest,
+    SetDrainReply,
+    SetDrainRequest,
+    add_ControlServicer_to_server,
+)
+
+ReadRules = Callable[[], FetchRulesReply]
+ReadStatus = Callable[[], GetStatusReply]
+SetDrain = Callable[[bool], None]
+
+
+class Control(ControlServicer):
+    """Answers each exchange from functions that read the node's state."""
+
+    def __init__(
+        self,
+        read_rules: ReadRules,
+        read_status: ReadStatus,
+        set_drain: SetDrain,
+        token: str | None,
+    ) -> None:
+        self._read_rules = read_rules
+        self._read_status = read_status
+        self._set_drain = set_drain
+        self._token = token
+
+    async def FetchRules(  # noqa: N802
+        self, request: FetchRulesRequest, context: grpc.aio.ServicerContext
+    ) -> FetchRulesReply:
+        """Return the rules in force."""
+        return self._read_rules()
+
+    async def GetStatus(  # noqa: N802
+        self, request: GetStatusRequest, context: grpc.aio.ServicerContext
+    ) -> GetStatusReply:
+        """Return what the node knows of itself and its peers."""
+        return self._read_status()
+
+    async def SetDrain(  # noqa: N802
+        self, request: SetDrainRequest, context: grpc.aio.ServicerContext
+    ) -> SetDrainReply:
+        """Start or end a drain, if the token is right."""
+        if not check_token(self._token, request.token):
+            return SetDrainReply(refusal="the token is not the one in the node's settings")
+        self._set_drain(request.draining)
+        return SetDrainReply()
+
+
+def check_token(expected: str | None, given: str) -> bool:
+    """Tell whether a request may change something; without a token in the settings none may."""
+    return expected is not None and hmac.compare_digest(expected.encode(), given.encode())
+
+
+async def start_control(address: str, control: Control) -> tuple[grpc.aio.Server, int]:
+    """Serve the exchanges and return the server with the port that is bound."""
+    server = grpc.aio.server()
+    add_ControlServicer_to_server(control, server)
+    port = server.add_insecure_port(address)
+    await server.start()
+    return server, port
--- /dev/null
+++ b/packages/node/src/ragwort_node/_gate.py
@@ -0,0 +1,203 @@
+"""The gate in front of the local server: admits calls, runs them and reports the load."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Callable, Iterator
+from enum import Enum
+
+from ragwort_common import CallId, Member, Outcome, Reason
+from ragwort_policy import (
+    Arrival,
+    GateLimits,
+    Verdict,
+    arrive,
+    cancel,
+    expire,
+    finish,
+    make_gate,
+    make_report,
+    start_leaving,
+    stop_leaving,
+)
+from ragwort_protocol import LoadReport, Refusal, Request, Response, replace_fields
+
+from ragwort_node._metrics import Counters
+from ragwort_node._server import Answer, Failure, ServerClient, is_shed
+from ragwort_node._tracing import Tracer
+
+SHED_RETRY_AFTER_MS = 1000
+"""What a caller is told when the server itself shed the call and named no time."""
+
+
+class Turn(Enum):
+    """What becomes of a call that waits in the queue."""
+
+    START = "start"
+    EXPIRED = "expired"
+
+
+class Gate:
+    """Owns the admission state of one server.
+
+    Parameters
+    ----------
+    server
+        The client of the local server.
+    limits
+        Slots and queue bounds.
+    clock
+        Monotonic clock in seconds.
+    """
+
+    def __init__(
+        self,
+        server: ServerClient,
+        limits: GateLimits,
+        counters: Counters,
+        clock: Callable[[], float],
+        tracer: Tracer,
+    ) -> None:
+        self._server = server
+        self._tracer = tracer
+        self._counters = counters
+        self._clock = clock
+        self._state = make_gate(limits, clock())
+        self._turns: dict[CallId, asyncio.Future[Turn]] = {}
+        self._ids = itertools.count(1)
+        self._present = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the gate refuses every new call."""
+        return self._state.leaving
+
+    def set_leaving(self, leaving: bool) -> None:
+        """Refuse every new call from now on, or end that; calls under way go on."""
+        if leaving:
+            start_leaving(self._state)
+        else:
+            stop_leaving(self._state)
+
+    async def wait_idle(self) -> None:
+        """Return once no call runs or waits."""
+        await self._idle.wait()
+
+    def make_report(self) -> LoadReport:
+        """Return the present load."""
+        return make_report(self._state, self._clock())
+
+    async def run_call(self, request: Request) -> Response | Refusal:
+        """Run one call on the local server if it is admitted, at once or after a wait."""
+        with self._counted():
+            span, headers = self._tracer.start_span("gate", request.headers)
+            if span is None:
+                return await self._admit(request)
+            reply = await self._admit(replace_fields(request, headers=headers))
+            outcome = reply.outcome if isinstance(reply, Refusal) else Outcome.ANSWERED.value
+            self._tracer.finish_span(span, outcome)
+            return reply
+
+    @contextlib.contextmanager
+    def _counted(self) -> Iterator[None]:
+        self._present += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._present -= 1
+            if self._present == 0:
+                self._idle.set()
+
+    async def _admit(self, request: Request) -> Response | Refusal:
+        now = self._clock()
+        call_id = CallId(next(self._ids))
+        deadline = now + request.budget_ms / 1000
+        call = Arrival(call_id, Member(request.member), request.share, request.batch, deadline)
+        decision = arrive(self._state, now, call)
+        if decision.verdict is Verdict.REFUSED:
+            wait_ms = decision.retry_after_ms
+            return self._refuse(request, Outcome.NOT_RUN, decision.reason, wait_ms)
+        if decision.verdict is Verdict.QUEUED:
+            self._counters.add("gate.queued")
+            if await self._wait_turn(call_id, deadline) is Turn.EXPIRED:
+                return self._refuse(request, Outcome.NOT_RUN, Reason.DEADLINE, 0)
+        if request.idempotent:
+            return await self._run(request, call_id, deadline)
+        # A run that changes something is not broken off half way when its caller leaves.
+        return await asyncio.shield(self._run_to_end(request, call_id, deadline))
+
+    async def _run_to_end(
+        self, request: Request, call_id: CallId, deadline: float
+    ) -> Response | Refusal:
+        with self._counted():
+            return await self._run(request, call_id, deadline)
+
+    async def _wait_turn(self, call_id: CallId, deadline: float) -> Turn:
+        turn = asyncio.get_running_loop().create_future()
+        self._turns[call_id] = turn
+        try:
+            async with asyncio.timeout(max(0.0, deadline - self._clock())):
+                return await turn
+        except TimeoutError:
+            if turn.done() and not turn.cancelled():
+                # Its turn came in the moment in which the wait ended, so it holds a slot.
+                return turn.result()
+            self._expire(call_id)
+            return Turn.EXPIRED
+        except asyncio.CancelledError:
+            self._start(cancel(self._state, self._clock(), call_id))
+            raise
+        finally:
+            self._turns.pop(call_id, None)
+
+    def _expire(self, call_id: CallId) -> None:
+        expired = expire(self._state, self._clock())
+        if call_id not in expired:
+            self._start(cancel(self._state, self._clock(), call_id))
+        for other in expired:
+            self._give_turn(other, Turn.EXPIRED)
+
+    async def _run(self, request: Request, call_id: CallId, deadline: float) -> Response | Refusal:
+        started = self._clock()
+        failed = True
+        try:
+            result = await self._server.run_call(
+                request.method,
+                request.target,
+                request.headers,
+                request.body,
+                (deadline - started) * 1000,
+            )
+            failed = isinstance(result, Failure) or result.status >= 500
+        finally:
+            now = self._clock()
+            self._start(finish(self._state, now, call_id, now - started, failed))
+        return self._make_reply(request, result)
+
+    def _start(self, call_ids: list[CallId]) -> None:
+        for call_id in call_ids:
+            self._give_turn(call_id, Turn.START)
+
+    def _give_turn(self, call_id: CallId, turn: Turn) -> None:
+        future = self._turns.get(call_id)
+        if future is not None and not future.done():
+            future.set_result(turn)
+
+    def _make_reply(self, request: Request, result: Answer | Failure) -> Response | Refusal:
+        if isinstance(result, Failure):
+            return self._refuse(request, result.outcome, result.reason, 0)
+        if is_shed(result):
+            return self._refuse(request, Outcome.NOT_RUN, Reason.SHED, SHED_RETRY_AFTER_MS)
+        self._counters.add("gate.answered")
+        report = self.make_report()
+        return Response(request.call_id, result.status, result.headers, result.body, report)
+
+    def _refuse(
+        self, request: Request, outcome: Outcome, reason: Reason, retry_after_ms: int
+    ) -> Refusal:
+        self._counters.add(f"gate.{outcome.value}.{reason.value}")
+        report = self.make_report()
+        return Refusal(request.call_id, outcome.value, reason.value, retry_after_ms, report)
--- /dev/null
+++ b/packages/node/src/ragwort_node/_link.py
@@ -0,0 +1,222 @@
+"""One link between two nodes: a TCP stream of frames that many calls share."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import cast
+
+from ragwort_common import NodeId
+from ragwort_protocol import (
+    BODY_PART_BYTES,
+    Data,
+    FrameReader,
+    Hello,
+    Message,
+    ProtocolError,
+    Refusal,
+    Request,
+    Response,
+    encode_frame,
+    replace_fields,
+)
+
+from ragwort_node._metrics import Counters
+
+log = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 64 << 20
+"""Most bytes that the parts of one body may add up to on a link."""
+
+
+@dataclass(frozen=True, slots=True)
+class LinkLost:
+    """Says that the link broke while a call was under way, so that it may have run."""
+
+
+Reply = Response | Refusal | LinkLost
+Handler = Callable[["Link", Message], None]
+
+
+class Link(asyncio.Protocol):
+    """The state of one link; owned by the event loop that runs it.
+
+    Parameters
+    ----------
+    hello
+        The greeting of this node, sent first.
+    handle
+        Called with every message that is not the reply to a call of ours.
+    opened
+        Called once the peer's greeting has arrived.
+    closed
+        Called once when the link has ended.
+    """
+
+    def __init__(
+        self,
+        hello: Hello,
+        handle: Handler,
+        opened: Callable[["Link"], None],
+        closed: Callable[["Link"], None],
+        counters: Counters,
+    ) -> None:
+        self.peer: NodeId | None = None
+        self.clogged = False
+        self._hello = hello
+        self._handle = handle
+        self._opened = opened
+        self._closed = closed
+        self._counters = counters
+        self._reader = FrameReader()
+        self._transport: asyncio.Transport | None = None
+        self._pending: dict[int, asyncio.Future[Reply]] = {}
+        self._partial: dict[tuple[bool, int], _Partial] = {}
+        self._next_call_id = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Greet the peer."""
+        # uvloop's transport is not a subclass of asyncio.Transport, only of the same shape.
+        self._transport = cast(asyncio.Transport, transport)
+        transport.set_write_buffer_limits(high=4 << 20)
+        self.send(self._hello)
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes and act on each complete message; a bad frame ends the link."""
+        self._counters.add("link.bytes_in", len(data))
+        try:
+            for message in self._reader.feed(data):
+                self._receive(message)
+        except ProtocolError as error:
+            self._counters.add("link.protocol_errors")
+            log.warning("closing the link with %s: %s", self.peer or "an unnamed peer", error)
+            self.close()
+
+    def pause_writing(self) -> None:
+        """Note that the peer takes in less than we send."""
+        self.clogged = True
+
+    def resume_writing(self) -> None:
+        """Note that the peer has caught up."""
+        self.clogged = False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End every call under way as lost."""
+        self._transport = None
+        for future in self._pending.values():
+            if not future.done():
+                future.set_result(LinkLost())
+        self._pending.clear()
+        self._partial.clear()
+        self._closed(self)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can be sent."""
+        return self._transport is not None
+
+    def close(self) -> None:
+        """Close the link after what has been written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def send(self, message: Message) -> int:
+        """Write one message and return its size on the link in bytes; 0 when it is closed."""
+        if self._transport is None:
+            return 0
+        frame = encode_frame(message)
+        self._transport.write(frame)
+        self._counters.add("link.bytes_out", len(frame))
+        return len(frame)
+
+    def take_call_id(self) -> int:
+        """Return a call id that this side has not used on this link."""
+        self._next_call_id += 1
+        return self._next_call_id
+
+    def start_call(self, request: Request) -> asyncio.Future[Reply]:
+        """Send a request, in parts where its body is long, and return its reply to come."""
+        future = asyncio.get_running_loop().create_future()
+        self._pending[request.call_id] = future
+        send_in_parts(self, request)
+        return future
+
+    def forget_call(self, call_id: int) -> None:
+        """Drop interest in a call; its answer, if one comes, is counted as late."""
+        self._pending.pop(call_id, None)
+
+    def _receive(self, message: Message) -> None:
+        kind = type(message)
+        if kind is Response or kind is Request:
+            self._receive_head(message)
+        elif kind is Refusal:
+            self._finish_call(message)
+        elif kind is Data:
+            self._receive_part(message)
+        elif kind is Hello:
+            self.peer = NodeId(message.node_id)
+            self._opened(self)
+        else:
+            self._handle(self, message)
+
+    def _receive_head(self, message: Request | Response) -> None:
+        if message.more:
+            key = (type(message) is Request, message.call_id)
+            self._partial[key] = _Partial(message, [message.body], len(message.body))
+            return
+        self._finish_message(message)
+
+    def _receive_part(self, part: Data) -> None:
+        key = (part.from_caller, part.call_id)
+        partial = self._partial.get(key)
+        if partial is None:
+            # The call was dropped on this side while its parts were on the way.
+            self._counters.add("link.late_parts")
+            return
+        partial.parts.append(part.body)
+        partial.size += len(part.body)
+        if partial.size > MAX_BODY_BYTES:
+            raise ProtocolError("the parts of a body are over the limit")
+        if not part.more:
+            del self._partial[key]
+            self._finish_message(partial.join())
+
+    def _finish_message(self, message: Request | Response) -> None:
+        if type(message) is Response:
+            self._finish_call(message)
+        else:
+            self._handle(self, message)
+
+    def _finish_call(self, reply: Response | Refusal) -> None:
+        future = self._pending.pop(reply.call_id, None)
+        if future is None or future.done():
+            self._counters.add("link.late_answers")
+            return
+        future.set_result(reply)
+
+
+@dataclass(slots=True)
+class _Partial:
+    """A request or response whose body is still arriving in parts."""
+
+    head: Request | Response
+    parts: list[bytes]
+    size: int
+
+    def join(self) -> Request | Response:
+        """Return the head with its whole body."""
+        return replace_fields(self.head, body=b"".join(self.parts), more=False)
+
+
+def send_in_parts(link: Link, message: Request | Response) -> int:
+    """Send a message, cutting a long body so that other calls' frames get their turn."""
+    body = message.body
+    if len(body) <= BODY_PART_BYTES:
+        return link.send(message)
+    sent = link.send(replace_fields(message, body=body[:BODY_PART_BYTES], more=True))
+    from_caller = type(message) is Request
+    for start in range(BODY_PART_BYTES, len(body), BODY_PART_BYTES):
+        part = body[start : start + BODY_PART_BYTES]
+        more = start + BODY_PART_BYTES < len(body)
+        sent += link.send(Data(message.call_id, part, more, from_caller))
+    return sent
--- /dev/null
+++ b/packages/node/src/ragwort_node/_peers.py
@@ -0,0 +1,61 @@
+"""Serves the calls that peers send over links, and hands their other messages on."""
+
+import asyncio
+from collections.abc import Callable
+
+from ragwort_protocol import Cancel, Message, ProtocolError, Refusal, Request, Response
+
+from ragwort_node._gate import Gate
+from ragwort_node._link import Link, send_in_parts
+from ragwort_node._metrics import Counters
+
+Receiver = Callable[[Link, Message], None]
+
+
+class PeerCalls:
+    """Owns the tasks that run peers' calls at the local gate."""
+
+    def __init__(self, gate: Gate, counters: Counters, receive_other: Receiver) -> None:
+        self._gate = gate
+        self._counters = counters
+        self._receive_other = receive_other
+        self._tasks: dict[tuple[Link, int], asyncio.Task[None]] = {}
+
+    def receive(self, link: Link, message: Message) -> None:
+        """Act on one message from a peer."""
+        kind = type(message)
+        if kind is Request:
+            self._start(link, message)
+        elif kind is Cancel:
+            self._cancel(link, message)
+        else:
+            self._receive_other(link, message)
+
+    def _start(self, link: Link, request: Request) -> None:
+        key = (link, request.call_id)
+        if key in self._tasks:
+            raise ProtocolError(f"call {request.call_id} is under way already")
+        task = asyncio.create_task(self._serve(link, request))
+        self._tasks[key] = task
+        task.add_done_callback(lambda _: self._tasks.pop(key, None))
+
+    def _cancel(self, link: Link, message: Cancel) -> None:
+        task = self._tasks.get((link, message.call_id))
+        if task is not None:
+            self._counters.add("gate.cancelled")
+            task.cancel()
+
+    async def _serve(self, link: Link, request: Request) -> None:
+        reply = await self._gate.run_call(request)
+        try:
+            _send_reply(link, reply)
+        except ProtocolError:
+            # Only the head can be too long, since the body goes in parts.
+            self._counters.add("gate.unsendable_answers")
+
+
+def _send_reply(link: Link, reply: Response | Refusal) -> None:
+    if isinstance(reply, Response):
+        send_in_parts(link, reply)
+    else:
+        link.send(reply)
--- /dev/null
+++ b/packages/node/src/ragwort_node/_prober.py
@@ -0,0 +1,55 @@
+"""Asks gates for their load behind calls, and takes in what they answer."""
+
+import itertools
+from collections.abc import Callable
+
+from ragwort_common import NodeId
+from ragwort_policy import (
+    ProbeBudget,
+    ProbeSettings,
+    plan_probe,
+    record_report,
+)
+from ragwort_protocol import Message, Probe, ProbeReply
+
+from ragwort_node._metrics import Counters
+from ragwort_node._services import Services, ServiceState
+
+SendMessage = Callable[[NodeId, Message], int]
+
+
+class Prober:
+    """Owns the budgets of the probes that this entry sends."""
+
+    def __init__(
+        self,
+        services: Services,
+        send: SendMessage,
+        node_budget: ProbeBudget,
+        far_budget: ProbeBudget,
+        counters: Counters,
+        clock: Callable[[], float],
+    ) -> None:
+        self._services = services
+        self._send = send
+        self._node_budget = node_budget
+        self._far_budget = far_budget
+        self._counters = counters
+        self._clock = clock
+        self._settings = ProbeSettings()
+        self._ids = itertools.count(1)
+
+    def probe(self, state: ServiceState) -> None:
+        """Probe the server whose report is missed most, if the budget allows."""
+        now = self._clock()
+        node = plan_probe(state.choice, self._node_budget, self._far_budget, self._settings, now)
+        if node is None:
+            return
+        sent_bytes = self._send(node, Probe(next(self._ids)))
+        self._counters.add("watching.probe_bytes_out", sent_bytes)
+
+    def receive(self, node: NodeId, reply: ProbeReply) -> None:
+        """Take in a gate's report."""
+        state = self._services.find_by_node(node)
+        if state is not None:
+            record_report(state.choice, node, reply.report, self._clock())
--- /dev/null
+++ b/packages/node/src/ragwort_node/_services.py
@@ -0,0 +1,71 @@
+"""What an entry knows of each service: its servers, and the budgets of its calls."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ragwort_common import FailureDomain, NodeId, Region, ServiceName
+from ragwort_policy import (
+    AttemptBudget,
+    ChoiceSettings,
+    ChoiceState,
+    HedgeState,
+    ServerPlace,
+    make_choice,
+    make_hedge,
+    update_servers,
+)
+
+
+@dataclass(slots=True)
+class ServiceState:
+    """The policy state of one service at this entry."""
+
+    choice: ChoiceState
+    hedge: HedgeState
+    retries: AttemptBudget = field(default_factory=AttemptBudget)
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceServer:
+    """A server that may be chosen, with its service."""
+
+    service: ServiceName
+    place: ServerPlace
+
+
+class Services:
+    """Owns the state of every service that this entry knows servers of."""
+
+    def __init__(
+        self, failure_domain: FailureDomain, region: Region, settings: ChoiceSettings
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._region = region
+        self._settings = settings
+        self._states: dict[ServiceName, ServiceState] = {}
+        self._services_of: dict[NodeId, ServiceName] = {}
+
+    def find(self, service: ServiceName) -> ServiceState | None:
+        """Return the state of a service, or None when no server of it was ever known."""
+        return self._states.get(service)
+
+    def find_by_node(self, node: NodeId) -> ServiceState | None:
+        """Return the state of the service that a node's server provides."""
+        return self._states.get(self._services_of.get(node))
+
+    def update(self, servers: Iterable[ServiceServer], now: float) -> None:
+        """Set the servers that may be chosen; what is known of those that stay is kept."""
+        places: dict[ServiceName, list[ServerPlace]] = {name: [] for name in self._states}
+        self._services_of = {}
+        for server in servers:
+            places.setdefault(server.service, []).append(server.place)
+            self._services_of[server.place.node] = server.service
+        for service, listed in places.items():
+            state = self._states.get(service) or self._add(service)
+            update_servers(state.choice, listed, now)
+
+    def _add(self, service: ServiceName) -> ServiceState:
+        choice = make_choice(self._settings, self._failure_domain, self._region)
+        state = ServiceState(choice, make_hedge(self._settings.expected_ms / 1000))
+        self._states[service] = state
+        return state
--- /dev/null
+++ b/packages/node/src/ragwort_node/_settings.py
@@ -0,0 +1,229 @@
+"""Reads a node's settings: the defaults of the package with the operator's file over them."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+from importlib import resources
+from pathlib import Path
+from typing import Annotated, Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from ruamel.yaml import YAML
+from ruamel.yaml.comments import CommentedMap
+from ruamel.yaml.error import MarkedYAMLError, YAMLError
+
+Address = Annotated[str, Field(pattern=r"^[^:\s]+:\d{1,5}$")]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Positive = Annotated[int, Field(gt=0)]
+
+
+class Exporter(Enum):
+    """Where finished spans go."""
+
+    NONE = "none"
+    CONSOLE = "console"
+
+
+class LogLevel(Enum):
+    """The least severe log lines that are written."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class NodeSettings(_Section):
+    """Which node this is and where it stands."""
+
+    id: Name
+    service: Name
+    region: Name
+    failure_domain: Name
+    seeds: list[Address]
+    key_ranges: Annotated[int, Field(ge=1, le=4096)]
+
+
+class AddressSettings(_Section):
+    """Addresses that the node listens on."""
+
+    entry: Address
+    link: Address
+    control: Address
+    admin: Address
+
+
+class ServerSettings(_Section):
+    """The server beside the node."""
+
+    url: Annotated[str, Field(pattern=r"^http://[^/\s]+/?$")]
+    slots: Positive
+    connections: Positive
+
+
+class PlatformSettings(_Section):
+    """The platform's object API."""
+
+    url: Annotated[str, Field(pattern=r"^http://[^\s]+$")]
+    timeout_ms: Positive
+    calls_per_s: Positive
+
+
+class LimitSettings(_Section):
+    """Sizes and times that calls are held to."""
+
+    header_bytes: Positive
+    body_bytes: Positive
+    answer_bytes: Positive
+    connect_timeout_ms: Positive
+    drain_timeout_ms: Positive
+
+
+class WatchingSettings(_Section):
+    """What probes, gossip and configuration may cost."""
+
+    node_bytes_per_s: Positive
+    region_bytes_per_s: Positive
+
+
+class StatsdSettings(_Section):
+    """Where metrics go."""
+
+    host: str
+    port: Annotated[int, Field(gt=0, lt=65536)]
+    prefix: str
+    interval_ms: Positive
+
+
+class TracingSettings(_Section):
+    """Which calls are traced and where spans go."""
+
+    sample_ratio: Annotated[float, Field(ge=0, le=1)]
+    exporter: Exporter
+
+
+class LoggingSettings(_Section):
+    """How log lines are written."""
+
+    level: LogLevel
+    json_lines: bool = Field(alias="json")
+
+
+class AdminSettings(_Section):
+    """Who may change something through the administration API."""
+
+    token: str | None
+
+
+class Settings(_Section):
+    """All settings of a node."""
+
+    node: NodeSettings
+    addresses: AddressSettings
+    server: ServerSettings
+    platform: PlatformSettings
+    limits: LimitSettings
+    watching: WatchingSettings
+    statsd: StatsdSettings
+    tracing: TracingSettings
+    logging: LoggingSettings
+    admin: AdminSettings
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsMistake:
+    """A mistake in a settings file; ``str()`` gives the line for its author."""
+
+    file: str
+    line: int
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}: {self.message}"
+
+
+def load_settings(path: Path) -> Settings | list[SettingsMistake]:
+    """Read and check a settings file.
+
+    Returns
+    -------
+    Settings or list of SettingsMistake
+        Every mistake at once, in the order of their lines.
+    """
+    try:
+        text = path.read_bytes().decode("utf-8-sig")
+    except OSError as error:
+        return [SettingsMistake(str(path), 1, f"cannot be read: {error.strerror}")]
+    except UnicodeDecodeError:
+        return [SettingsMistake(str(path), 1, "is not UTF-8 text")]
+    try:
+        own = YAML().load(text)
+    except MarkedYAMLError as error:
+        line = error.problem_mark.line + 1 if error.problem_mark else 1
+        return [SettingsMistake(str(path), line, f"is not valid YAML: {error.problem}")]
+    except YAMLError as error:
+        return [SettingsMistake(str(path), 1, f"is not valid YAML: {error}")]
+    if own is None:
+        own = CommentedMap()
+    if not isinstance(own, CommentedMap):
+        return [SettingsMistake(str(path), 1, "is not a mapping of sections")]
+    return _check(str(path), own)
+
+
+def _check(file: str, own: CommentedMap) -> Settings | list[SettingsMistake]:
+    try:
+        return Settings.model_validate(_merge(_load_defaults(), own))
+    except ValidationError as error:
+        mistakes = [
+            SettingsMistake(file, _find_line(own, detail["loc"]), _describe(detail))
+            for detail in error.errors()
+        ]
+        return sorted(mistakes, key=lambda mistake: mistake.line)
+
+
+def _load_defaults() -> dict[str, Any]:
+    text = resources.files("ragwort_node").joinpath("defaults.yaml").read_text("utf-8")
+    return YAML(typ="safe").load(text)
+
+
+def _merge(defaults: dict[str, Any], own: dict[str, Any]) -> dict[str, Any]:
+    merged = dict(defaults)
+    for key, value in own.items():
+        if isinstance(merged.get(key), dict) and isinstance(value, dict):
+            merged[key] = _merge(merged[key], value)
+        else:
+            merged[key] = value
+    return merged
+
+
+def _find_line(own: CommentedMap, location: tuple[str | int, ...]) -> int:
+    """Return the line of the deepest part of a location that the file itself has."""
+    line = 1
+    for key, holder in _walk(own, location):
+        line = holder.lc.key(key)[0] + 1
+    return line
+
+
+def _walk(
+    own: CommentedMap, location: tuple[str | int, ...]
+) -> Iterator[tuple[str | int, CommentedMap]]:
+    holder: Any = own
+    for key in location:
+        if not isinstance(holder, CommentedMap) or key not in holder:
+            return
+        yield key, holder
+        holder = holder[key]
+
+
+def _describe(detail: Any) -> str:
+    name = ".".join(str(part) for part in detail["loc"])
+    if detail["type"] == "extra_forbidden":
+        return f"{name} is not a setting, expected one that SETTINGS.md lists"
+    if detail["input"] is None:
+        return f"{name} is missing, expected a value"
+    message = detail["msg"][0].lower() + detail["msg"][1:]
+    return f"{name} is {detail['input']!r}: {message}"
--- /dev/null
+++ b/packages/node/src/ragwort_node/main.py
@@ -0,0 +1,37 @@
+"""The command ``ragwortd``: the node beside each server."""
+
+import sys
+from pathlib import Path
+
+import uvloop
+from absl import app, flags
+
+from ragwort_node._composition import run_node
+from ragwort_node._logging import configure_logging
+from ragwort_node._settings import Settings, load_settings
+
+USER_MISTAKE = 2
+
+_settings_flag = flags.DEFINE_string("settings", None, "The node's settings file (YAML).")
+_check_flag = flags.DEFINE_bool("check", False, "Check the settings and exit.")
+
+
+def run() -> None:
+    """Run the command."""
+    app.run(_main)
+
+
+def _main(arguments: list[str]) -> int:
+    if len(arguments) > 1 or not _settings_flag.value:
+        print("usage: ragwortd --settings FILE [--check]", file=sys.stderr)
+        return USER_MISTAKE
+    settings = load_settings(Path(_settings_flag.value))
+    if not isinstance(settings, Settings):
+        for mistake in settings:
+            print(mistake, file=sys.stderr)
+        return USER_MISTAKE
+    if _check_flag.value:
+        return 0
+    configure_logging(settings.logging.level.value, settings.logging.json_lines)
+    uvloop.run(run_node(settings))
+    return 0
--- a/packages/policy/src/ragwort_policy/__init__.py
+++ b/packages/policy/src/ragwort_policy/__init__.py
@@ -15,6 +15,7 @@
     make_report,
     start_leaving,
     start_waiting,
+    stop_leaving,
 )
 from ragwort_policy._choice import (
     ChoiceSettings,
@@ -78,6 +79,7 @@
     "record_report",
     "record_sent",
     "spend_attempt",
+    "stop_leaving",
     "start_leaving",
     "start_waiting",
     "take_hedge",
--- a/packages/policy/src/ragwort_policy/_admission.py
+++ b/packages/policy/src/ragwort_policy/_admission.py
@@ -205,6 +205,11 @@
     state.leaving = True
 
 
+def stop_leaving(state: GateState) -> None:
+    """Take new calls again after a drain was ended."""
+    state.leaving = False
+
+
 def list_queued(state: GateState) -> list[CallId]:
     """Return the ids of all waiting calls."""
     queues = (state.interactive, state.batch)
--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -3,7 +3,7 @@
 The stubs of the rare gRPC exchanges are in ``ragwort_protocol.control``.
 """
 
-from ragwort_protocol._calls import Cancel, Data, Refusal, Request, Response
+from ragwort_protocol._calls import Cancel, Data, Hello, Refusal, Request, Response
 from ragwort_protocol._codec import (
     BODY_PART_BYTES,
     MAX_FRAME_BYTES,
@@ -13,7 +13,7 @@
     encode_frame,
 )
 from ragwort_protocol._load import LoadReport, Probe, ProbeReply
-from ragwort_protocol._message import Message
+from ragwort_protocol._message import Message, replace_fields
 
 __all__ = [
     "BODY_PART_BYTES",
@@ -22,6 +22,7 @@
     "Cancel",
     "Data",
     "FrameReader",
+    "Hello",
     "LoadReport",
     "Message",
     "Probe",
@@ -31,4 +32,5 @@
     "Request",
     "Response",
     "encode_frame",
+    "replace_fields",
 ]
--- a/packages/protocol/src/ragwort_protocol/_calls.py
+++ b/packages/protocol/src/ragwort_protocol/_calls.py
@@ -19,6 +19,8 @@
         First part of the body; the whole of it unless ``more`` is set.
     budget_ms
         Time left until the caller's deadline, in milliseconds.
+    idempotent
+        True when a second run does no harm, so that an unwanted run may be broken off.
     batch
         True for work that may wait in the queue behind interactive calls.
     member
@@ -37,6 +39,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     budget_ms: float
+    idempotent: bool = False
     batch: bool = False
     member: str = ""
     share: int = 1
@@ -46,11 +49,15 @@
 
 
 class Data(Message, tag=2):
-    """Carries a further part of a request's or response's body."""
+    """Carries a further part of a request's or response's body.
+
+    ``from_caller`` tells a request's part from a response's, since both sides number their calls.
+    """
 
     call_id: int
     body: bytes
     more: bool
+    from_caller: bool = True
 
 
 class Response(Message, tag=3):
@@ -89,3 +96,10 @@
     """Tells the gate that nobody waits for the call any more."""
 
     call_id: int
+
+
+class Hello(Message, tag=6):
+    """Opens a link: says which node speaks, from either side."""
+
+    node_id: str
+    incarnation: int
--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -28,6 +28,7 @@
     | _calls.Response
     | _calls.Refusal
     | _calls.Cancel
+    | _calls.Hello
     | _load.LoadReport
     | _load.Probe
     | _load.ProbeReply
--- a/packages/protocol/src/ragwort_protocol/_message.py
+++ b/packages/protocol/src/ragwort_protocol/_message.py
@@ -4,8 +4,18 @@
 blocks: calls 1 to 9, load reports and probes 10 to 19, gossip 20 to 29, claims 30 to 39.
 """
 
+from typing import Any, TypeVar
+
 import msgspec
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Base of the messages; a subclass sets its tag with ``tag=N``."""
+
+
+M = TypeVar("M", bound=Message)
+
+
+def replace_fields(message: M, **changes: Any) -> M:
+    """Return a copy of a message with some fields changed."""
+    return msgspec.structs.replace(message, **changes)
