--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,107 @@
+"""Sends HTTP calls at a steady rate and counts how each ended."""
+
+import asyncio
+import itertools
+import random
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import aiohttp
+import numpy as np
+
+CALL_TIMEOUT_S = 15
+REQUEST_ID = "X-Request-Id"
+_numbers = itertools.count(1)
+
+
+@dataclass(slots=True)
+class Tally:
+    """Latencies of answered calls in milliseconds, and how many calls ended in each way."""
+
+    latencies_ms: list[float] = field(default_factory=list)
+    outcomes: Counter[str] = field(default_factory=Counter)
+    request_ids: dict[str, str] = field(default_factory=dict)
+
+    def get_percentile(self, percent: float) -> float:
+        """Return a percentile of the latencies, in milliseconds; NaN without any."""
+        if not self.latencies_ms:
+            return float("nan")
+        return float(np.percentile(self.latencies_ms, percent))
+
+
+@dataclass(frozen=True, slots=True)
+class CallPlan:
+    """One call: where it goes and what it carries; its service is named by the Host header."""
+
+    url: str
+    method: str = "GET"
+    host: str = ""
+    body: bytes = b""
+    key: str = ""
+
+
+async def send_call(session: aiohttp.ClientSession, plan: CallPlan, tally: Tally) -> None:
+    """Send one call and record how it ended."""
+    request_id = f"call-{next(_numbers)}"
+    headers = {REQUEST_ID: request_id}
+    if plan.host:
+        headers["Host"] = plan.host
+    if plan.key:
+        headers["Idempotency-Key"] = plan.key
+    started = time.perf_counter()
+    try:
+        async with session.request(
+            plan.method, plan.url, headers=headers, data=plan.body or None
+        ) as response:
+            await response.read()
+            default = "answered" if response.status < 500 else "failed"
+            outcome = response.headers.get("Ragwort-Outcome", default)
+    except (aiohttp.ClientError, TimeoutError):
+        outcome = "unknown"
+    if outcome == "answered":
+        tally.latencies_ms.append((time.perf_counter() - started) * 1000)
+    tally.outcomes[outcome] += 1
+    tally.request_ids[request_id] = outcome
+
+
+async def send_one_by_one(
+    session: aiohttp.ClientSession, plan: CallPlan, count: int, tally: Tally
+) -> None:
+    """Send calls, each after the last has ended."""
+    for _ in range(count):
+        await send_call(session, plan, tally)
+
+
+async def send_at_rate(
+    session: aiohttp.ClientSession,
+    make_plan: Callable[[], CallPlan],
+    calls_per_s: float,
+    seconds: float,
+    tally: Tally,
+    random_source: random.Random,
+) -> None:
+    """Send calls at random times with a mean rate, whatever becomes of the earlier ones."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    due = loop.time()
+    tasks: set[asyncio.Task[None]] = set()
+    while True:
+        due += random_source.expovariate(calls_per_s)
+        if due >= end:
+            break
+        await asyncio.sleep(max(0.0, due - loop.time()))
+        task = asyncio.create_task(send_call(session, make_plan(), tally))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+    await asyncio.gather(*tasks)
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Return a client for many calls at once."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
