--- /dev/null
+++ b/bench/choice.py
@@ -0,0 +1,261 @@
+"""Measures the choice of servers against random, round robin and least reported load.
+
+The real policy runs against fakes of servers and links in virtual time, with fixed seeds; one
+JSON object a line comes out. ``--quick`` runs a few scenarios, ``--only TEXT`` those whose
+name holds the text, ``--policy-only`` leaves the baselines out, ``--table`` prints one line
+for each run instead.
+"""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import count
+from random import Random
+from sys import argv
+
+from ragwort_common import FailureDomain, Member, Region
+from ragwort_policy import ChoiceSettings, GateLimits, ProbeSettings, ServerPlace
+
+from bench.choosers import (
+    Chooser,
+    make_least_load,
+    make_policy,
+    make_random,
+    make_round_robin,
+)
+from bench.entries import Call, Entry, Tally
+from bench.events import EventHeap
+from bench.fakes import FakeServer
+from bench.scenarios import SCENARIOS, Scenario, Stage
+from bench.sites import HANBIT, INDICE, Site
+
+SEED = 20260
+COUNT_FROM_S = 0.4
+DEADLINE_S = 1.0
+BATCH_DEADLINE_S = 10.0
+IDEMPOTENT_PART = 0.8
+WORK_SIGMA = 0.5
+PROBE_BYTES_PER_S = 1500.0
+FAR_PROBE_BYTES_PER_S = 300.0
+QUICK = ("steady-90", "shift-90", "fail-fast-70", "overload-200")
+
+Maker = Callable[[FailureDomain, Region, Random], Chooser]
+
+BASELINES: dict[str, Maker] = {
+    "random": make_random,
+    "round-robin": make_round_robin,
+    "least-load": make_least_load,
+}
+POLICY: Maker = make_policy(
+    ChoiceSettings(), ProbeSettings(), PROBE_BYTES_PER_S, FAR_PROBE_BYTES_PER_S
+)
+
+
+@dataclass(slots=True)
+class Result:
+    """The figures of one run."""
+
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    refused_part: float
+    refusal_p99_ms: float
+    unanswered_part: float
+    attempts_per_call: float
+    hedges_per_call: float
+    crossing_part: float
+    watch_bytes_per_s: float
+    far_watch_bytes_per_s: float
+    useful_part: float
+
+
+UNITS = {
+    "p50_ms": "ms",
+    "p99_ms": "ms",
+    "p999_ms": "ms",
+    "refusal_p99_ms": "ms",
+    "watch_bytes_per_s": "bytes/s per node",
+    "far_watch_bytes_per_s": "bytes/s per node",
+}
+
+
+def run_scenario(
+    site: Site, scenario: Scenario, maker: Maker, hedging: bool = False, seed: int = SEED
+) -> Result:
+    """Run one scenario with one chooser; arrivals and work depend on the seed alone."""
+    heap = EventHeap()
+    tally = Tally()
+    limits = GateLimits(
+        slots=site.slots, expected_ms=site.service_s * 1e3, warm_ms=scenario.warm_ms
+    )
+    servers = [
+        FakeServer(heap, place, limits, scenario.report_lag_s) for place in site.list_servers()
+    ]
+    for server in servers:
+        server.gate.limit.started_at = -1e9
+    entries = _make_entries(heap, site, servers, tally, maker, hedging, seed)
+
+    def announce(places: list[ServerPlace]) -> None:
+        for entry in entries:
+            entry.chooser.update(places, heap.now)
+
+    announce([server.place for server in servers])
+    scenario.prepare(Stage(heap, site, servers, announce))
+    _schedule_calls(heap, site, scenario, entries, Random(seed + 1))
+    useful_before: list[float] = []
+    heap.call_at(COUNT_FROM_S, lambda: useful_before.append(_sum_useful(servers)))
+    heap.run(site.duration_s)
+    useful_s = _sum_useful(servers) - useful_before[0]
+    heap.run(site.duration_s + DEADLINE_S)
+    return _summarize(tally, site, len(entries), useful_s)
+
+
+def _sum_useful(servers: list[FakeServer]) -> float:
+    return sum(server.useful_s for server in servers)
+
+
+def _make_entries(
+    heap: EventHeap,
+    site: Site,
+    servers: list[FakeServer],
+    tally: Tally,
+    maker: Maker,
+    hedging: bool,
+    seed: int,
+) -> list[Entry]:
+    by_node = {server.place.node: server for server in servers}
+    ids = count()
+    domains = [domain for domain in site.regions for _ in range(site.entries_per_domain)]
+    return [
+        Entry(
+            heap,
+            site,
+            domain,
+            maker(domain, site.regions[domain], Random(seed + 100 + number)),
+            by_node,
+            tally,
+            ids,
+            COUNT_FROM_S,
+            hedging,
+        )
+        for number, domain in enumerate(domains)
+    ]
+
+
+def _schedule_calls(
+    heap: EventHeap, site: Site, scenario: Scenario, entries: list[Entry], random: Random
+) -> None:
+    rate = site.capacity_per_s * scenario.load
+    mean_factor = 2.718281828 ** (WORK_SIGMA**2 / 2)
+
+    def arrive() -> None:
+        now = heap.now
+        batch = random.random() < scenario.batch_part
+        call = Call(
+            created=now,
+            deadline=now + (BATCH_DEADLINE_S if batch else DEADLINE_S),
+            member=Member("first" if random.random() < 0.5 else "second"),
+            batch=batch,
+            idempotent=random.random() < IDEMPOTENT_PART,
+            work_s=site.service_s * random.lognormvariate(0.0, WORK_SIGMA) / mean_factor,
+        )
+        entry = entries[int(random.random() * len(entries))]
+        gap = random.expovariate(rate)
+        if now + gap < site.duration_s:
+            heap.call_later(gap, arrive)
+        entry.start(call)
+
+    heap.call_at(0.0, arrive)
+
+
+def _summarize(tally: Tally, site: Site, nodes: int, useful_s: float) -> Result:
+    measured_s = site.duration_s - COUNT_FROM_S
+    latencies = sorted(tally.latencies_s)
+    refusals = sorted(tally.refusal_s)
+    calls = tally.calls
+    return Result(
+        p50_ms=_get_quantile(latencies, 0.5) * 1e3,
+        p99_ms=_get_quantile(latencies, 0.99) * 1e3,
+        p999_ms=_get_quantile(latencies, 0.999) * 1e3,
+        refused_part=len(refusals) / calls,
+        refusal_p99_ms=_get_quantile(refusals, 0.99) * 1e3,
+        unanswered_part=(tally.unknown + tally.failed) / calls,
+        attempts_per_call=tally.attempts / calls,
+        hedges_per_call=tally.hedges / calls,
+        crossing_part=tally.crossings / calls,
+        watch_bytes_per_s=tally.watch_bytes / nodes / measured_s,
+        far_watch_bytes_per_s=tally.far_watch_bytes / nodes / measured_s,
+        useful_part=useful_s / measured_s / (len(site.regions) * site.slots),
+    )
+
+
+def _get_quantile(ordered: list[float], part: float) -> float:
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(len(ordered) * part))]
+
+
+def _print_lines(name: str, policy: Result, baseline: str, other: Result) -> None:
+    for field in Result.__dataclass_fields__:
+        value = getattr(policy, field)
+        against = getattr(other, field)
+        line = {
+            "name": f"choice.{name}.{field.removesuffix('_ms')}",
+            "value": round(value, 4),
+            "unit": UNITS.get(field, "part"),
+            "baseline": f"{baseline}={round(against, 4)}",
+            "ratio": round(against / value, 3) if value else None,
+            "seed": SEED,
+        }
+        print(json.dumps(line))
+
+
+def _print_row(name: str, chooser: str, result: Result) -> None:
+    print(
+        f"{name:28} {chooser:12} p50 {result.p50_ms:6.1f} p99 {result.p99_ms:6.1f}"
+        f" p99.9 {result.p999_ms:6.1f} ref {result.refused_part:.4f}"
+        f" ({result.refusal_p99_ms:5.1f} ms) una {result.unanswered_part:.4f}"
+        f" att {result.attempts_per_call:.3f} hed {result.hedges_per_call:.3f}"
+        f" far {result.crossing_part:.3f} B/s {result.watch_bytes_per_s:6.0f}"
+        f" farB/s {result.far_watch_bytes_per_s:5.0f} use {result.useful_part:.3f}",
+        flush=True,
+    )
+
+
+def run_all(chosen: Callable[[str], bool], table: bool) -> None:
+    """Run the chosen scenarios at both sites and print their figures."""
+    for site in (HANBIT, INDICE):
+        for scenario in SCENARIOS:
+            if not chosen(scenario.name):
+                continue
+            name = f"{site.name}.{scenario.name}"
+            results = {"policy": run_scenario(site, scenario, POLICY)}
+            if "shift" in scenario.name:
+                results["policy+hedge"] = run_scenario(site, scenario, POLICY, hedging=True)
+            for baseline, maker in BASELINES.items():
+                results[baseline] = run_scenario(site, scenario, maker)
+            for chooser, result in results.items():
+                if table:
+                    _print_row(name, chooser, result)
+                elif chooser in BASELINES:
+                    _print_lines(name, results["policy"], chooser, result)
+            if not table and "policy+hedge" in results:
+                hedged = results["policy+hedge"]
+                _print_lines(f"{name}.hedged", hedged, "least-load", results["least-load"])
+
+
+def main(arguments: list[str]) -> None:
+    """Run the benchmark as the arguments ask."""
+    only = arguments[arguments.index("--only") + 1] if "--only" in arguments else ""
+    quick = "--quick" in arguments
+
+    def chosen(name: str) -> bool:
+        return (not quick or name in QUICK) and only in name
+
+    if "--policy-only" in arguments:
+        BASELINES.clear()
+    run_all(chosen, "--table" in arguments)
+
+
+if __name__ == "__main__":
+    main(argv[1:])
--- /dev/null
+++ b/bench/choosers.py
@@ -0,0 +1,154 @@
+"""The policy under test and the baselines, behind one interface.
+
+All of them get the same gates (limit, queue, refusals), the same retry rules and budget, the
+same list of servers, and all try the servers of the entry's own region before the other's. A
+baseline crosses the regions only for a further attempt, when its own region has no server left.
+"""
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+from random import Random
+
+from ragwort_common import CallId, FailureDomain, NodeId, Outcome, Reason, Region
+from ragwort_policy import (
+    ChoiceSettings,
+    ProbeSettings,
+    ServerPlace,
+    choose_server,
+    make_choice,
+    make_probe_budget,
+    plan_probe,
+    record_outcome,
+    record_report,
+    record_sent,
+    update_servers,
+)
+from ragwort_protocol import LoadReport
+
+POLL_S = 0.010
+
+
+@dataclass(slots=True, frozen=True)
+class Chooser:
+    """The functions by which an entry chooses servers and takes in what comes back."""
+
+    choose: Callable[[float, Collection[NodeId]], NodeId | None]
+    record_sent: Callable[[NodeId, CallId, float], None]
+    record_report: Callable[[NodeId, LoadReport, float], None]
+    record_outcome: Callable[[NodeId, CallId, Outcome, Reason, float], None]
+    update: Callable[[list[ServerPlace], float], None]
+    plan_probe: Callable[[float], NodeId | None]
+    poll_s: float = 0.0
+    uses_reports: bool = False
+
+
+def ignore(*_: object) -> None:
+    """Take in nothing."""
+
+
+@dataclass(slots=True)
+class Lists:
+    """The servers near and far, as the baselines see them."""
+
+    near: list[NodeId]
+    far: list[NodeId]
+
+
+def _keep_lists(region: Region) -> tuple[Lists, Callable[[list[ServerPlace], float], None]]:
+    lists = Lists([], [])
+
+    def update(places: list[ServerPlace], _: float) -> None:
+        lists.near = [place.node for place in places if place.region == region]
+        lists.far = [place.node for place in places if place.region != region]
+
+    return lists, update
+
+
+def _pick_list(lists: Lists, exclude: Collection[NodeId]) -> list[NodeId]:
+    near = [node for node in lists.near if node not in exclude]
+    return near or [node for node in lists.far if node not in exclude]
+
+
+def make_random(domain: FailureDomain, region: Region, random: Random) -> Chooser:
+    """Choose any server of the region."""
+    lists, update = _keep_lists(region)
+
+    def choose(_: float, exclude: Collection[NodeId]) -> NodeId | None:
+        nodes = _pick_list(lists, exclude)
+        return random.choice(nodes) if nodes else None
+
+    return Chooser(choose, ignore, ignore, ignore, update, ignore)
+
+
+def make_round_robin(domain: FailureDomain, region: Region, random: Random) -> Chooser:
+    """Choose the servers of the region in turn, from a random start."""
+    lists, update = _keep_lists(region)
+    turn = random.randrange(1000)
+
+    def choose(_: float, exclude: Collection[NodeId]) -> NodeId | None:
+        nonlocal turn
+        turn += 1
+        nodes = _pick_list(lists, exclude)
+        return nodes[turn % len(nodes)] if nodes else None
+
+    return Chooser(choose, ignore, ignore, ignore, update, ignore)
+
+
+def make_least_load(domain: FailureDomain, region: Region, random: Random) -> Chooser:
+    """Choose the server with the fewest calls, running and queued, in its last polled report."""
+    lists, update = _keep_lists(region)
+    reports: dict[NodeId, LoadReport] = {}
+
+    def choose(_: float, exclude: Collection[NodeId]) -> NodeId | None:
+        nodes = _pick_list(lists, exclude)
+        accepting = [node for node in nodes if node not in reports or reports[node].accepting]
+        nodes = accepting or nodes
+        return min(nodes, key=rank) if nodes else None
+
+    def rank(node: NodeId) -> tuple[int, float]:
+        report = reports.get(node)
+        return (report.in_flight + report.queued if report else 0, random.random())
+
+    def take_report(node: NodeId, report: LoadReport, _: float) -> None:
+        reports[node] = report
+
+    return Chooser(
+        choose, ignore, take_report, ignore, update, ignore, poll_s=POLL_S, uses_reports=True
+    )
+
+
+def make_policy(
+    settings: ChoiceSettings, probes: ProbeSettings, bytes_per_s: float, far_bytes_per_s: float
+) -> Callable[[FailureDomain, Region, Random], Chooser]:
+    """Return a maker of the policy under test with these settings and probe budgets."""
+
+    def make(domain: FailureDomain, region: Region, random: Random) -> Chooser:
+        state = make_choice(settings, domain, region)
+        budget = make_probe_budget(bytes_per_s, 0.0)
+        far_budget = make_probe_budget(far_bytes_per_s, 0.0)
+
+        def choose(now: float, exclude: Collection[NodeId]) -> NodeId | None:
+            return choose_server(state, now, random, exclude)
+
+        def take_sent(node: NodeId, call_id: CallId, now: float) -> None:
+            record_sent(state, node, call_id, now)
+
+        def take_report(node: NodeId, report: LoadReport, now: float) -> None:
+            record_report(state, node, report, now)
+
+        def take_outcome(
+            node: NodeId, call_id: CallId, outcome: Outcome, reason: Reason, now: float
+        ) -> None:
+            record_outcome(state, node, call_id, outcome, reason, now, random.random())
+
+        def update(places: list[ServerPlace], now: float) -> None:
+            update_servers(state, places, now)
+
+        def plan(now: float) -> NodeId | None:
+            return plan_probe(state, budget, far_budget, probes, now)
+
+        return Chooser(
+            choose, take_sent, take_report, take_outcome, update, plan, uses_reports=True
+        )
+
+    return make
--- /dev/null
+++ b/bench/fakes.py
@@ -0,0 +1,176 @@
+"""Fakes of a server with the real gate policy beside it, in virtual time."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ragwort_common import CallId, Member, Outcome, Reason
+from ragwort_policy import (
+    Arrival,
+    GateLimits,
+    GateState,
+    ServerPlace,
+    Verdict,
+    arrive,
+    cancel,
+    expire,
+    finish,
+    make_gate,
+    make_report,
+    start_leaving,
+)
+from ragwort_protocol import LoadReport
+
+from bench.events import EventHeap
+
+FAST_FAILURE_S = 0.001
+LINK_LOSS_S = 0.2
+
+
+@dataclass(slots=True)
+class GateCall:
+    """One attempt at a gate; ``reply`` carries its end back to the entry."""
+
+    call_id: CallId
+    member: Member
+    batch: bool
+    deadline: float
+    work_s: float
+    reply: Callable[[Outcome, Reason, LoadReport | None], None]
+
+
+@dataclass(slots=True)
+class Running:
+    """A call in the server: the work left at a virtual time, and the version of its end."""
+
+    call: GateCall
+    started_at: float
+    left_s: float
+    since: float
+    version: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class FakeServer:
+    """A server that works at a speed, may fail fast or be dead, behind its gate."""
+
+    heap: EventHeap
+    place: ServerPlace
+    limits: GateLimits
+    report_lag_s: float = 0.0
+    speed: float = 1.0
+    failing: bool = False
+    dead_since: float | None = None
+    running: dict[CallId, Running] = field(default_factory=dict)
+    held: dict[CallId, GateCall] = field(default_factory=dict)
+    lagged: list[LoadReport] = field(default_factory=list)
+    useful_s: float = 0.0
+    gate: GateState = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.gate = make_gate(self.limits, self.heap.now)
+        if self.report_lag_s:
+            self._sample_report()
+
+    def take(self, call: GateCall) -> None:
+        """Let the gate decide on a call that arrives."""
+        now = self.heap.now
+        if self.dead_since is not None:
+            self._lose(call)
+            return
+        arrival = Arrival(call.call_id, call.member, 1, call.batch, call.deadline)
+        decision = arrive(self.gate, now, arrival)
+        if decision.verdict is Verdict.RUN:
+            self._run(call)
+        elif decision.verdict is Verdict.QUEUED:
+            self.held[call.call_id] = call
+            self.heap.call_at(call.deadline, self._expire)
+        else:
+            call.reply(Outcome.NOT_RUN, decision.reason, self.report())
+
+    def drop(self, call_id: CallId) -> None:
+        """Cancel a call, queued or running."""
+        if self.dead_since is not None:
+            return
+        if call_id in self.held or call_id in self.running:
+            self.held.pop(call_id, None)
+            self.running.pop(call_id, None)
+            self._start(cancel(self.gate, self.heap.now, call_id))
+
+    def report(self) -> LoadReport:
+        """Return the gate's report, or an old one when reports lag."""
+        if self.lagged:
+            return self.lagged[0]
+        return make_report(self.gate, self.heap.now)
+
+    def set_speed(self, speed: float) -> None:
+        """Change the speed; calls that are running go on at the new one."""
+        now = self.heap.now
+        for running in self.running.values():
+            running.left_s -= (now - running.since) * self.speed
+            running.since = now
+        self.speed = speed
+        for running in self.running.values():
+            self._schedule_end(running)
+
+    def leave(self) -> None:
+        """Refuse new calls from now on."""
+        start_leaving(self.gate)
+
+    def die(self) -> None:
+        """Stop answering; the links notice it after their timeout."""
+        self.dead_since = self.heap.now
+        lost = [running.call for running in self.running.values()] + list(self.held.values())
+        self.running.clear()
+        self.held.clear()
+        for call in lost:
+            self._lose(call)
+
+    def _lose(self, call: GateCall) -> None:
+        noticed_at = self.dead_since + LINK_LOSS_S
+        if self.heap.now < noticed_at:
+            self.heap.call_at(noticed_at, call.reply, Outcome.UNKNOWN, Reason.CONNECTION_LOST, None)
+        else:
+            call.reply(Outcome.NOT_RUN, Reason.CONNECT_FAILED, None)
+
+    def _run(self, call: GateCall) -> None:
+        now = self.heap.now
+        running = Running(call, now, call.work_s, now)
+        self.running[call.call_id] = running
+        if self.failing:
+            self.heap.call_later(FAST_FAILURE_S, self._end, running, 0)
+        else:
+            self._schedule_end(running)
+
+    def _schedule_end(self, running: Running) -> None:
+        running.version += 1
+        end = running.since + max(0.0, running.left_s) / self.speed
+        self.heap.call_at(end, self._end, running, running.version)
+
+    def _end(self, running: Running, version: int) -> None:
+        call = running.call
+        if running.version != version or self.running.get(call.call_id) is not running:
+            return
+        del self.running[call.call_id]
+        now = self.heap.now
+        failed = self.failing
+        started = finish(self.gate, now, call.call_id, now - running.started_at, failed)
+        if not failed:
+            self.useful_s += call.work_s
+        call.reply(Outcome.FAILED if failed else Outcome.ANSWERED, Reason.NONE, self.report())
+        self._start(started)
+
+    def _start(self, call_ids: list[CallId]) -> None:
+        for call_id in call_ids:
+            self._run(self.held.pop(call_id))
+
+    def _expire(self) -> None:
+        for call_id in expire(self.gate, self.heap.now):
+            call = self.held.pop(call_id)
+            call.reply(Outcome.NOT_RUN, Reason.DEADLINE, self.report())
+
+    def _sample_report(self) -> None:
+        self.lagged.append(make_report(self.gate, self.heap.now))
+        samples = 5
+        if len(self.lagged) > samples:
+            del self.lagged[0]
+        self.heap.call_later(self.report_lag_s / samples, self._sample_report)
--- /dev/null
+++ b/bench/sites.py
@@ -0,0 +1,70 @@
+"""The two members' sites at their sizes of today."""
+
+from dataclasses import dataclass
+
+from ragwort_common import FailureDomain, NodeId, Region
+from ragwort_policy import ServerPlace
+
+
+@dataclass(slots=True, frozen=True)
+class Site:
+    """Failure domains, servers of one service, and delays of one member's site."""
+
+    name: str
+    regions: dict[FailureDomain, Region]
+    slots: int
+    domain_delay_s: float
+    region_delay_s: float
+    service_s: float
+    duration_s: float
+    entries_per_domain: int = 3
+    local_delay_s: float = 0.0002
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Calls a second that the four servers of a service can answer."""
+        return len(self.regions) * self.slots / self.service_s
+
+    def get_delay(self, one: FailureDomain, other: FailureDomain) -> float:
+        """Return the one-way delay between two failure domains."""
+        if one == other:
+            return self.local_delay_s
+        if self.regions[one] == self.regions[other]:
+            return self.domain_delay_s
+        return self.region_delay_s
+
+    def list_servers(self) -> list[ServerPlace]:
+        """Return the service's servers, one in each failure domain."""
+        return [
+            ServerPlace(NodeId(f"server-{domain}"), domain, region)
+            for domain, region in self.regions.items()
+        ]
+
+
+def _make_site(name: str, regions: dict[str, list[str]], **values: float) -> Site:
+    domains = {
+        FailureDomain(domain): Region(region)
+        for region, names in regions.items()
+        for domain in names
+    }
+    return Site(name, domains, **values)
+
+
+HANBIT = _make_site(
+    "hanbit",
+    {"gyeonggi": ["siheung", "hwaseong"], "gyeongnam": ["changwon", "gimhae"]},
+    slots=13,
+    domain_delay_s=0.001,
+    region_delay_s=0.030,
+    service_s=0.020,
+    duration_s=4.2,
+)
+INDICE = _make_site(
+    "indice",
+    {"meseta": ["alajuela", "sanjose"], "pacifico-norte": ["canas", "santacruz"]},
+    slots=6,
+    domain_delay_s=0.0005,
+    region_delay_s=0.030,
+    service_s=0.030,
+    duration_s=6.6,
+)
