Let queued calls go when the server slows, and follow a recovery sooner

Cause, from a trace of one shift: at the slowdown's start the slow server's gate still held 12 to 17 queued calls that then waited until its end; after the end its estimate of the service time took 200 ms to fall and its limit 240 ms to rise. Now the gate refuses queued calls beyond its wait bound as the estimate rises, the estimate also forgets with each ending, and the limit recovers by half of itself per window.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -24,6 +24,7 @@
 
 FAST_FAILURE_S = 0.001
 LINK_LOSS_S = 0.2
+EXPIRE_EVERY_S = 0.005
 
 
 @dataclass(slots=True)
@@ -68,6 +69,7 @@
 
     def __post_init__(self) -> None:
         self.gate = make_gate(self.limits, self.heap.now)
+        self._tick()
         if self.report_lag_s:
             self._sample_report()
 
@@ -83,7 +85,6 @@
             self._run(call)
         elif decision.verdict is Verdict.QUEUED:
             self.held[call.call_id] = call
-            self.heap.call_at(call.deadline, self._expire)
         else:
             call.reply(Outcome.NOT_RUN, decision.reason, self.report())
 
@@ -164,9 +165,13 @@
             self._run(self.held.pop(call_id))
 
     def _expire(self) -> None:
-        for call_id in expire(self.gate, self.heap.now):
-            call = self.held.pop(call_id)
-            call.reply(Outcome.NOT_RUN, Reason.DEADLINE, self.report())
+        for expiry in expire(self.gate, self.heap.now):
+            call = self.held.pop(expiry.call_id)
+            call.reply(Outcome.NOT_RUN, expiry.decision.reason, self.report())
+
+    def _tick(self) -> None:
+        self._expire()
+        self.heap.call_later(EXPIRE_EVERY_S, self._tick)
 
     def _sample_report(self) -> None:
         self.lagged.append(make_report(self.gate, self.heap.now))
--- a/packages/policy/src/ragwort_policy/__init__.py
+++ b/packages/policy/src/ragwort_policy/__init__.py
@@ -3,6 +3,7 @@
 from ragwort_policy._admission import (
     Arrival,
     Decision,
+    Expiry,
     GateLimits,
     GateState,
     Verdict,
@@ -51,6 +52,7 @@
     "ChoiceSettings",
     "ChoiceState",
     "Decision",
+    "Expiry",
     "GateLimits",
     "GateState",
     "HedgeState",
--- a/packages/policy/src/ragwort_policy/_limit.py
+++ b/packages/policy/src/ragwort_policy/_limit.py
@@ -11,6 +11,7 @@
 TOLERANCE = 2.0
 LOWEST_PART = 0.5
 NO_LOAD_RISE = 1.02
+RECOVERY_FACTOR = 1.5
 WARM_START = 0.25
 
 
@@ -62,4 +63,4 @@
         target = limit.value * max(0.5, gradient) + 1.0
         limit.value = max(limit.slots * LOWEST_PART, 1.0, min(limit.value, target))
     elif busy or limit.value < limit.slots:
-        limit.value = min(float(limit.slots), limit.value + 1.0)
+        limit.value = min(float(limit.slots), limit.value * RECOVERY_FACTOR)
--- a/packages/policy/src/ragwort_policy/_service_time.py
+++ b/packages/policy/src/ragwort_policy/_service_time.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from math import exp
 
-MEMORY_CALLS = 12.0
+MEMORY_CALLS = 20.0
 MIN_TIME_S = 1e-4
 
 
@@ -51,7 +51,9 @@
     advance_time(time, now)
     time.in_flight -= 1
     if counts:
-        time.ended += 1.0
+        kept = 1.0 - 1.0 / MEMORY_CALLS
+        time.spent_s *= kept
+        time.ended = time.ended * kept + 1.0
 
 
 def estimate_time(time: ServiceTime, now: float) -> float:
