--- a/packages/policy/src/ragwort_policy/__init__.py
+++ b/packages/policy/src/ragwort_policy/__init__.py
@@ -3,6 +3,7 @@
 from ragwort_policy._admission import (
     Arrival,
     Decision,
+    Expiry,
     GateLimits,
     GateState,
     Verdict,
@@ -52,6 +53,7 @@
     "ChoiceSettings",
     "ChoiceState",
     "Decision",
+    "Expiry",
     "GateLimits",
     "GateState",
     "HedgeState",
