--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,191 @@
+"""A fake network for the real membership policy: time in steps, messages with a delay.
+
+It serves the tests of membership and the benchmark. It decides nothing itself: it hands messages
+over, late, twice or not at all, and lets nodes stop, pause and start again.
+"""
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from ragwort_common import NodeId
+from ragwort_policy import (
+    Budget,
+    Membership,
+    MembershipSettings,
+    Send,
+    add_announced,
+    create_membership,
+    first_incarnation,
+    join_peers,
+    receive_message,
+    tick_membership,
+)
+from ragwort_protocol import Message, News, PeerState, Profile
+
+NODE_BYTES_PER_S = 14_000.0
+PAID_BYTES_PER_S = 8_000.0
+TICK_S = 0.1
+NEAR_DELAY_S = 0.001
+FAR_DELAY_S = 0.03
+WALL_START_MS = 1_700_000_000_000
+DOMAINS = {"meseta": ("alajuela", "sanjose"), "norte": ("canas", "santacruz")}
+
+
+@dataclass(frozen=True, slots=True)
+class Delivery:
+    """A message on its way."""
+
+    sender: NodeId
+    to: NodeId
+    message: Message
+
+
+@dataclass
+class Fleet:
+    """Nodes with their memberships, and the messages between them.
+
+    ``passes`` decides whether a message gets through; ``copies`` how many times it arrives, and
+    ``jitter_s`` by how much messages are put out of order.
+    """
+
+    settings: MembershipSettings = field(default_factory=MembershipSettings)
+    seed: int = 1
+    node_bytes_per_s: float = NODE_BYTES_PER_S
+    jitter_s: float = 0.0
+    now: float = 1000.0
+    passes: Callable[[Delivery], bool] = lambda delivery: True
+    copies: Callable[[Delivery], int] = lambda delivery: 1
+    on_send: Callable[[NodeId, Send], None] = lambda node_id, send: None
+    nodes: dict[NodeId, Membership] = field(default_factory=dict)
+    profiles: dict[NodeId, Profile] = field(default_factory=dict)
+    down: set[NodeId] = field(default_factory=set)
+    paused: dict[NodeId, list[Delivery]] = field(default_factory=dict)
+    _events: list = field(default_factory=list)
+    _count: int = 0
+
+    def __post_init__(self) -> None:
+        self.random = Random(self.seed)
+
+    def start(self, node_id: NodeId, profile: Profile, wall_step_ms: int = 0) -> Membership:
+        """Start a node, or start it anew with nothing but its settings."""
+        now = self.now
+        wall_ms = WALL_START_MS + int(now * 1000) + wall_step_ms
+        budget = Budget(self.node_bytes_per_s, self.node_bytes_per_s, now)
+        paid = Budget(PAID_BYTES_PER_S, PAID_BYTES_PER_S, now)
+        incarnation = first_incarnation(wall_ms)
+        node = create_membership(
+            self.settings, node_id, profile, incarnation, budget, paid, now
+        )
+        self.nodes[node_id] = node
+        self.profiles[node_id] = profile
+        self.down.discard(node_id)
+        self.paused.pop(node_id, None)
+        self._push(now + TICK_S * self.random.random(), node)
+        return node
+
+    def announce_all(self) -> None:
+        """Give each node the announcements of all, as the platform does."""
+        news = [
+            News(node_id, node.own.incarnation, PeerState.ALIVE, node.own.profile)
+            for node_id, node in self.nodes.items()
+        ]
+        for node_id, node in self.nodes.items():
+            add_announced(node, news, self.now)
+            self.send(node_id, join_peers(node, self.now, self.random, []))
+
+    def settle_all(self) -> None:
+        """Give each node the whole table, as if it had been running for long."""
+        self.announce_all()
+        for node in self.nodes.values():
+            node.is_refreshed = True
+            node.queue.items.clear()
+            node.bridging.queue.items.clear()
+            node.changes.clear()
+
+    def send(self, sender: NodeId, sends: list[Send]) -> None:
+        """Put messages on the network."""
+        for send in sends:
+            self.on_send(sender, send)
+            delivery = Delivery(sender, send.to, send.message)
+            if not self.passes(delivery):
+                continue
+            for _ in range(self.copies(delivery)):
+                self._push(self.now + self._delay_s(delivery), delivery)
+
+    def run(self, seconds: float) -> None:
+        """Let time go by."""
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, event = heapq.heappop(self._events)
+            if isinstance(event, Delivery):
+                self._deliver(event)
+            else:
+                self._tick(event)
+        self.now = end
+
+    def pause(self, node_id: NodeId) -> None:
+        """Stop a process so that it neither runs nor knows of it."""
+        self.paused.setdefault(node_id, [])
+
+    def wake(self, node_id: NodeId) -> None:
+        """Let a paused process go on, with the messages that have piled up."""
+        for delivery in self.paused.pop(node_id, []):
+            self._push(self.now, delivery)
+        self._push(self.now, self.nodes[node_id])
+
+    def _tick(self, node: Membership) -> None:
+        node_id = node.own.node_id
+        is_this_start = self.nodes.get(node_id) is node
+        if not is_this_start or node_id in self.down or node_id in self.paused:
+            return
+        self.send(node_id, tick_membership(node, self.now, self.random))
+        self._push(self.now + TICK_S, node)
+
+    def _deliver(self, delivery: Delivery) -> None:
+        if delivery.to in self.down or delivery.to not in self.nodes:
+            return
+        if delivery.to in self.paused:
+            self.paused[delivery.to].append(delivery)
+            return
+        node = self.nodes[delivery.to]
+        message = delivery.message
+        sends = receive_message(node, self.now, self.random, delivery.sender, message)
+        self.send(delivery.to, sends)
+
+    def _delay_s(self, delivery: Delivery) -> float:
+        sender = self.profiles[delivery.sender].region
+        to = self.profiles.get(delivery.to)
+        is_far = to is not None and to.region != sender
+        base_s = FAR_DELAY_S if is_far else NEAR_DELAY_S
+        return base_s + self.jitter_s * self.random.random()
+
+    def _push(self, at: float, event: Delivery | Membership) -> None:
+        self._count += 1
+        heapq.heappush(self._events, (at, self._count, event))
+
+
+def make_profile(index: int, services: int, domains: dict[str, tuple[str, ...]]) -> Profile:
+    """Return the profile of the node with this index, spread over all failure domains."""
+    places = [(region, name) for region, names in domains.items() for name in names]
+    region, domain = places[index % len(places)]
+    host = f"10.{index >> 8 & 255}.{index & 255}.1"
+    service = f"service-{index // len(places) % services:02d}"
+    return Profile(service, region, domain, f"{host}:7000", f"{host}:8080", f"{host}:7001")
+
+
+def make_fleet(
+    size: int,
+    services: int = 3,
+    domains: dict[str, tuple[str, ...]] = DOMAINS,
+    settings: MembershipSettings | None = None,
+    seed: int = 1,
+) -> Fleet:
+    """Return a fleet of nodes that all know each other and have been running for long."""
+    fleet = Fleet(settings or MembershipSettings(), seed)
+    for index in range(size):
+        node_id = NodeId(f"host-{index:04d}")
+        fleet.start(node_id, make_profile(index, services, domains))
+    fleet.settle_all()
+    return fleet
--- /dev/null
+++ b/packages/node/src/ragwort_node/_announcements.py
@@ -0,0 +1,146 @@
+"""The nodes' announcements in the platform: written at the start, listed once, removed at the end.
+
+None of the calls here is needed for the work of a node that already knows its peers.
+"""
+
+import logging
+
+from expression import Error, Ok, Result
+from ragwort_common import Incarnation, NodeId
+from ragwort_platform import (
+    NODES_PREFIX,
+    Announcement,
+    ErrorKind,
+    ObjectStore,
+    Stored,
+    StoreError,
+    decode_announcement,
+    encode_announcement,
+)
+from ragwort_policy import Peer
+from ragwort_protocol import News, PeerState, Profile
+
+log = logging.getLogger(__name__)
+
+_WRITE_TRIES = 3
+
+
+def describe_announcement(announcement: Announcement) -> News:
+    """Return an announcement as news of a peer that is alive."""
+    profile = Profile(
+        announcement.service,
+        announcement.region,
+        announcement.failure_domain,
+        announcement.link_address,
+        announcement.entry_address,
+        announcement.control_address,
+    )
+    return News(announcement.node_id, announcement.incarnation, PeerState.ALIVE, profile)
+
+
+def make_announcement(peer: Peer) -> Announcement:
+    """Return the announcement of a node from its own record."""
+    profile = peer.profile
+    return Announcement(
+        peer.node_id,
+        peer.service,
+        peer.region,
+        peer.failure_domain,
+        profile.link_address,
+        profile.entry_address,
+        profile.control_address,
+        peer.incarnation,
+    )
+
+
+async def read_announcement(
+    store: ObjectStore, node_id: NodeId
+) -> Result[tuple[Stored, Announcement] | None, StoreError]:
+    """Return the announcement of a node and how it is stored, or None when there is none."""
+    found = await store.get(NODES_PREFIX + node_id)
+    if found.is_error():
+        if found.error.kind is ErrorKind.NOT_FOUND:
+            return Ok(None)
+        return Error(found.error)
+    decoded = decode_announcement(found.ok.data)
+    if decoded.is_error():
+        return Error(StoreError(ErrorKind.INVALID, decoded.error.message))
+    return Ok((found.ok, decoded.ok))
+
+
+async def write_announcement(
+    store: ObjectStore, announcement: Announcement
+) -> Result[Incarnation, StoreError]:
+    """Create the node's announcement, or replace one from its earlier start.
+
+    Returns
+    -------
+    Result
+        The incarnation that now stands in the platform. One higher than the node's own is left
+        there: the node has to raise its own above it and write again.
+    """
+    path = NODES_PREFIX + announcement.node_id
+    data = encode_announcement(announcement)
+    failure = StoreError(ErrorKind.CONFLICT, "the announcement keeps changing")
+    version: int | None = None
+    for _ in range(_WRITE_TRIES):
+        if version is None:
+            written = await store.create(path, data)
+        else:
+            written = await store.update(path, data, version)
+        if written.is_ok():
+            return Ok(announcement.incarnation)
+        failure = written.error
+        if failure.kind not in (ErrorKind.CONFLICT, ErrorKind.UNCERTAIN):
+            break
+        # What stands there now also tells whether a write whose reply was lost took effect.
+        found = await store.get(path)
+        if found.is_error():
+            version = None
+            continue
+        version = found.ok.version
+        standing = _read_incarnation(found.ok.data)
+        if standing >= announcement.incarnation:
+            return Ok(standing)
+    return Error(failure)
+
+
+async def list_announced(store: ObjectStore) -> Result[list[News], StoreError]:
+    """Return all announcements as news; one that cannot be read is left out."""
+    listed = await store.list_objects(NODES_PREFIX)
+    if listed.is_error():
+        return Error(listed.error)
+    news = []
+    for stored in listed.ok.items:
+        decoded = decode_announcement(stored.data)
+        if decoded.is_ok():
+            news.append(describe_announcement(decoded.ok))
+    return Ok(news)
+
+
+async def remove_announcement(
+    store: ObjectStore, node_id: NodeId, incarnation: Incarnation
+) -> Result[bool, StoreError]:
+    """Remove an announcement unless it is from a later start than the given incarnation.
+
+    Returns
+    -------
+    Result
+        Whether the announcement is now known to be gone.
+    """
+    found = await read_announcement(store, node_id)
+    if found.is_error():
+        return Error(found.error)
+    if found.ok is None:
+        return Ok(True)
+    stored, announcement = found.ok
+    if announcement.incarnation > incarnation:
+        return Ok(False)
+    # The condition keeps an announcement that the node has written since it was read.
+    removed = await store.delete(stored.path, stored.version)
+    return removed.map(lambda _: True)
+
+
+def _read_incarnation(data: bytes) -> Incarnation:
+    decoded = decode_announcement(data)
+    return decoded.ok.incarnation if decoded.is_ok() else Incarnation(0)
--- /dev/null
+++ b/packages/node/src/ragwort_node/_gossip.py
@@ -0,0 +1,326 @@
+"""The tasks that keep a node's table of peers: one owns it, one meets peers by the platform."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from ragwort_common import Incarnation, NodeId, Revision
+from ragwort_node._announcements import (
+    list_announced,
+    make_announcement,
+    remove_announcement,
+    write_announcement,
+)
+from ragwort_platform import ObjectStore, StoreError
+from ragwort_policy import (
+    Change,
+    Membership,
+    RandomSource,
+    Send,
+    add_announced,
+    announce_leaving,
+    announce_left,
+    announce_resumed,
+    is_current,
+    join_peers,
+    list_orphans,
+    note_link_lost,
+    receive_message,
+    set_load,
+    set_revision,
+    take_changes,
+    take_in,
+    tick_membership,
+)
+from ragwort_protocol import Message, News, PeerState
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.1
+QUEUE_MESSAGES = 2000
+START_SPREAD_S = 2.0
+RETRY_S = 2.0
+MOST_RETRY_S = 60.0
+ORPHAN_PERIOD_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """A message that a link has brought."""
+
+    sender: NodeId
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class LinkLost:
+    """A link to a peer has broken or could not be opened."""
+
+    node_id: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class PeersListed:
+    """The platform has listed the announcements."""
+
+    announced: list[News]
+
+
+@dataclass(frozen=True, slots=True)
+class EarlierStartFound:
+    """An earlier start of this node has announced an incarnation above its present one."""
+
+    incarnation: Incarnation
+    done: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+@dataclass(frozen=True, slots=True)
+class SeedsFound:
+    """Seed addresses have been connected, and their nodes are known now."""
+
+    node_ids: list[NodeId]
+
+
+@dataclass(frozen=True, slots=True)
+class StateWanted:
+    """The node's server leaves, takes work again, or the node stops."""
+
+    state: PeerState
+    done: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+@dataclass(frozen=True, slots=True)
+class RevisionApplied:
+    """A rules revision has come into force on this node."""
+
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class LoadChanged:
+    """The number of free slots on the server beside this node has changed."""
+
+    free_slots: int
+
+
+GossipEvent = (
+    PeerMessage
+    | LinkLost
+    | PeersListed
+    | EarlierStartFound
+    | SeedsFound
+    | StateWanted
+    | RevisionApplied
+    | LoadChanged
+)
+
+SendMessage = Callable[[NodeId, Message], int]
+"""Puts a message on the link to a peer; returns the bytes queued there, 0 when there is none."""
+
+SeedConnector = Callable[[str], Awaitable[NodeId | None]]
+"""Opens a link to an address and returns the id of the node found there, if any."""
+
+
+@dataclass(slots=True)
+class Gossip:
+    """What the gossip task owns; other tasks read the membership and put events.
+
+    ``unsent`` counts messages for which there was no link, ``dropped`` events for which the queue
+    had no room.
+    """
+
+    membership: Membership
+    send: SendMessage
+    clock: Callable[[], float]
+    random: RandomSource
+    on_changes: Callable[[list[Change]], None]
+    events: asyncio.Queue[GossipEvent] = field(
+        default_factory=lambda: asyncio.Queue(QUEUE_MESSAGES)
+    )
+    unsent: int = 0
+    dropped: int = 0
+
+
+def put_event(gossip: Gossip, event: GossipEvent) -> bool:
+    """Hand an event to the gossip task; return False when its queue is full."""
+    try:
+        gossip.events.put_nowait(event)
+    except asyncio.QueueFull:
+        gossip.dropped += 1
+        return False
+    return True
+
+
+async def run_gossip(gossip: Gossip) -> None:
+    """Own the table of peers until the node has left or the task is cancelled."""
+    was_current = False
+    next_tick = gossip.clock()
+    while gossip.membership.own.state is not PeerState.LEFT:
+        event = await _next_event(gossip, next_tick)
+        now = gossip.clock()
+        if event is not None:
+            _handle_event(gossip, event, now)
+        if now >= next_tick:
+            next_tick = now + TICK_S
+            _send_all(gossip, tick_membership(gossip.membership, now, gossip.random))
+        changes = take_changes(gossip.membership)
+        if changes:
+            gossip.on_changes(changes)
+        was_current = _log_currency(gossip, now, was_current)
+
+
+async def change_state(gossip: Gossip, state: PeerState) -> None:
+    """State a new state of this node and wait until its notice has been put on links."""
+    event = StateWanted(state)
+    await gossip.events.put(event)
+    await event.done.wait()
+
+
+async def run_announcer(gossip: Gossip, store: ObjectStore) -> None:
+    """Announce this node, list its peers once, then remove announcements of dead peers.
+
+    While the platform does not answer it retries with exponential backoff and jitter.
+    """
+    # Many nodes may start at once, after a fault of a whole failure domain.
+    await asyncio.sleep(START_SPREAD_S * gossip.random.random())
+    await _retry_until_done(gossip, lambda: _announce(gossip, store))
+    await _retry_until_done(gossip, lambda: _list_peers(gossip, store))
+    removed: set[tuple[NodeId, int]] = set()
+    while True:
+        await asyncio.sleep(ORPHAN_PERIOD_S * (0.5 + gossip.random.random()))
+        await remove_orphans(gossip, store, removed)
+
+
+async def run_seeds(gossip: Gossip, addresses: list[str], connect: SeedConnector) -> None:
+    """Join through the seed addresses until the node's view is current."""
+    wait_s = RETRY_S
+    while not is_current(gossip.membership, gossip.clock()):
+        found = [await connect(address) for address in addresses]
+        node_ids = [node_id for node_id in found if node_id is not None]
+        if node_ids:
+            put_event(gossip, SeedsFound(node_ids))
+        await asyncio.sleep(wait_s * (0.5 + gossip.random.random()))
+        wait_s = min(MOST_RETRY_S, 2 * wait_s)
+
+
+async def withdraw(gossip: Gossip, store: ObjectStore) -> bool:
+    """Remove this node's own announcement at a graceful stop; return whether it is gone."""
+    own = gossip.membership.own
+    removed = await remove_announcement(store, own.node_id, own.incarnation)
+    return removed.is_ok() and removed.ok
+
+
+async def remove_orphans(
+    gossip: Gossip, store: ObjectStore, removed: set[tuple[NodeId, int]]
+) -> None:
+    """Remove the announcements for which this node is the deputy, each once."""
+    for peer in list_orphans(gossip.membership, gossip.clock()):
+        key = (peer.node_id, peer.incarnation)
+        if key in removed:
+            continue
+        result = await remove_announcement(store, peer.node_id, peer.incarnation)
+        if result.is_ok():
+            removed.add(key)
+            log.info("removed the announcement of %s, gone for long", peer.node_id)
+
+
+async def _next_event(gossip: Gossip, next_tick: float) -> GossipEvent | None:
+    if not gossip.events.empty():
+        return gossip.events.get_nowait()
+    wait_s = max(0.0, next_tick - gossip.clock())
+    try:
+        async with asyncio.timeout(wait_s):
+            return await gossip.events.get()
+    except TimeoutError:
+        return None
+
+
+def _handle_event(gossip: Gossip, event: GossipEvent, now: float) -> None:
+    membership = gossip.membership
+    random = gossip.random
+    match event:
+        case PeerMessage():
+            sends = receive_message(membership, now, random, event.sender, event.message)
+            _send_all(gossip, sends)
+        case LinkLost():
+            _send_all(gossip, note_link_lost(membership, event.node_id, now))
+        case PeersListed():
+            add_announced(membership, event.announced, now)
+            _send_all(gossip, join_peers(membership, now, random, []))
+        case EarlierStartFound():
+            earlier = News(membership.own.node_id, event.incarnation, PeerState.ALIVE)
+            take_in(membership, [earlier], now)
+            event.done.set()
+        case SeedsFound():
+            _send_all(gossip, join_peers(membership, now, random, event.node_ids))
+        case RevisionApplied():
+            _send_all(gossip, set_revision(membership, event.revision, now, random))
+        case LoadChanged():
+            set_load(membership, event.free_slots)
+        case StateWanted():
+            _send_all(gossip, _restate(membership, event.state, now, random))
+            log.info("this node is now %s", event.state.name.lower())
+            event.done.set()
+
+
+def _restate(
+    membership: Membership, state: PeerState, now: float, random: RandomSource
+) -> list[Send]:
+    match state:
+        case PeerState.LEAVING:
+            return announce_leaving(membership, now, random)
+        case PeerState.LEFT:
+            return announce_left(membership, now, random)
+        case _:
+            return announce_resumed(membership, now, random)
+
+
+def _send_all(gossip: Gossip, sends: list[Send]) -> None:
+    for send in sends:
+        if not gossip.send(send.to, send.message):
+            gossip.unsent += 1
+
+
+def _log_currency(gossip: Gossip, now: float, was_current: bool) -> bool:
+    current = is_current(gossip.membership, now)
+    if current != was_current:
+        log.info("the view of peers is %s", "current" if current else "no longer current")
+    return current
+
+
+async def _retry_until_done(
+    gossip: Gossip, action: Callable[[], Awaitable[StoreError | None]]
+) -> None:
+    wait_s = RETRY_S
+    failure = await action()
+    if failure is not None:
+        log.warning("platform: %s: %s; retrying", failure.kind.value, failure.message)
+    while failure is not None:
+        await asyncio.sleep(wait_s * (0.5 + gossip.random.random()))
+        wait_s = min(MOST_RETRY_S, 2 * wait_s)
+        failure = await action()
+
+
+async def _announce(gossip: Gossip, store: ObjectStore) -> StoreError | None:
+    own = gossip.membership.own
+    written = await write_announcement(store, make_announcement(own))
+    if written.is_error():
+        return written.error
+    if written.ok <= own.incarnation:
+        log.info("announced in the platform as %s", own.node_id)
+        return None
+    # The clock was ahead when the node last started.
+    event = EarlierStartFound(written.ok)
+    await gossip.events.put(event)
+    await event.done.wait()
+    return await _announce(gossip, store)
+
+
+async def _list_peers(gossip: Gossip, store: ObjectStore) -> StoreError | None:
+    listed = await list_announced(store)
+    if listed.is_error():
+        return listed.error
+    await gossip.events.put(PeersListed(listed.ok))
+    log.info("the platform lists %d announcements", len(listed.ok))
+    return None
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_bridge.py
@@ -0,0 +1,213 @@
+"""The exchange between regions: summaries that a few elected nodes send for all.
+
+Each node tells the bridges of its region how many slots are free. The first bridge adds them up
+for each service. The bridges send that, and news of their region's peers, to their counterparts,
+which pass it on within their region along a tree that is laid out anew for each report.
+"""
+
+from ragwort_common import NodeId, Region, Revision
+from ragwort_policy._budget import Traffic
+from ragwort_policy._dissemination import take_news, take_unsent
+from ragwort_policy._gossip_state import (
+    Membership,
+    RandomSource,
+    RegionView,
+    Send,
+    emit,
+    is_bridge,
+    take_in,
+)
+from ragwort_policy._peer import Peer
+from ragwort_policy._repair import send_digest
+from ragwort_policy._table import list_bridges, list_region, list_regions, set_reachable
+from ragwort_protocol import LoadNotice, Notice, RegionReport, ServiceLoad
+
+RELAY_FANOUT = 4
+
+_NEWS_BYTES = 2000
+_RANK_MASK = (1 << 64) - 1
+
+
+def tick_bridge(
+    membership: Membership, now: float, random: RandomSource, sends: list[Send]
+) -> None:
+    """Send what is due to the bridges, and on a bridge to the other regions."""
+    bridging = membership.bridging
+    _mark_regions(membership, now)
+    if now >= bridging.next_load_at:
+        bridging.next_load_at = now + _load_period_s(membership)
+        _send_load(membership, now, sends)
+    if not is_bridge(membership):
+        bridging.loads.clear()
+        return
+    _push_far(membership, now, sends)
+    if now >= bridging.next_report_at:
+        bridging.next_report_at = now + membership.settings.load_period_s
+        _send_reports(membership, now, random, sends)
+    if now >= bridging.next_repair_at:
+        period = membership.settings.repair_period_s
+        bridging.next_repair_at = now + period * (0.5 + random.random())
+        for region in _list_other_regions(membership):
+            send_digest(membership, now, _pick_counterpart(membership, region, random), sends)
+
+
+def take_load(membership: Membership, sender: NodeId, notice: LoadNotice) -> None:
+    """Note the free slots of a server of the own region."""
+    membership.bridging.loads[sender] = notice.free_slots
+
+
+def take_report(
+    membership: Membership,
+    now: float,
+    random: RandomSource,
+    sender: NodeId,
+    report: RegionReport,
+    sends: list[Send],
+) -> None:
+    """Take in a report of another region and relay it within the own one."""
+    region = Region(report.region)
+    if region == membership.own.region:
+        return
+    view = view_region(membership, region, now)
+    is_rejoin = region in membership.table.unreachable
+    view.heard_at = now
+    set_reachable(membership.table, region, True)
+    take_in(membership, report.news, now)
+    _note_revision(membership, report)
+    if is_rejoin and not report.root:
+        send_digest(membership, now, sender, sends)
+    is_known = view.origin == report.origin and report.version <= view.version
+    if is_known or not report.loads:
+        return
+    view.origin = report.origin
+    view.version = report.version
+    view.loads = {load.service: load for load in report.loads}
+    _relay_report(membership, now, report, sends)
+
+
+def view_region(membership: Membership, region: Region, now: float) -> RegionView:
+    """Return the view of another region; one that was never heard of is new as of now."""
+    regions = membership.bridging.regions
+    if region not in regions:
+        regions[region] = RegionView(now)
+    return regions[region]
+
+
+def _mark_regions(membership: Membership, now: float) -> None:
+    silence = membership.settings.cut_after_s
+    for region in _list_other_regions(membership):
+        view = view_region(membership, region, now)
+        set_reachable(membership.table, region, now < view.heard_at + silence)
+
+
+def _load_period_s(membership: Membership) -> float:
+    # In a large region each node reports less often, so that a bridge receives no more.
+    settings = membership.settings
+    size = len(list_region(membership.table, membership.own.region))
+    return max(settings.load_period_s, size / settings.load_notices_per_s)
+
+
+def _send_load(membership: Membership, now: float, sends: list[Send]) -> None:
+    own = membership.own
+    for bridge in list_bridges(membership.table, own.region):
+        if bridge == own.node_id:
+            membership.bridging.loads[bridge] = membership.free_slots
+        else:
+            notice = LoadNotice(membership.free_slots)
+            emit(membership, sends, now, bridge, notice, Traffic.SUMMARY)
+
+
+def _list_other_regions(membership: Membership) -> list[Region]:
+    return [name for name in list_regions(membership.table) if name != membership.own.region]
+
+
+def _pick_counterpart(membership: Membership, region: Region, random: RandomSource) -> NodeId:
+    # The bridges of a region that is cut off may have changed meanwhile; any of its peers will do.
+    bridges = list_bridges(membership.table, region)
+    if region in membership.table.unreachable or not bridges:
+        return random.choice(list_region(membership.table, region)).node_id
+    own_index = list_bridges(membership.table, membership.own.region).index(
+        membership.own.node_id
+    )
+    return bridges[own_index % len(bridges)]
+
+
+def _push_far(membership: Membership, now: float, sends: list[Send]) -> None:
+    news = take_unsent(membership.bridging.queue, _NEWS_BYTES)
+    if not news:
+        return
+    for region in _list_other_regions(membership):
+        bridges = list_bridges(membership.table, region)
+        if bridges and region not in membership.table.unreachable:
+            notice = Notice(membership.own.revision, news)
+            emit(membership, sends, now, bridges[0], notice, Traffic.URGENT)
+
+
+def _send_reports(
+    membership: Membership, now: float, random: RandomSource, sends: list[Send]
+) -> None:
+    bridging = membership.bridging
+    bridging.version += 1
+    own = membership.own
+    is_first = list_bridges(membership.table, own.region)[0] == own.node_id
+    loads = _sum_loads(membership) if is_first else []
+    news = take_news(bridging.queue, 1, _NEWS_BYTES)
+    revision = max(own.revision, membership.highest_revision)
+    report = RegionReport(
+        own.region, own.node_id, bridging.version, "", revision, loads, news
+    )
+    for region in _list_other_regions(membership):
+        to = _pick_counterpart(membership, region, random)
+        emit(membership, sends, now, to, report, Traffic.SUMMARY)
+
+
+def _sum_loads(membership: Membership) -> list[ServiceLoad]:
+    servers: dict[str, int] = {}
+    free: dict[str, int] = {}
+    for peer in list_region(membership.table, membership.own.region):
+        if not peer.is_usable:
+            continue
+        service = peer.service
+        servers[service] = servers.get(service, 0) + 1
+        free[service] = free.get(service, 0) + membership.bridging.loads.get(peer.node_id, 0)
+    return [ServiceLoad(service, count, free[service]) for service, count in servers.items()]
+
+
+def _note_revision(membership: Membership, report: RegionReport) -> None:
+    if report.revision > membership.highest_revision:
+        membership.highest_revision = Revision(report.revision)
+        membership.highest_holder = NodeId(report.origin)
+
+
+def _relay_report(
+    membership: Membership, now: float, report: RegionReport, sends: list[Send]
+) -> None:
+    own = membership.own.node_id
+    relayed = RegionReport(
+        report.region,
+        report.origin,
+        report.version,
+        report.root or own,
+        report.revision,
+        report.loads,
+        [],
+    )
+    peers = list_region(membership.table, membership.own.region)
+    for node_id in list_children(peers, own, relayed.root, report.version):
+        emit(membership, sends, now, node_id, relayed, Traffic.SUMMARY)
+
+
+def list_children(peers: list[Peer], own: NodeId, root: str, version: int) -> list[NodeId]:
+    """Return the peers to which a node passes on a report.
+
+    All nodes lay the peers out in the same order, drawn from their ranks and the version, with the
+    root first; the node at place ``i`` serves the places from ``RELAY_FANOUT * i + 1``.
+    """
+    factor = 2 * version + 1
+    others = [peer for peer in peers if peer.node_id != root]
+    others.sort(key=lambda peer: (peer.rank * factor) & _RANK_MASK)
+    order = [NodeId(root)] + [peer.node_id for peer in others]
+    if own not in order:
+        return []
+    start = RELAY_FANOUT * order.index(own) + 1
+    return order[start : start + RELAY_FANOUT]
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_detector.py
@@ -0,0 +1,193 @@
+"""The failure detector: probes, probes through other peers, suspicions and deaths."""
+
+from ragwort_common import NodeId
+from ragwort_policy._budget import Traffic, measure_level
+from ragwort_policy._gossip_state import (
+    Membership,
+    PendingProbe,
+    RandomSource,
+    Send,
+    emit,
+    learn,
+    list_neighbours,
+    make_probe,
+    pick_news,
+    suspicion_timeout_s,
+)
+from ragwort_policy._peer import Peer
+from ragwort_policy._table import end_suspicion, start_suspicion
+from ragwort_protocol import News, PeerState, Probe, ProbeAck, ProbeRequest
+
+_LOW_LEVEL = 0.5
+_MOST_STRETCH = 4.0
+
+
+def tick_detector(
+    membership: Membership, now: float, random: RandomSource, sends: list[Send]
+) -> None:
+    """Handle expired probes and suspicions, and send the next probe when it is due."""
+    _expire_probes(membership, now, random, sends)
+    _expire_suspicions(membership, now)
+    probing = membership.probing
+    if now < probing.next_at:
+        return
+    stretch = _stretch_period(measure_level(membership.budget, now))
+    probing.next_at = now + membership.settings.probe_period_s * stretch
+    target = _next_target(membership, random)
+    if target is not None:
+        send_probe(membership, now, target, sends)
+
+
+def send_probe(
+    membership: Membership,
+    now: float,
+    target: NodeId,
+    sends: list[Send],
+    origin: NodeId | None = None,
+    origin_sequence: int = 0,
+) -> None:
+    """Probe a peer; a probe that the budget does not allow leaves nothing pending."""
+    probing = membership.probing
+    probing.sequence += 1
+    probe = make_probe(membership, now, target, probing.sequence)
+    if not emit(membership, sends, now, target, probe, Traffic.PROBE):
+        return
+    deadline = now + membership.settings.probe_timeout_s
+    probing.pending[probing.sequence] = PendingProbe(
+        target, deadline, origin=origin, origin_sequence=origin_sequence
+    )
+
+
+def answer_probe(
+    membership: Membership, now: float, sender: NodeId, probe: Probe, sends: list[Send]
+) -> None:
+    """Answer a probe at once."""
+    _send_ack(membership, now, sender, probe.sequence, sends)
+
+
+def relay_probe(
+    membership: Membership, now: float, sender: NodeId, request: ProbeRequest, sends: list[Send]
+) -> None:
+    """Probe the target of another peer's request."""
+    target = NodeId(request.target)
+    if target in membership.table.peers:
+        send_probe(membership, now, target, sends, sender, request.sequence)
+
+
+def take_ack(
+    membership: Membership, now: float, sender: NodeId, ack: ProbeAck, sends: list[Send]
+) -> None:
+    """Match an answer with its probe; one that comes late or twice is dropped."""
+    pending = membership.probing.pending.pop(ack.sequence, None)
+    if pending is None:
+        return
+    membership.probing.silent.clear()
+    membership.probing.isolated_at = float("inf")
+    if pending.origin is not None:
+        _send_ack(membership, now, pending.origin, pending.origin_sequence, sends)
+        return
+    peer = membership.table.peers.get(pending.target)
+    # A suspicion that others know of ends by the peer's own refutation only.
+    if peer is not None and peer.state is PeerState.LEAVING:
+        end_suspicion(membership.table, peer)
+
+
+def is_isolated(membership: Membership) -> bool:
+    """Return whether so many different peers failed in a row that the fault may be here."""
+    return len(membership.probing.silent) >= membership.settings.isolation_targets
+
+
+def _send_ack(
+    membership: Membership, now: float, to: NodeId, sequence: int, sends: list[Send]
+) -> None:
+    news = pick_news(membership, now, to, Traffic.ANSWER)
+    ack = ProbeAck(sequence, membership.own.revision, news)
+    emit(membership, sends, now, to, ack, Traffic.ANSWER)
+
+
+def _stretch_period(level: float) -> float:
+    if level >= _LOW_LEVEL:
+        return 1.0
+    return min(_MOST_STRETCH, _LOW_LEVEL / max(level, 0.01))
+
+
+def _next_target(membership: Membership, random: RandomSource) -> NodeId | None:
+    # Going through a shuffled list bounds the time until each peer has had its turn.
+    probing = membership.probing
+    for _ in range(2):
+        while probing.order:
+            peer = membership.table.peers.get(probing.order.pop())
+            if peer is not None and not peer.is_gone:
+                return peer.node_id
+        probing.order = [peer.node_id for peer in list_neighbours(membership)]
+        random.shuffle(probing.order)
+    return None
+
+
+def _expire_probes(
+    membership: Membership, now: float, random: RandomSource, sends: list[Send]
+) -> None:
+    pending = membership.probing.pending
+    expired = [sequence for sequence, probe in pending.items() if now >= probe.deadline]
+    for sequence in expired:
+        probe = pending[sequence]
+        if probe.origin is None and not probe.is_relayed:
+            _ask_relays(membership, now, random, sequence, probe, sends)
+            continue
+        del pending[sequence]
+        if probe.origin is None:
+            _fail_probe(membership, now, probe.target)
+
+
+def _ask_relays(
+    membership: Membership,
+    now: float,
+    random: RandomSource,
+    sequence: int,
+    probe: PendingProbe,
+    sends: list[Send],
+) -> None:
+    probe.is_relayed = True
+    probe.deadline = now + membership.settings.relay_timeout_s
+    others = [peer for peer in list_neighbours(membership) if peer.node_id != probe.target]
+    for peer in random.sample(others, min(len(others), membership.settings.relays)):
+        news = pick_news(membership, now, peer.node_id, Traffic.PROBE)
+        request = ProbeRequest(sequence, probe.target, membership.own.revision, news)
+        emit(membership, sends, now, peer.node_id, request, Traffic.PROBE)
+
+
+def _fail_probe(membership: Membership, now: float, target: NodeId) -> None:
+    membership.counters.probes_failed += 1
+    probing = membership.probing
+    probing.silent.add(target)
+    if is_isolated(membership):
+        probing.isolated_at = min(probing.isolated_at, now)
+    peer = membership.table.peers.get(target)
+    if peer is None or peer.is_gone or target in membership.table.suspects:
+        return
+    membership.counters.suspicions += 1
+    if peer.state is PeerState.LEAVING:
+        start_suspicion(membership.table, peer, now + suspicion_timeout_s(membership))
+        return
+    learn(membership, News(target, peer.incarnation, PeerState.SUSPECT), now)
+
+
+def _expire_suspicions(membership: Membership, now: float) -> None:
+    if _holds_back(membership, now):
+        return
+    for node_id in list(membership.table.suspects):
+        peer = membership.table.peers[node_id]
+        if now >= peer.suspect_until:
+            _declare_dead(membership, peer, now)
+
+
+def _holds_back(membership: Membership, now: float) -> bool:
+    # A node that hears nobody is more likely cut off itself than all the others are dead.
+    if not is_isolated(membership):
+        return False
+    return now < membership.probing.isolated_at + membership.settings.isolation_hold_s
+
+
+def _declare_dead(membership: Membership, peer: Peer, now: float) -> None:
+    membership.counters.deaths += 1
+    learn(membership, News(peer.node_id, peer.incarnation, PeerState.DEAD), now)
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_digest.py
@@ -0,0 +1,63 @@
+"""Hashes of a table of peers, by bucket, that are kept up to date with each change.
+
+A suspicion is left out of the hash: it is short-lived, and counting it would make the tables of
+all nodes differ while it spreads. Peers that have died or left are left out as well: nodes that
+started since never knew them.
+"""
+
+import struct
+from dataclasses import dataclass, field
+
+from ragwort_policy._peer import GONE_STATES
+from ragwort_protocol import PeerState
+
+BUCKETS = 64
+
+_MASK = (1 << 64) - 1
+_INCARNATION_FACTOR = 0x9E3779B97F4A7C15
+_STATE_FACTOR = 0xBF58476D1CE4E5B9
+_MIX_FACTOR = 0x94D049BB133111EB
+_FORM = struct.Struct(f">{BUCKETS}I")
+
+
+@dataclass(slots=True)
+class TableDigest:
+    """One 32-bit hash for each bucket: the exclusive or of the hashes of its entries."""
+
+    hashes: list[int] = field(default_factory=lambda: [0] * BUCKETS)
+
+
+def bucket_of(rank: int) -> int:
+    """Return the number of the bucket that holds a peer of this rank."""
+    return rank % BUCKETS
+
+
+def toggle_entry(digest: TableDigest, rank: int, incarnation: int, state: PeerState) -> None:
+    """Add an entry to the digest, or take the same entry out again."""
+    if state in GONE_STATES:
+        return
+    digest.hashes[rank % BUCKETS] ^= hash_entry(rank, incarnation, state)
+
+
+def hash_entry(rank: int, incarnation: int, state: PeerState) -> int:
+    """Return the 32-bit hash of one entry."""
+    value = 0 if state is PeerState.SUSPECT else state.value
+    mixed = rank ^ (incarnation * _INCARNATION_FACTOR) ^ (value * _STATE_FACTOR)
+    mixed = (mixed & _MASK) ^ ((mixed & _MASK) >> 29)
+    return ((mixed * _MIX_FACTOR) & _MASK) >> 32
+
+
+def pack_digest(digest: TableDigest) -> bytes:
+    """Return the digest in the form that a message carries."""
+    return _FORM.pack(*digest.hashes)
+
+
+def list_differences(digest: TableDigest, packed: bytes) -> list[int]:
+    """Return the numbers of the buckets in which a packed digest differs from this one.
+
+    A digest of another length comes from another version of the code; all buckets differ then.
+    """
+    if len(packed) != _FORM.size:
+        return list(range(BUCKETS))
+    theirs = _FORM.unpack(packed)
+    return [number for number in range(BUCKETS) if theirs[number] != digest.hashes[number]]
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_gossip_state.py
@@ -0,0 +1,334 @@
+"""The state that the parts of membership share, and the one way by which they send."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from math import log10
+from typing import Protocol, TypeVar
+
+from ragwort_common import NodeId, Region, Revision
+from ragwort_policy._budget import Budget, Traffic, can_spend, measure_level, try_spend
+from ragwort_policy._dissemination import NewsQueue, add_news, take_news
+from ragwort_policy._peer import Peer, describe_peer, generation_of, raise_incarnation
+from ragwort_policy._table import (
+    Change,
+    PeerTable,
+    list_bridges,
+    list_region,
+    merge_news,
+    set_state,
+    start_suspicion,
+)
+from ragwort_protocol import Message, News, PeerState, Probe, ServiceLoad, encode_frame
+
+_T = TypeVar("_T")
+
+_FRAME_MARGIN_BYTES = 64
+_LEAST_NEWS_BYTES = 64
+_FAR_STATES = frozenset({PeerState.ALIVE, PeerState.LEAVING, PeerState.DEAD, PeerState.LEFT})
+
+
+class RandomSource(Protocol):
+    """The part of ``random.Random`` that membership uses."""
+
+    def random(self) -> float:
+        """Return a number from 0 up to 1."""
+
+    def choice(self, seq: Sequence[_T]) -> _T:
+        """Return one element of a sequence."""
+
+    def sample(self, population: Sequence[_T], k: int) -> list[_T]:
+        """Return distinct elements of a sequence."""
+
+    def shuffle(self, x: list[_T]) -> None:
+        """Put a list in random order."""
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipSettings:
+    """Periods, timeouts and sizes of membership.
+
+    Attributes
+    ----------
+    probe_period_s
+        Time between two probes of one node while the budget lasts.
+    probe_timeout_s, relay_timeout_s
+        How long to wait for a direct answer, and then for one through other peers.
+    relays
+        Peers that are asked to probe a silent one.
+    suspicion_factor
+        Suspicion timeout in probe periods, for each power of ten of the region's size.
+    push_fanout
+        Peers to which urgent news is pushed at once.
+    news_bytes
+        Most bytes of news on one message.
+    repair_period_s, repair_bytes
+        Time between two exchanges of digests, and most bytes of one of their messages.
+    reconnect_period_s
+        Time between two tries to reach a peer that counts as dead.
+    pause_s
+        A gap in this node's own activity after which its view counts as stale.
+    isolation_targets, isolation_hold_s
+        Number of peers that fail in a row after which a node takes itself for cut off, and how
+        long it then holds back from declaring deaths.
+    load_period_s, load_notices_per_s
+        Time between two reports of load, and the most of them that a bridge is to receive.
+    cut_after_s
+        Silence after which a region counts as unreachable.
+    tombstone_s
+        How long a peer that is gone is remembered; more than the longest cut.
+    orphan_s
+        How long a peer is gone before its announcement is removed from the platform.
+    """
+
+    probe_period_s: float = 0.5
+    probe_timeout_s: float = 0.25
+    relay_timeout_s: float = 0.4
+    relays: int = 3
+    suspicion_factor: float = 4.0
+    push_fanout: int = 3
+    news_bytes: int = 900
+    repair_period_s: float = 10.0
+    repair_bytes: int = 3000
+    reconnect_period_s: float = 10.0
+    pause_s: float = 2.5
+    isolation_targets: int = 5
+    isolation_hold_s: float = 60.0
+    load_period_s: float = 2.0
+    load_notices_per_s: float = 180.0
+    cut_after_s: float = 10.0
+    tombstone_s: float = 86_400.0
+    orphan_s: float = 600.0
+
+
+@dataclass(slots=True)
+class Send:
+    """A message to put on the link to a peer; the budgets have been charged for it."""
+
+    to: NodeId
+    message: Message
+    size_bytes: int
+    traffic: Traffic
+
+
+@dataclass(slots=True)
+class PendingProbe:
+    """A probe that has not been answered.
+
+    ``origin`` is the peer on whose behalf it was sent, with the sequence to answer it by.
+    """
+
+    target: NodeId
+    deadline: float
+    is_relayed: bool = False
+    origin: NodeId | None = None
+    origin_sequence: int = 0
+
+
+@dataclass(slots=True)
+class Probing:
+    """State of the failure detector.
+
+    ``silent`` holds the targets that have failed since any probe was last answered.
+    """
+
+    order: list[NodeId] = field(default_factory=list)
+    next_at: float = 0.0
+    sequence: int = 0
+    pending: dict[int, PendingProbe] = field(default_factory=dict)
+    silent: set[NodeId] = field(default_factory=set)
+    isolated_at: float = float("inf")
+
+
+@dataclass(slots=True)
+class RegionView:
+    """What this node last heard of another region."""
+
+    heard_at: float
+    origin: str = ""
+    version: int = 0
+    loads: dict[str, ServiceLoad] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Bridging:
+    """State of the exchange between regions; the loads are filled on bridges only."""
+
+    next_load_at: float = 0.0
+    next_report_at: float = 0.0
+    next_repair_at: float = 0.0
+    version: int = 0
+    queue: NewsQueue = field(default_factory=NewsQueue)
+    loads: dict[NodeId, int] = field(default_factory=dict)
+    regions: dict[Region, RegionView] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class GossipCounters:
+    """Counts for statsd."""
+
+    probes_failed: int = 0
+    suspicions: int = 0
+    deaths: int = 0
+    refutations: int = 0
+    repairs: int = 0
+    pauses: int = 0
+    received_bytes: int = 0
+    sent_bytes: int = 0
+
+
+@dataclass(slots=True)
+class Membership:
+    """All that one node knows of its peers, and what it is about to tell them.
+
+    Attributes
+    ----------
+    own
+        This node's own record, which stands in the table too.
+    budget, paid_budget
+        Budgets for all watching, and for what crosses between regions.
+    has_met
+        Whether the platform or a peer has told this node who its peers are since its start.
+    is_refreshed
+        False from a start or a pause until a peer has brought the table up to date.
+    active_at
+        When this node last did anything here, in seconds of its own clock.
+    highest_revision, highest_holder
+        Highest rules revision that any peer has stated, and that peer.
+    free_slots
+        Slots free on the server beside this node.
+    """
+
+    settings: MembershipSettings
+    own: Peer
+    budget: Budget
+    paid_budget: Budget
+    active_at: float
+    next_repair_at: float
+    next_reconnect_at: float
+    next_housekeeping_at: float
+    table: PeerTable = field(default_factory=PeerTable)
+    queue: NewsQueue = field(default_factory=NewsQueue)
+    probing: Probing = field(default_factory=Probing)
+    bridging: Bridging = field(default_factory=Bridging)
+    counters: GossipCounters = field(default_factory=GossipCounters)
+    changes: list[Change] = field(default_factory=list)
+    has_met: bool = False
+    is_refreshed: bool = False
+    highest_revision: Revision = Revision(0)
+    highest_holder: NodeId = NodeId("")
+    free_slots: int = 0
+
+
+def emit(
+    membership: Membership,
+    sends: list[Send],
+    now: float,
+    to: NodeId,
+    message: Message,
+    traffic: Traffic,
+) -> bool:
+    """Add a message to the sends if the budgets allow it, and return whether they did."""
+    size_bytes = len(encode_frame(message))
+    budgets = [membership.budget]
+    peer = membership.table.peers.get(to)
+    if peer is not None and peer.region != membership.own.region:
+        budgets.append(membership.paid_budget)
+    if not try_spend(budgets, now, traffic, size_bytes):
+        return False
+    membership.counters.sent_bytes += size_bytes
+    sends.append(Send(to, message, size_bytes, traffic))
+    return True
+
+
+def pick_news(membership: Membership, now: float, to: NodeId, traffic: Traffic) -> list[News]:
+    """Return the news to ride on a message to a peer.
+
+    What is held against the receiver itself always rides along, so that it can refute it. The
+    rest shrinks with the budget's level.
+    """
+    if not can_spend(membership.budget, now, traffic, _FRAME_MARGIN_BYTES + _LEAST_NEWS_BYTES):
+        return []
+    news = _accuse(membership, to)
+    level = measure_level(membership.budget, now)
+    room = (level - traffic.value) * membership.budget.burst_bytes - _FRAME_MARGIN_BYTES
+    limit = min(membership.settings.news_bytes * min(1.0, 2 * level), room)
+    news += take_news(membership.queue, len(membership.table.peers), int(limit))
+    return news
+
+
+def make_probe(membership: Membership, now: float, to: NodeId, sequence: int) -> Probe:
+    """Return a probe for a peer, with news."""
+    news = pick_news(membership, now, to, Traffic.PROBE)
+    return Probe(sequence, membership.own.revision, news)
+
+
+def take_in(
+    membership: Membership, news: list[News], now: float, passes_on: bool = True
+) -> None:
+    """Merge news from a peer, and queue for others what was new if it is to be passed on."""
+    for item in news:
+        if item.node_id == membership.own.node_id:
+            defend(membership, item, now)
+        else:
+            learn(membership, item, now, passes_on)
+
+
+def learn(membership: Membership, news: News, now: float, passes_on: bool = True) -> bool:
+    """Merge news of another peer; return whether it changed anything."""
+    change = merge_news(membership.table, news, now)
+    if change is None:
+        return False
+    membership.changes.append(change)
+    if passes_on:
+        spread(membership, change.peer, news)
+    if change.peer.state is PeerState.SUSPECT and change.peer.region == membership.own.region:
+        start_suspicion(membership.table, change.peer, now + suspicion_timeout_s(membership))
+    return True
+
+
+def spread(membership: Membership, peer: Peer, news: News) -> None:
+    """Queue news for the own region, and on a bridge for the other regions too."""
+    add_news(membership.queue, news)
+    is_far_news = news.state in _FAR_STATES and peer.region == membership.own.region
+    if is_far_news and is_bridge(membership):
+        add_news(membership.bridging.queue, news)
+
+
+def defend(membership: Membership, news: News, now: float) -> None:
+    """Refute news of this node itself that would replace what it states."""
+    own = membership.own
+    if news.incarnation < own.incarnation or own.state is PeerState.LEFT:
+        return
+    if news.incarnation == own.incarnation and news.state.value <= own.state.value:
+        return
+    is_other_start = news.incarnation > own.incarnation
+    incarnation = raise_incarnation(own.incarnation, news.incarnation)
+    set_state(membership.table, own, incarnation, own.state, now)
+    own.profile_generation = generation_of(incarnation)
+    membership.counters.refutations += 1
+    spread(membership, own, describe_peer(own, with_profile=is_other_start))
+
+
+def suspicion_timeout_s(membership: Membership) -> float:
+    """Return how long a suspected peer has to refute; it grows with the region's size."""
+    settings = membership.settings
+    size = len(list_region(membership.table, membership.own.region))
+    return settings.suspicion_factor * max(1.0, log10(size + 1)) * settings.probe_period_s
+
+
+def is_bridge(membership: Membership) -> bool:
+    """Return whether this node speaks for its region."""
+    return membership.own.node_id in list_bridges(membership.table, membership.own.region)
+
+
+def list_neighbours(membership: Membership) -> list[Peer]:
+    """Return the peers of the own region that are not gone, without this node."""
+    peers = list_region(membership.table, membership.own.region)
+    return [peer for peer in peers if peer is not membership.own]
+
+
+def _accuse(membership: Membership, to: NodeId) -> list[News]:
+    peer = membership.table.peers.get(to)
+    if peer is None or peer.state in (PeerState.ALIVE, PeerState.LEAVING):
+        return []
+    return [describe_peer(peer, with_profile=False)]
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_membership.py
@@ -0,0 +1,355 @@
+"""Membership of one node: who its peers are, and what to send so that all keep knowing it.
+
+The functions here take the time as seconds of a monotonic clock. They return the messages to put
+on links; their bytes have been charged to the budgets already.
+"""
+
+from dataclasses import dataclass
+
+from ragwort_common import Incarnation, NodeId, Region, Revision, ServiceName
+from ragwort_policy._bridge import take_load, take_report, tick_bridge
+from ragwort_policy._budget import Budget, Traffic, charge_received
+from ragwort_policy._dissemination import take_unsent
+from ragwort_policy._gossip_state import (
+    Membership,
+    MembershipSettings,
+    RandomSource,
+    Send,
+    emit,
+    list_neighbours,
+    spread,
+    take_in,
+)
+from ragwort_policy._pause import is_current, note_activity
+from ragwort_policy._peer import Peer, describe_peer, generation_of, raise_incarnation, rank_of
+from ragwort_policy._detector import (
+    answer_probe,
+    relay_probe,
+    send_probe,
+    take_ack,
+    tick_detector,
+)
+from ragwort_policy._repair import (
+    answer_digest,
+    ask_profile,
+    send_digest,
+    take_records,
+    take_summary,
+    tick_repair,
+)
+from ragwort_policy._table import (
+    Change,
+    list_bridges,
+    list_service,
+    merge_news,
+    remove_peer,
+    set_state,
+)
+from ragwort_protocol import (
+    Digest,
+    LoadNotice,
+    Message,
+    News,
+    Notice,
+    PeerState,
+    Probe,
+    ProbeAck,
+    ProbeRequest,
+    Profile,
+    Records,
+    RegionReport,
+    ServiceLoad,
+    Summary,
+    encode_frame,
+)
+
+_HOUSEKEEPING_PERIOD_S = 60.0
+_PUSH_BYTES = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class RegionLoad:
+    """The last load report of another region, and how old it is."""
+
+    region: Region
+    load: ServiceLoad
+    age_s: float
+
+
+def create_membership(
+    settings: MembershipSettings,
+    node_id: NodeId,
+    profile: Profile,
+    incarnation: Incarnation,
+    budget: Budget,
+    paid_budget: Budget,
+    now: float,
+) -> Membership:
+    """Return the membership of a node that starts now and knows only itself."""
+    rank = rank_of(node_id)
+    generation = generation_of(incarnation)
+    own = Peer(node_id, profile, incarnation, PeerState.ALIVE, rank, now, generation)
+    membership = Membership(settings, own, budget, paid_budget, now, now, now, now)
+    merge_news(membership.table, describe_peer(own, with_profile=True), now)
+    # The table's record and the node's own are the same object from here on.
+    membership.own = membership.table.peers[node_id]
+    return membership
+
+
+def add_announced(membership: Membership, announced: list[News], now: float) -> None:
+    """Take in the announcements that the platform has listed.
+
+    News of this node itself comes from its earlier start and makes it raise its incarnation.
+    """
+    take_in(membership, announced, now, passes_on=False)
+    membership.has_met = True
+
+
+def join_peers(
+    membership: Membership, now: float, random: RandomSource, seeds: list[NodeId]
+) -> list[Send]:
+    """Make this node known to some peers and ask for what they know.
+
+    Parameters
+    ----------
+    seeds
+        Nodes to ask besides the known peers; they need not be in the table.
+    """
+    sends: list[Send] = []
+    known = [peer.node_id for peer in list_neighbours(membership)]
+    fanout = membership.settings.push_fanout
+    targets = random.sample(known, min(len(known), fanout))
+    targets += [seed for seed in seeds if seed != membership.own.node_id and seed not in targets]
+    notice = Notice(membership.own.revision, [describe_peer(membership.own, with_profile=True)])
+    for target in targets:
+        emit(membership, sends, now, target, notice, Traffic.URGENT)
+    for target in targets[:fanout]:
+        send_digest(membership, now, target, sends)
+    spread(membership, membership.own, notice.news[0])
+    return sends
+
+
+def tick_membership(membership: Membership, now: float, random: RandomSource) -> list[Send]:
+    """Do what is due; to be called about every 100 ms."""
+    sends: list[Send] = []
+    note_activity(membership, now)
+    _push_urgent(membership, now, random, sends)
+    if membership.own.state is not PeerState.LEFT:
+        tick_detector(membership, now, random, sends)
+        tick_repair(membership, now, random, sends)
+        tick_bridge(membership, now, random, sends)
+    if now >= membership.next_housekeeping_at:
+        membership.next_housekeeping_at = now + _HOUSEKEEPING_PERIOD_S
+        _forget_gone(membership, now)
+    return sends
+
+
+def receive_message(
+    membership: Membership, now: float, random: RandomSource, sender: NodeId, message: Message
+) -> list[Send]:
+    """Take in a message from a peer and return the answers."""
+    sends: list[Send] = []
+    note_activity(membership, now)
+    size_bytes = len(encode_frame(message))
+    charge_received(membership.budget, now, size_bytes)
+    membership.counters.received_bytes += size_bytes
+    if membership.own.state is PeerState.LEFT:
+        return sends
+    _note_contact(membership, now, sender)
+    match message:
+        case Probe():
+            _take_gossip(membership, now, sender, message.revision, message.news)
+            answer_probe(membership, now, sender, message, sends)
+        case ProbeAck():
+            _take_gossip(membership, now, sender, message.revision, message.news)
+            take_ack(membership, now, sender, message, sends)
+        case ProbeRequest():
+            _take_gossip(membership, now, sender, message.revision, message.news)
+            relay_probe(membership, now, sender, message, sends)
+        case Notice():
+            _take_gossip(membership, now, sender, message.revision, message.news)
+        case Digest():
+            answer_digest(membership, now, random, sender, message, sends)
+        case Summary():
+            take_summary(membership, now, sender, message, sends)
+        case Records():
+            take_records(membership, now, sender, message, sends)
+        case LoadNotice():
+            take_load(membership, sender, message)
+        case RegionReport():
+            take_report(membership, now, random, sender, message, sends)
+    if sender not in membership.table.peers:
+        ask_profile(membership, now, sender, sends)
+    return sends
+
+
+def announce_leaving(membership: Membership, now: float, random: RandomSource) -> list[Send]:
+    """State that this node's server takes no new work, and push that at once."""
+    return _restate(membership, PeerState.LEAVING, now, random)
+
+
+def announce_resumed(membership: Membership, now: float, random: RandomSource) -> list[Send]:
+    """State that this node's server takes work again."""
+    return _restate(membership, PeerState.ALIVE, now, random)
+
+
+def announce_left(membership: Membership, now: float, random: RandomSource) -> list[Send]:
+    """State that this node has left; it sends nothing after this."""
+    return _restate(membership, PeerState.LEFT, now, random)
+
+
+def set_load(membership: Membership, free_slots: int) -> None:
+    """Note how many slots are free on the server beside this node."""
+    membership.free_slots = free_slots
+
+
+def set_revision(
+    membership: Membership, revision: Revision, now: float, random: RandomSource
+) -> list[Send]:
+    """Note the rules revision that is in force here, and push it to some peers."""
+    if revision <= membership.own.revision:
+        return []
+    membership.own.revision = revision
+    sends: list[Send] = []
+    for to in _pick_push_targets(membership, random):
+        emit(membership, sends, now, to, Notice(revision, []), Traffic.URGENT)
+    return sends
+
+
+def note_link_lost(membership: Membership, node_id: NodeId, now: float) -> list[Send]:
+    """Probe a peer at once whose link has broken."""
+    sends: list[Send] = []
+    peer = membership.table.peers.get(node_id)
+    if peer is not None and not peer.is_gone and peer.region == membership.own.region:
+        send_probe(membership, now, node_id, sends)
+    return sends
+
+
+def take_changes(membership: Membership) -> list[Change]:
+    """Return the changes of other peers since the last call."""
+    changes = membership.changes
+    membership.changes = []
+    return changes
+
+
+def find_peer(membership: Membership, node_id: NodeId) -> Peer | None:
+    """Return the record of a peer, also of one that is gone."""
+    return membership.table.peers.get(node_id)
+
+
+def list_servers(membership: Membership, service: ServiceName) -> list[Peer]:
+    """Return the peers that may be given calls of a service; the list must not be changed.
+
+    Suspects are among them, to be taken last. Peers of a region that is cut off are not.
+    """
+    return list_service(membership.table, service)
+
+
+def list_alive(membership: Membership) -> list[Peer]:
+    """Return all usable peers in reach, this node included."""
+    unreachable = membership.table.unreachable
+    return [
+        peer
+        for peer in membership.table.peers.values()
+        if peer.is_usable and peer.region not in unreachable
+    ]
+
+
+def list_region_loads(membership: Membership, service: ServiceName, now: float) -> list[RegionLoad]:
+    """Return what other regions last reported of a service."""
+    found = []
+    for region, view in membership.bridging.regions.items():
+        load = view.loads.get(service)
+        if load is not None and region not in membership.table.unreachable:
+            found.append(RegionLoad(region, load, now - view.heard_at))
+    return found
+
+
+def list_orphans(membership: Membership, now: float) -> list[Peer]:
+    """Return the peers of the own region whose announcements this node is to remove.
+
+    For each of them one usable peer is the deputy, by rendezvous hash. A node whose view is not
+    current removes nothing.
+    """
+    if not is_current(membership, now):
+        return []
+    own = membership.own
+    deputies = [peer for peer in list_neighbours(membership) if peer.is_usable] + [own]
+    before = now - membership.settings.orphan_s
+    return [
+        peer
+        for peer in membership.table.peers.values()
+        if peer.is_gone
+        and peer.region == own.region
+        and peer.changed_at <= before
+        and _pick_deputy(peer, deputies) is own
+    ]
+
+
+def _pick_deputy(orphan: Peer, deputies: list[Peer]) -> Peer:
+    return max(deputies, key=lambda peer: rank_of(f"{orphan.node_id}/{peer.node_id}"))
+
+
+def _restate(
+    membership: Membership, state: PeerState, now: float, random: RandomSource
+) -> list[Send]:
+    own = membership.own
+    if own.state is state:
+        return []
+    incarnation = raise_incarnation(own.incarnation, own.incarnation)
+    set_state(membership.table, own, incarnation, state, now)
+    spread(membership, own, describe_peer(own, with_profile=False))
+    sends: list[Send] = []
+    _push_urgent(membership, now, random, sends)
+    return sends
+
+
+def _push_urgent(
+    membership: Membership, now: float, random: RandomSource, sends: list[Send]
+) -> None:
+    news = take_unsent(membership.queue, _PUSH_BYTES)
+    if not news:
+        return
+    own = membership.own
+    targets = _pick_push_targets(membership, random)
+    if any(item.node_id == own.node_id for item in news):
+        # A bridge takes it to the other regions without waiting for the epidemic to reach it.
+        bridges = list_bridges(membership.table, own.region)
+        targets += [node_id for node_id in bridges if node_id not in (*targets, own.node_id)]
+    notice = Notice(own.revision, news)
+    for to in targets:
+        emit(membership, sends, now, to, notice, Traffic.URGENT)
+
+
+def _pick_push_targets(membership: Membership, random: RandomSource) -> list[NodeId]:
+    neighbours = list_neighbours(membership)
+    fanout = min(len(neighbours), membership.settings.push_fanout)
+    return [peer.node_id for peer in random.sample(neighbours, fanout)]
+
+
+def _take_gossip(
+    membership: Membership, now: float, sender: NodeId, revision: int, news: list[News]
+) -> None:
+    take_in(membership, news, now)
+    peer = membership.table.peers.get(sender)
+    if peer is not None and revision > peer.revision:
+        peer.revision = Revision(revision)
+    if revision > membership.highest_revision:
+        membership.highest_revision = Revision(revision)
+        membership.highest_holder = sender
+
+
+def _note_contact(membership: Membership, now: float, sender: NodeId) -> None:
+    # A message from the suspect itself shows that only its refutation is late.
+    if sender in membership.table.suspects:
+        peer = membership.table.peers[sender]
+        grace = membership.settings.probe_period_s
+        peer.suspect_until = max(peer.suspect_until, now + grace)
+
+
+def _forget_gone(membership: Membership, now: float) -> None:
+    before = now - membership.settings.tombstone_s
+    gone = [peer for peer in membership.table.peers.values() if peer.is_gone]
+    for peer in gone:
+        if peer.changed_at <= before and peer is not membership.own:
+            remove_peer(membership.table, peer)
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_repair.py
@@ -0,0 +1,180 @@
+"""Repair of differences between two tables that news on other messages has missed.
+
+One node sends the hashes of its buckets. The other answers with its entries in those that differ.
+The first takes them in, sends what it holds newer, and asks for the profiles that it lacks.
+"""
+
+from collections.abc import Iterable
+
+from ragwort_common import NodeId
+from ragwort_policy._budget import Traffic
+from ragwort_policy._digest import list_differences, pack_digest
+from ragwort_policy._gossip_state import (
+    Membership,
+    RandomSource,
+    Send,
+    emit,
+    list_neighbours,
+    take_in,
+)
+from ragwort_policy._peer import Peer, describe_peer, generation_of, is_newer
+from ragwort_policy._table import list_bucket
+from ragwort_protocol import Digest, News, PeerState, Records, Summary, measure_news
+
+_WANTED_BYTES = 24
+
+
+def tick_repair(
+    membership: Membership, now: float, random: RandomSource, sends: list[Send]
+) -> None:
+    """Send a digest to a random peer now and then, and to one that counts as dead."""
+    settings = membership.settings
+    if now >= membership.next_repair_at:
+        period = settings.repair_period_s if membership.is_refreshed else settings.probe_period_s
+        membership.next_repair_at = now + period * (0.5 + random.random())
+        neighbours = list_neighbours(membership)
+        if neighbours:
+            send_digest(membership, now, random.choice(neighbours).node_id, sends)
+    if now >= membership.next_reconnect_at:
+        period = settings.reconnect_period_s
+        membership.next_reconnect_at = now + period * (0.5 + random.random())
+        dead = _list_dead(membership)
+        if dead:
+            send_digest(membership, now, random.choice(dead).node_id, sends)
+
+
+def send_digest(membership: Membership, now: float, to: NodeId, sends: list[Send]) -> None:
+    """Start an exchange with a peer.
+
+    A node that has yet to be brought up to date needs the exchange more than it needs probes.
+    """
+    traffic = Traffic.REPAIR if membership.is_refreshed else Traffic.ANSWER
+    digest = Digest(pack_digest(membership.table.digest))
+    emit(membership, sends, now, to, digest, traffic)
+
+
+def answer_digest(
+    membership: Membership,
+    now: float,
+    random: RandomSource,
+    sender: NodeId,
+    digest: Digest,
+    sends: list[Send],
+) -> None:
+    """Answer with the entries of as many differing buckets as fit into one message."""
+    differing = list_differences(membership.table.digest, digest.hashes)
+    random.shuffle(differing)
+    buckets: list[int] = []
+    entries: list[News] = []
+    room = membership.settings.repair_bytes
+    for number in differing:
+        listed = [describe_peer(peer, False) for peer in list_bucket(membership.table, number)]
+        room -= sum(measure_news(news) for news in listed)
+        if room < 0 and buckets:
+            break
+        buckets.append(number)
+        entries += listed
+    is_complete = len(buckets) == len(differing)
+    accused = membership.table.peers.get(sender)
+    if accused is not None and accused.is_gone:
+        entries.append(describe_peer(accused, False))
+    summary = Summary(buckets, entries, is_complete)
+    emit(membership, sends, now, sender, summary, Traffic.REPAIR if differing else Traffic.ANSWER)
+
+
+def take_summary(
+    membership: Membership, now: float, sender: NodeId, summary: Summary, sends: list[Send]
+) -> None:
+    """Take in the other's entries, and send it what is newer here."""
+    membership.has_met = True
+    if summary.buckets:
+        membership.counters.repairs += 1
+    take_in(membership, summary.entries, now, _passes_on(membership, sender))
+    wanted = [news.node_id for news in summary.entries if _lacks_profile(membership, news)]
+    newer = list(_list_newer(membership, summary))
+    if newer or wanted:
+        _send_records(membership, now, sender, newer, wanted, sends)
+    if summary.is_complete and not wanted:
+        membership.is_refreshed = True
+
+
+def take_records(
+    membership: Membership, now: float, sender: NodeId, records: Records, sends: list[Send]
+) -> None:
+    """Take in records and answer what they ask for."""
+    take_in(membership, records.news, now, _passes_on(membership, sender))
+    wanted = [membership.table.peers.get(NodeId(node_id)) for node_id in records.wanted]
+    known = [peer for peer in wanted if peer is not None]
+    if known:
+        _send_records(membership, now, sender, known, [], sends)
+
+
+def ask_profile(membership: Membership, now: float, sender: NodeId, sends: list[Send]) -> None:
+    """Ask a peer that is not known here for its own record."""
+    emit(membership, sends, now, sender, Records([], [sender]), Traffic.REPAIR)
+
+
+def _passes_on(membership: Membership, sender: NodeId) -> bool:
+    # Within a region each node repairs its own table. What comes from another region is new to
+    # the whole region, unless it is this node that has been away.
+    peer = membership.table.peers.get(sender)
+    is_far = peer is not None and peer.region != membership.own.region
+    return is_far and membership.is_refreshed
+
+
+def _send_records(
+    membership: Membership,
+    now: float,
+    to: NodeId,
+    peers: Iterable[Peer],
+    wanted: list[str],
+    sends: list[Send],
+) -> None:
+    room = membership.settings.repair_bytes
+    asked = wanted[: room // _WANTED_BYTES]
+    room -= len(asked) * _WANTED_BYTES
+    news = []
+    for peer in peers:
+        item = describe_peer(peer, with_profile=_holds_profile(peer))
+        room -= measure_news(item)
+        if room < 0 and news:
+            break
+        news.append(item)
+    emit(membership, sends, now, to, Records(news, asked), Traffic.REPAIR)
+
+
+def _list_newer(membership: Membership, summary: Summary) -> Iterable[Peer]:
+    listed = {news.node_id: news for news in summary.entries}
+    for number in summary.buckets:
+        for peer in list_bucket(membership.table, number):
+            theirs = listed.get(peer.node_id)
+            if theirs is None and not peer.is_gone:
+                yield peer
+            elif theirs is not None and _is_older(theirs, peer):
+                yield peer
+
+
+def _is_older(news: News, peer: Peer) -> bool:
+    if news.incarnation != peer.incarnation:
+        return news.incarnation < peer.incarnation
+    return news.state.value < peer.state.value and peer.state is not PeerState.SUSPECT
+
+
+def _lacks_profile(membership: Membership, news: News) -> bool:
+    peer = membership.table.peers.get(NodeId(news.node_id))
+    if peer is None:
+        return news.state in (PeerState.ALIVE, PeerState.SUSPECT, PeerState.LEAVING)
+    return is_newer(news.incarnation, news.state, peer)
+
+
+def _holds_profile(peer: Peer) -> bool:
+    return generation_of(peer.incarnation) == peer.profile_generation
+
+
+def _list_dead(membership: Membership) -> list[Peer]:
+    region = membership.own.region
+    return [
+        peer
+        for peer in membership.table.peers.values()
+        if peer.state is PeerState.DEAD and peer.region == region
+    ]
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_table.py
@@ -0,0 +1,199 @@
+"""The table of peers: merging news into it, and the lists that are read from it."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ragwort_common import FailureDomain, Incarnation, NodeId, Region, ServiceName
+from ragwort_policy._digest import TableDigest, bucket_of, toggle_entry
+from ragwort_policy._peer import GONE_STATES, Peer, generation_of, is_newer, rank_of
+from ragwort_protocol import News, PeerState
+
+BRIDGES_PER_REGION = 2
+
+
+@dataclass(slots=True)
+class Change:
+    """A peer whose state, incarnation or profile has changed.
+
+    ``before`` is None for a peer that was not known.
+    """
+
+    peer: Peer
+    before: PeerState | None
+
+
+@dataclass(slots=True)
+class PeerTable:
+    """All peers that this node knows of, itself included.
+
+    Attributes
+    ----------
+    version
+        Grows with each change that can alter a list read from the table.
+    digest
+        Hashes of the table's buckets.
+    suspects
+        Peers under suspicion, for which this node runs a timeout.
+    """
+
+    peers: dict[NodeId, Peer] = field(default_factory=dict)
+    buckets: dict[int, set[NodeId]] = field(default_factory=dict)
+    digest: TableDigest = field(default_factory=TableDigest)
+    suspects: set[NodeId] = field(default_factory=set)
+    version: int = 0
+    unreachable: set[Region] = field(default_factory=set)
+    _lists_version: int = -1
+    _by_service: dict[ServiceName, list[Peer]] = field(default_factory=dict)
+    _by_region: dict[Region, list[Peer]] = field(default_factory=dict)
+    _bridges: dict[Region, list[NodeId]] = field(default_factory=dict)
+
+
+def merge_news(table: PeerTable, news: News, now: float) -> Change | None:
+    """Take in news and return the change that it makes, or None when it is old or unusable.
+
+    News without a profile is unusable when the profile held is from an earlier start of the peer,
+    unless it takes the peer out of use.
+    """
+    peer = table.peers.get(NodeId(news.node_id))
+    if peer is None:
+        return _add_peer(table, news, now)
+    if not is_newer(news.incarnation, news.state, peer):
+        return None
+    is_same_start = generation_of(news.incarnation) == peer.profile_generation
+    takes_out_of_use = news.state not in (PeerState.ALIVE, PeerState.SUSPECT)
+    if news.profile is None and not is_same_start and not takes_out_of_use:
+        return None
+    before = peer.state
+    set_state(table, peer, Incarnation(news.incarnation), news.state, now)
+    if news.profile is not None:
+        peer.profile = news.profile
+        peer.profile_generation = generation_of(news.incarnation)
+    return Change(peer, before)
+
+
+def set_state(
+    table: PeerTable, peer: Peer, incarnation: Incarnation, state: PeerState, now: float
+) -> None:
+    """Give a peer a new incarnation and state."""
+    toggle_entry(table.digest, peer.rank, peer.incarnation, peer.state)
+    peer.incarnation = incarnation
+    peer.state = state
+    peer.changed_at = now
+    peer.suspect_until = float("inf")
+    table.suspects.discard(peer.node_id)
+    toggle_entry(table.digest, peer.rank, incarnation, state)
+    table.version += 1
+
+
+def start_suspicion(table: PeerTable, peer: Peer, until: float) -> None:
+    """Start the timeout after which a silent peer counts as dead."""
+    peer.suspect_until = until
+    table.suspects.add(peer.node_id)
+
+
+def end_suspicion(table: PeerTable, peer: Peer) -> None:
+    """Stop the timeout of a peer that has answered."""
+    peer.suspect_until = float("inf")
+    table.suspects.discard(peer.node_id)
+
+
+def remove_peer(table: PeerTable, peer: Peer) -> None:
+    """Forget a peer."""
+    toggle_entry(table.digest, peer.rank, peer.incarnation, peer.state)
+    del table.peers[peer.node_id]
+    table.buckets[bucket_of(peer.rank)].discard(peer.node_id)
+    table.suspects.discard(peer.node_id)
+    table.version += 1
+
+
+def set_reachable(table: PeerTable, region: Region, is_reachable: bool) -> bool:
+    """Mark a region as reachable or not; return whether that is a change."""
+    if is_reachable == (region not in table.unreachable):
+        return False
+    if is_reachable:
+        table.unreachable.discard(region)
+    else:
+        table.unreachable.add(region)
+    table.version += 1
+    return True
+
+
+def list_bucket(table: PeerTable, number: int) -> list[Peer]:
+    """Return the peers of one bucket."""
+    return [table.peers[node_id] for node_id in table.buckets.get(number, ())]
+
+
+def list_service(table: PeerTable, service: ServiceName) -> list[Peer]:
+    """Return the usable peers of a service in regions that can be reached."""
+    _refresh_lists(table)
+    return table._by_service.get(service, [])
+
+
+def list_region(table: PeerTable, region: Region) -> list[Peer]:
+    """Return the peers of a region that are not gone, those leaving included."""
+    _refresh_lists(table)
+    return table._by_region.get(region, [])
+
+
+def list_regions(table: PeerTable) -> list[Region]:
+    """Return the regions in which there are peers that are not gone."""
+    _refresh_lists(table)
+    return list(table._by_region)
+
+
+def list_bridges(table: PeerTable, region: Region) -> list[NodeId]:
+    """Return the nodes that speak for a region to the others, the first one first."""
+    _refresh_lists(table)
+    if region not in table._bridges:
+        table._bridges[region] = elect_bridges(table._by_region.get(region, ()))
+    return table._bridges[region]
+
+
+def elect_bridges(peers: Iterable[Peer]) -> list[NodeId]:
+    """Return the highest-ranked alive peers, no two of them of the same failure domain.
+
+    Two domains keep the region connected when one of them is lost.
+    """
+    best: dict[FailureDomain, Peer] = {}
+    for peer in peers:
+        if peer.state is not PeerState.ALIVE:
+            continue
+        held = best.get(peer.failure_domain)
+        if held is None or peer.rank > held.rank:
+            best[peer.failure_domain] = peer
+    ranked = sorted(best.values(), key=lambda peer: peer.rank, reverse=True)
+    return [peer.node_id for peer in ranked[:BRIDGES_PER_REGION]]
+
+
+def _add_peer(table: PeerTable, news: News, now: float) -> Change | None:
+    # The death of a peer that was never known here tells nothing; taking it in would also keep it
+    # alive between nodes for ever, each learning it anew after the other has forgotten it.
+    if news.profile is None or news.state in GONE_STATES:
+        return None
+    node_id = NodeId(news.node_id)
+    incarnation = Incarnation(news.incarnation)
+    generation = generation_of(incarnation)
+    rank = rank_of(node_id)
+    peer = Peer(node_id, news.profile, incarnation, news.state, rank, now, generation)
+    table.peers[node_id] = peer
+    table.buckets.setdefault(bucket_of(peer.rank), set()).add(node_id)
+    toggle_entry(table.digest, peer.rank, incarnation, news.state)
+    table.version += 1
+    return Change(peer, None)
+
+
+def _refresh_lists(table: PeerTable) -> None:
+    if table._lists_version == table.version:
+        return
+    by_service: dict[ServiceName, list[Peer]] = {}
+    by_region: dict[Region, list[Peer]] = {}
+    for peer in table.peers.values():
+        if peer.is_gone:
+            continue
+        by_region.setdefault(peer.region, []).append(peer)
+        if peer.is_usable and peer.region not in table.unreachable:
+            by_service.setdefault(peer.service, []).append(peer)
+    table._by_service = by_service
+    table._by_region = by_region
+    table._bridges = {}
+    table._lists_version = table.version
--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ragwort_protocol import _calls, _load
+from ragwort_protocol import _calls, _gossip, _load
 from ragwort_protocol._message import Message
 
 PROTOCOL_VERSION = 1
@@ -29,6 +29,15 @@
     | _calls.Refusal
     | _calls.Cancel
     | _load.LoadReport
+    | _gossip.Probe
+    | _gossip.ProbeAck
+    | _gossip.ProbeRequest
+    | _gossip.Notice
+    | _gossip.Digest
+    | _gossip.Summary
+    | _gossip.Records
+    | _gossip.LoadNotice
+    | _gossip.RegionReport
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_MESSAGES)
--- /dev/null
+++ b/tests/policy/test_budget.py
@@ -0,0 +1,68 @@
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from ragwort_policy import Budget, Traffic, can_spend, charge_received, measure_level, try_spend
+
+RATE = 1000.0
+BURST = 500.0
+
+
+class Spending(RuleBasedStateMachine):
+    """Sends, receipts and restarts at any time; the oracle adds up every window."""
+
+    @initialize()
+    def begin(self):
+        self.now = 0.0
+        self.budget = Budget(RATE, BURST, self.now)
+        self.paid = Budget(RATE / 2, BURST, self.now)
+        self.sent: list[tuple[float, int]] = []
+
+    @rule(step_s=st.floats(0, 3))
+    def wait(self, step_s):
+        self.now += step_s
+
+    @rule(traffic=st.sampled_from(Traffic), size=st.integers(1, 600), crosses=st.booleans())
+    def send(self, traffic, size, crosses):
+        budgets = [self.budget, self.paid] if crosses else [self.budget]
+        levels = [budget.tokens_bytes for budget in budgets]
+        allowed = all(can_spend(budget, self.now, traffic, size) for budget in budgets)
+        levels = [budget.tokens_bytes for budget in budgets]
+        assert try_spend(budgets, self.now, traffic, size) is allowed
+        spent = size if allowed else 0
+        assert [budget.tokens_bytes for budget in budgets] == [level - spent for level in levels]
+        self.sent.append((self.now, spent))
+
+    @rule(size=st.integers(1, 2000))
+    def receive(self, size):
+        charge_received(self.budget, self.now, size)
+
+    @rule()
+    def restart(self):
+        self.budget = Budget(RATE, BURST, self.now)
+
+    @invariant()
+    def no_window_is_overspent(self):
+        for index, (start, _) in enumerate(self.sent):
+            total = 0
+            for at, size in self.sent[index:]:
+                total += size
+                assert total <= BURST + RATE * (at - start) + 1e-6
+
+    @invariant()
+    def debt_is_bounded(self):
+        assert -BURST <= self.budget.tokens_bytes <= BURST
+        assert 0 <= measure_level(self.budget, self.now) <= 1
+
+
+TestSpending = Spending.TestCase
+
+
+def test_classes_stop_one_after_the_other():
+    budget = Budget(RATE, BURST, 0.0)
+    stopped = {}
+    now = 1.0
+    for traffic in sorted(Traffic, key=lambda traffic: -traffic.value):
+        while try_spend([budget], now, traffic, 10):
+            pass
+        stopped[traffic] = budget.tokens_bytes
+    assert list(stopped.values()) == [250, 175, 100, 20, 0]
+    assert all(count == 1 for count in budget.refused.values())
--- /dev/null
+++ b/tests/policy/test_membership.py
@@ -0,0 +1,265 @@
+from random import Random
+
+import pytest
+from bench.fleet import DOMAINS, Fleet, make_fleet, make_profile
+from ragwort_common import NodeId, Revision, ServiceName
+from ragwort_policy import (
+    announce_leaving,
+    announce_left,
+    announce_resumed,
+    first_incarnation,
+    is_current,
+    join_peers,
+    list_alive,
+    list_orphans,
+    list_region_loads,
+    list_servers,
+    note_link_lost,
+    receive_message,
+    set_load,
+    set_revision,
+    take_changes,
+    tick_membership,
+)
+from ragwort_protocol import News, Notice, PeerState, Probe
+
+ALL = [NodeId(f"host-{index:04d}") for index in range(24)]
+MESETA = [node_id for index, node_id in enumerate(ALL) if index % 4 < 2]
+NORTE = [node_id for node_id in ALL if node_id not in MESETA]
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    return make_fleet(24)
+
+
+def states_of(fleet: Fleet, target: NodeId, observers=ALL) -> set[PeerState]:
+    return {fleet.nodes[name].table.peers[target].state for name in observers if name != target}
+
+
+def test_quiet_fleet_changes_nothing(fleet):
+    fleet.run(60)
+    assert not any(take_changes(fleet.nodes[name]) for name in ALL)
+    assert all(is_current(fleet.nodes[name], fleet.now) for name in ALL)
+
+
+def test_a_dead_node_is_known_as_dead_everywhere(fleet):
+    fleet.down.add(ALL[5])
+    fleet.run(15)
+    assert states_of(fleet, ALL[5]) == {PeerState.DEAD}
+    assert not any(take_changes(fleet.nodes[name])[2:] for name in ALL if name != ALL[5])
+
+
+def test_leaving_is_known_in_both_regions_at_once_and_can_be_taken_back(fleet):
+    fleet.send(ALL[0], announce_leaving(fleet.nodes[ALL[0]], fleet.now, fleet.random))
+    fleet.run(2)
+    assert states_of(fleet, ALL[0]) == {PeerState.LEAVING}
+    service = ServiceName(fleet.profiles[ALL[0]].service)
+    listed = [list_servers(fleet.nodes[name], service) for name in ALL]
+    assert not any(ALL[0] in {peer.node_id for peer in peers} for peers in listed)
+    fleet.send(ALL[0], announce_resumed(fleet.nodes[ALL[0]], fleet.now, fleet.random))
+    fleet.run(5)
+    assert states_of(fleet, ALL[0]) == {PeerState.ALIVE}
+
+
+def test_a_leaving_node_that_dies_is_known_as_dead(fleet):
+    fleet.send(ALL[0], announce_leaving(fleet.nodes[ALL[0]], fleet.now, fleet.random))
+    fleet.run(2)
+    fleet.down.add(ALL[0])
+    fleet.run(20)
+    assert states_of(fleet, ALL[0]) == {PeerState.DEAD}
+
+
+def test_a_node_that_left_sends_nothing_more(fleet):
+    fleet.send(ALL[0], announce_left(fleet.nodes[ALL[0]], fleet.now, fleet.random))
+    fleet.run(5)
+    assert states_of(fleet, ALL[0]) == {PeerState.LEFT}
+    node = fleet.nodes[ALL[0]]
+    assert tick_membership(node, fleet.now, fleet.random) == []
+    assert receive_message(node, fleet.now, fleet.random, ALL[1], Probe(1, 0, [])) == []
+
+
+@pytest.mark.parametrize("wall_step_ms", [0, -7_200_000, 7_200_000])
+def test_a_restarted_node_comes_back_whatever_its_clock_says(fleet, wall_step_ms):
+    fleet.down.add(ALL[3])
+    fleet.run(15)
+    profile = make_profile(7, 3, DOMAINS)
+    node = fleet.start(ALL[3], profile, wall_step_ms)
+    fleet.send(ALL[3], join_peers(node, fleet.now, fleet.random, ALL[:2]))
+    fleet.run(40)
+    assert states_of(fleet, ALL[3]) == {PeerState.ALIVE}
+    profiles = {fleet.nodes[name].table.peers[ALL[3]].profile for name in ALL}
+    assert profiles == {profile}
+    assert len(list_alive(node)) == 24
+
+
+def test_an_earlier_announcement_raises_the_incarnation():
+    announced = first_incarnation(5_000) + 3
+    assert first_incarnation(1_000, announced) > announced
+    assert first_incarnation(9_000, announced) == first_incarnation(9_000)
+
+
+def test_refutation_of_an_earlier_start_does_not_bring_back_its_addresses(fleet):
+    observer = fleet.nodes[ALL[1]]
+    old = observer.table.peers[ALL[3]]
+    late = first_incarnation(10**13)
+    before = old.profile
+    sends = receive_message(
+        observer,
+        fleet.now,
+        fleet.random,
+        ALL[2],
+        Notice(0, [News(ALL[3], late + 1, PeerState.ALIVE)]),
+    )
+    assert sends == [] and old.incarnation < late and old.profile is before
+
+
+def test_a_paused_node_that_wakes_is_not_current_until_a_peer_has_refreshed_it(fleet):
+    node = fleet.nodes[ALL[0]]
+    fleet.pause(ALL[0])
+    fleet.run(60)
+    assert states_of(fleet, ALL[0]) == {PeerState.DEAD}
+    # Before its first tick, and also when a message that has waited is handled first.
+    assert not is_current(node, fleet.now)
+    receive_message(node, fleet.now, fleet.random, ALL[1], Probe(7, 0, []))
+    assert not is_current(node, fleet.now)
+    tick_membership(node, fleet.now, fleet.random)
+    assert not is_current(node, fleet.now)
+    fleet.wake(ALL[0])
+    fleet.run(10)
+    assert is_current(node, fleet.now)
+    assert states_of(fleet, ALL[0]) == {PeerState.ALIVE}
+
+
+def test_a_paused_node_that_wakes_blames_no_peer(fleet):
+    node = fleet.nodes[ALL[0]]
+    fleet.run(0.7)
+    fleet.pause(ALL[0])
+    fleet.run(60)
+    node.changes.clear()
+    fleet.wake(ALL[0])
+    fleet.run(20)
+    assert node.counters.suspicions == 0
+    assert node.table.unreachable == set()
+
+
+def test_a_node_cut_off_from_all_holds_back_and_joins_again(fleet):
+    alone = ALL[0]
+    fleet.passes = lambda delivery: alone not in (delivery.sender, delivery.to)
+    fleet.run(30)
+    node = fleet.nodes[alone]
+    assert not is_current(node, fleet.now)
+    assert node.counters.deaths == 0
+    fleet.passes = lambda delivery: True
+    fleet.run(60)
+    assert states_of(fleet, alone) == {PeerState.ALIVE}
+    assert len(list_alive(node)) == 24
+    assert is_current(node, fleet.now)
+
+
+def test_loss_of_a_tenth_of_all_messages_kills_nobody(fleet):
+    lossy = Random(5)
+    fleet.passes = lambda delivery: lossy.random() > 0.1
+    fleet.run(120)
+    assert sum(fleet.nodes[name].counters.deaths for name in ALL) == 0
+
+
+def test_relays_save_a_peer_that_one_node_cannot_reach(fleet):
+    fleet.passes = lambda delivery: {delivery.sender, delivery.to} != {ALL[0], ALL[1]}
+    fleet.run(60)
+    assert sum(fleet.nodes[name].counters.suspicions for name in ALL) == 0
+
+
+def test_regions_cut_from_each_other_declare_nobody_dead_and_join_cleanly(fleet):
+    fleet.run(5)
+    fleet.passes = lambda delivery: (delivery.sender in MESETA) == (delivery.to in MESETA)
+    fleet.run(20)
+    gone, new = NORTE[2], NodeId("host-0900")
+    assert all(len(list_alive(fleet.nodes[name])) == 12 for name in ALL)
+    fleet.down.add(gone)
+    fleet.run(20)
+    node = fleet.start(new, fleet.profiles[gone])
+    fleet.send(new, join_peers(node, fleet.now, fleet.random, NORTE[:2]))
+    fleet.run(120)
+    assert states_of(fleet, gone, MESETA) == {PeerState.ALIVE}
+    assert sum(fleet.nodes[name].counters.deaths for name in MESETA) == 0
+    fleet.passes = lambda delivery: True
+    fleet.run(25)
+    up = [name for name in (*ALL, new) if name != gone]
+    expected = set(up)
+    assert all({p.node_id for p in list_alive(fleet.nodes[name])} == expected for name in up)
+
+
+def test_free_slots_of_the_other_region_are_summed_once(fleet):
+    for name in ALL:
+        set_load(fleet.nodes[name], 5)
+    fleet.run(8)
+    for name in ALL:
+        for service in {ServiceName(profile.service) for profile in fleet.profiles.values()}:
+            (found,) = list_region_loads(fleet.nodes[name], service, fleet.now)
+            assert (found.load.servers, found.load.free_slots) == (4, 20)
+
+
+def test_bridges_are_in_two_failure_domains_and_replaced_when_dead(fleet):
+    from ragwort_policy._table import list_bridges
+
+    region = fleet.profiles[ALL[0]].region
+    before = list_bridges(fleet.nodes[ALL[0]].table, region)
+    assert len({fleet.profiles[name].failure_domain for name in before}) == 2
+    fleet.down.update(before)
+    fleet.run(30)
+    up = [name for name in ALL if name not in before]
+    after = {tuple(list_bridges(fleet.nodes[name].table, region)) for name in up}
+    assert len(after) == 1 and not set(before) & set(next(iter(after)))
+    assert all(fleet.nodes[name].table.unreachable == set() for name in up)
+
+
+def test_a_new_revision_is_heard_of_in_both_regions(fleet):
+    node = fleet.nodes[ALL[0]]
+    fleet.send(ALL[0], set_revision(node, Revision(7), fleet.now, fleet.random))
+    assert set_revision(node, Revision(6), fleet.now, fleet.random) == []
+    fleet.run(30)
+    assert {fleet.nodes[name].highest_revision for name in ALL if name != ALL[0]} == {7}
+
+
+def test_one_deputy_removes_the_announcement_of_a_dead_node(fleet):
+    fleet.down.add(ALL[4])
+    fleet.run(30)
+    observers = [name for name in ALL if name != ALL[4]]
+    assert not any(list_orphans(fleet.nodes[name], fleet.now) for name in observers)
+    fleet.run(620)
+    found = {name: list_orphans(fleet.nodes[name], fleet.now) for name in observers}
+    (deputy,) = [name for name in observers if found[name]]
+    assert [peer.node_id for peer in found[deputy]] == [ALL[4]]
+    fleet.nodes[deputy].is_refreshed = False
+    assert list_orphans(fleet.nodes[deputy], fleet.now) == []
+
+
+def test_a_node_starts_from_seeds_while_the_platform_is_down(fleet):
+    new = NodeId("host-0900")
+    node = fleet.start(new, make_profile(0, 3, DOMAINS))
+    assert not is_current(node, fleet.now)
+    fleet.send(new, join_peers(node, fleet.now, fleet.random, [ALL[0]]))
+    fleet.run(10)
+    assert len(list_alive(node)) == 25
+    assert is_current(node, fleet.now)
+    assert states_of(fleet, new) == {PeerState.ALIVE}
+
+
+def test_a_lost_link_brings_the_probe_forward(fleet):
+    node = fleet.nodes[ALL[0]]
+    assert [send.to for send in note_link_lost(node, ALL[1], fleet.now)] == []
+    fleet.run(1)
+    assert [send.to for send in note_link_lost(node, ALL[1], fleet.now)] == [ALL[1]]
+    assert note_link_lost(node, NORTE[0], fleet.now) == []
+
+
+def test_the_dead_are_forgotten_in_the_end_and_not_learned_again(fleet):
+    fleet.down.add(ALL[4])
+    fleet.run(30)
+    node = fleet.nodes[ALL[0]]
+    node.table.peers[ALL[4]].changed_at -= 86_400
+    fleet.run(61)
+    assert ALL[4] not in node.table.peers
+    fleet.run(60)
+    assert ALL[4] not in node.table.peers
