--- a/bench/demo.py
+++ b/bench/demo.py
@@ -11,7 +11,7 @@
 import uvloop
 from tabulate import tabulate
 
-from bench.fleet import HANBIT, Fleet, apply_rules, count_runs, run_fleet, wait_ready
+from bench.deployment import HANBIT, Fleet, apply_rules, count_runs, run_fleet, wait_ready
 from bench.load import CallPlan, Tally, open_session, send_at_rate
 
 RULES = Path("docs/examples/hanbit.rules")
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,296 +1,189 @@
-"""Starts a whole deployment as processes on loopback: platform, servers and nodes."""
+"""A fake network for the real membership policy: time in steps, messages with a delay.
 
-import asyncio
-import contextlib
-import json
-import signal
-import socket
-import sys
-import tempfile
-from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
-from pathlib import Path
-
-import aiohttp
-from ruamel.yaml import YAML
-
-READY_TIMEOUT_S = 30
-STOP_TIMEOUT_S = 10
-
-
-@dataclass(frozen=True, slots=True)
-class Plan:
-    """A deployment's services and places; each service has one server in each failure domain."""
+It serves the tests of membership and the benchmark. It decides nothing itself: it hands messages
+over, late, twice or not at all, and lets nodes stop, pause and start again.
+"""
 
-    services: tuple[str, ...]
-    domains: tuple[tuple[str, str], ...]
-    slots: int
-    connections: int
-    service_ms: float
-
-
-HANBIT = Plan(
-    services=("drum-tracking", "collections", "cleaning-records"),
-    domains=(
-        ("gyeonggi", "siheung"),
-        ("gyeonggi", "hwaseong"),
-        ("gyeongnam", "changwon"),
-        ("gyeongnam", "gimhae"),
-    ),
-    slots=13,
-    connections=250,
-    service_ms=2.0,
-)
-
-INDICE = Plan(
-    services=("price-portal", "batch-intake", "survey-forms"),
-    domains=(
-        ("meseta", "alajuela"),
-        ("meseta", "sanjose"),
-        ("pacifico-norte", "canas"),
-        ("pacifico-norte", "santacruz"),
-    ),
-    slots=6,
-    connections=240,
-    service_ms=2.0,
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from ragwort_common import NodeId
+from ragwort_policy import (
+    Budget,
+    Membership,
+    MembershipSettings,
+    Send,
+    add_announced,
+    create_membership,
+    first_incarnation,
+    join_peers,
+    receive_message,
+    tick_membership,
 )
+from ragwort_protocol import Message, News, PeerState, Profile
 
+NODE_BYTES_PER_S = 14_000.0
+PAID_BYTES_PER_S = 8_000.0
+TICK_S = 0.1
+NEAR_DELAY_S = 0.001
+FAR_DELAY_S = 0.03
+WALL_START_MS = 1_700_000_000_000
+DOMAINS = {"meseta": ("alajuela", "sanjose"), "norte": ("canas", "santacruz")}
 
-@dataclass(slots=True)
-class Place:
-    """One server with its node, and the ports they listen on."""
-
-    node: str
-    service: str
-    region: str
-    domain: str
-    ports: dict[str, int]
-    server: asyncio.subprocess.Process | None = None
-    process: asyncio.subprocess.Process | None = None
 
-    def entry_url(self, path: str) -> str:
-        """Return the address of a path at this node's entry."""
-        return f"http://127.0.0.1:{self.ports['entry']}{path}"
-
-    def server_url(self, path: str) -> str:
-        """Return the address of a path at the server itself."""
-        return f"http://127.0.0.1:{self.ports['server']}{path}"
+@dataclass(frozen=True, slots=True)
+class Delivery:
+    """A message on its way."""
 
-    def admin_url(self, path: str) -> str:
-        """Return the address of a path of the node's administration API."""
-        return f"http://127.0.0.1:{self.ports['admin']}{path}"
+    sender: NodeId
+    to: NodeId
+    message: Message
 
 
-@dataclass(slots=True)
+@dataclass
 class Fleet:
-    """The running processes of a deployment."""
-
-    plan: Plan
-    folder: Path
-    platform_port: int
-    places: list[Place] = field(default_factory=list)
-    processes: list[asyncio.subprocess.Process] = field(default_factory=list)
-
-    @property
-    def platform_url(self) -> str:
-        """Base address of the platform stand-in."""
-        return f"http://127.0.0.1:{self.platform_port}"
-
-    def find_places(self, service: str) -> list[Place]:
-        """Return the places of one service."""
-        return [place for place in self.places if place.service == service]
-
-
-def take_ports(count: int) -> list[int]:
-    """Return distinct ports that are free now."""
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.bind(("127.0.0.1", 0))
-            ports.append(sock.getsockname()[1])
-        return ports
-
-
-@contextlib.asynccontextmanager
-async def run_fleet(plan: Plan, settings: dict[str, dict] | None = None) -> AsyncIterator[Fleet]:
-    """Run a deployment; every process it started has ended when this returns.
-
-    ``settings`` is laid over each node's settings.
-    """
-    with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(plan, Path(folder), take_ports(1)[0])
-        try:
-            await _start_platform(fleet)
-            fleet.places = _plan_places(plan)
-            await asyncio.gather(*(start_server(fleet, place) for place in fleet.places))
-            await asyncio.gather(*(start_node(fleet, place, settings) for place in fleet.places))
-            yield fleet
-        finally:
-            await _stop_all(fleet)
-
+    """Nodes with their memberships, and the messages between them.
 
-async def start_process(fleet: Fleet, *arguments: str) -> asyncio.subprocess.Process:
-    """Start a Python process of the fleet; what it logs is kept in the fleet's folder."""
-    output = (fleet.folder / f"{len(fleet.processes)}.log").open("wb")
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        *arguments,
-        stdin=asyncio.subprocess.DEVNULL,
-        stdout=output,
-        stderr=output,
-        start_new_session=True,
-    )
-    output.close()
-    fleet.processes.append(process)
-    return process
-
-
-async def start_server(fleet: Fleet, place: Place) -> None:
-    """Start a place's stand-in server."""
-    plan = fleet.plan
-    place.server = await start_process(
-        fleet,
-        "-m",
-        "ragwort_standins.server",
-        f"--port={place.ports['server']}",
-        f"--name={place.node}",
-        f"--slots={plan.slots}",
-        f"--service-ms={plan.service_ms}",
-    )
-
-
-async def start_node(fleet: Fleet, place: Place, settings: dict[str, dict] | None = None) -> None:
-    """Start a place's node."""
-    path = fleet.folder / f"{place.node}.yaml"
-    with path.open("w") as file:
-        YAML().dump(_make_settings(fleet, place, settings or {}), file)
-    place.process = await start_process(
-        fleet, "-c", "from ragwort_node.main import run; run()", f"--settings={path}"
-    )
-
-
-async def wait_ready(fleet: Fleet) -> None:
-    """Wait until every node says that it is ready.
-
-    Raises
-    ------
-    TimeoutError
-        When one is not within ``READY_TIMEOUT_S``.
-    """
-    async with aiohttp.ClientSession() as session, asyncio.timeout(READY_TIMEOUT_S):
-        await asyncio.gather(*(_wait_ready(session, place, fleet) for place in fleet.places))
-
-
-async def apply_rules(fleet: Fleet, path: Path, author: str) -> None:
-    """Apply a rules file with the operators' command.
-
-    Raises
-    ------
-    RuntimeError
-        When the command fails.
+    ``passes`` decides whether a message gets through; ``copies`` how many times it arrives, and
+    ``jitter_s`` by how much messages are put out of order.
     """
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-c",
-        "from ragwort_control.main import run; run()",
-        "apply",
-        str(path),
-        f"--platform={fleet.platform_url}",
-        f"--author={author}",
-        stdin=asyncio.subprocess.DEVNULL,
-        stdout=asyncio.subprocess.PIPE,
-        stderr=asyncio.subprocess.STDOUT,
-    )
-    output, _ = await process.communicate()
-    if process.returncode:
-        raise RuntimeError(f"ragwortctl apply failed: {output.decode()}")
-
-
-async def order_server(session: aiohttp.ClientSession, place: Place, **behaviour: object) -> None:
-    """Change what a stand-in server does."""
-    async with session.post(place.server_url("/_control/set"), json=behaviour) as response:
-        response.raise_for_status()
-
-
-async def count_runs(session: aiohttp.ClientSession, fleet: Fleet) -> dict[str, int]:
-    """Return how often each request id was run by the servers that still answer."""
-    totals: dict[str, int] = {}
-    for place in fleet.places:
-        with contextlib.suppress(aiohttp.ClientError):
-            async with session.get(place.server_url("/_control/runs")) as response:
-                for request_id, runs in json.loads(await response.read()).items():
-                    totals[request_id] = totals.get(request_id, 0) + runs
-    return totals
-
-
-def _plan_places(plan: Plan) -> list[Place]:
-    names = ("server", "entry", "link", "control", "admin")
-    ports = take_ports(len(names) * len(plan.services) * len(plan.domains))
-    places = []
-    for service in plan.services:
-        for region, domain in plan.domains:
-            own = {name: ports.pop() for name in names}
-            places.append(Place(f"{service}-{domain}", service, region, domain, own))
-    return places
-
-
-def _make_settings(fleet: Fleet, place: Place, extra: dict[str, dict]) -> dict[str, dict]:
-    ports = place.ports
-    settings = {
-        "node": {
-            "id": place.node,
-            "service": place.service,
-            "region": place.region,
-            "failure_domain": place.domain,
-        },
-        "addresses": {
-            name: f"127.0.0.1:{ports[name]}" for name in ("entry", "link", "control", "admin")
-        },
-        "server": {
-            "url": f"http://127.0.0.1:{ports['server']}",
-            "slots": fleet.plan.slots,
-            "connections": fleet.plan.connections,
-        },
-        "platform": {"url": fleet.platform_url},
-    }
-    for section, values in extra.items():
-        settings.setdefault(section, {}).update(values)
-    return settings
-
-
-async def _start_platform(fleet: Fleet) -> None:
-    await start_process(fleet, "-m", "ragwort_standins.platform", f"--port={fleet.platform_port}")
-    async with aiohttp.ClientSession() as session, asyncio.timeout(READY_TIMEOUT_S):
-        while True:
-            with contextlib.suppress(aiohttp.ClientError):
-                async with session.get(f"{fleet.platform_url}/control/counts"):
-                    return
-            await asyncio.sleep(0.05)
-
-
-async def _wait_ready(session: aiohttp.ClientSession, place: Place, fleet: Fleet) -> None:
-    while True:
-        with contextlib.suppress(aiohttp.ClientError):
-            async with session.get(place.admin_url("/readyz")) as response:
-                if response.status == 200:
-                    return
-        if place.process is not None and place.process.returncode is not None:
-            raise RuntimeError(f"node {place.node} has ended with {place.process.returncode}")
-        await asyncio.sleep(0.1)
-
 
-async def _stop_all(fleet: Fleet) -> None:
-    running = [process for process in fleet.processes if process.returncode is None]
-    for process in reversed(running):
-        with contextlib.suppress(ProcessLookupError):
-            # A frozen process takes the signal only once it goes on.
-            process.send_signal(signal.SIGCONT)
-            process.terminate()
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(STOP_TIMEOUT_S):
-            await asyncio.gather(*(process.wait() for process in running))
-    for process in running:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
+    settings: MembershipSettings = field(default_factory=MembershipSettings)
+    seed: int = 1
+    node_bytes_per_s: float = NODE_BYTES_PER_S
+    jitter_s: float = 0.0
+    now: float = 1000.0
+    passes: Callable[[Delivery], bool] = lambda delivery: True
+    copies: Callable[[Delivery], int] = lambda delivery: 1
+    on_send: Callable[[NodeId, Send], None] = lambda node_id, send: None
+    nodes: dict[NodeId, Membership] = field(default_factory=dict)
+    profiles: dict[NodeId, Profile] = field(default_factory=dict)
+    down: set[NodeId] = field(default_factory=set)
+    paused: dict[NodeId, list[Delivery]] = field(default_factory=dict)
+    _events: list = field(default_factory=list)
+    _count: int = 0
+
+    def __post_init__(self) -> None:
+        self.random = Random(self.seed)
+
+    def start(self, node_id: NodeId, profile: Profile, wall_step_ms: int = 0) -> Membership:
+        """Start a node, or start it anew with nothing but its settings."""
+        now = self.now
+        wall_ms = WALL_START_MS + int(now * 1000) + wall_step_ms
+        budget = Budget(self.node_bytes_per_s, self.node_bytes_per_s, now)
+        paid = Budget(PAID_BYTES_PER_S, PAID_BYTES_PER_S, now)
+        incarnation = first_incarnation(wall_ms)
+        node = create_membership(self.settings, node_id, profile, incarnation, budget, paid, now)
+        self.nodes[node_id] = node
+        self.profiles[node_id] = profile
+        self.down.discard(node_id)
+        self.paused.pop(node_id, None)
+        self._push(now + TICK_S * self.random.random(), node)
+        return node
+
+    def announce_all(self) -> None:
+        """Give each node the announcements of all, as the platform does."""
+        news = [
+            News(node_id, node.own.incarnation, PeerState.ALIVE, node.own.profile)
+            for node_id, node in self.nodes.items()
+        ]
+        for node_id, node in self.nodes.items():
+            add_announced(node, news, self.now)
+            self.send(node_id, join_peers(node, self.now, self.random, []))
+
+    def settle_all(self) -> None:
+        """Give each node the whole table, as if it had been running for long."""
+        self.announce_all()
+        for node in self.nodes.values():
+            node.is_refreshed = True
+            node.queue.items.clear()
+            node.bridging.queue.items.clear()
+            node.changes.clear()
+
+    def send(self, sender: NodeId, sends: list[Send]) -> None:
+        """Put messages on the network."""
+        for send in sends:
+            self.on_send(sender, send)
+            delivery = Delivery(sender, send.to, send.message)
+            if not self.passes(delivery):
+                continue
+            for _ in range(self.copies(delivery)):
+                self._push(self.now + self._delay_s(delivery), delivery)
+
+    def run(self, seconds: float) -> None:
+        """Let time go by."""
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, event = heapq.heappop(self._events)
+            if isinstance(event, Delivery):
+                self._deliver(event)
+            else:
+                self._tick(event)
+        self.now = end
+
+    def pause(self, node_id: NodeId) -> None:
+        """Stop a process so that it neither runs nor knows of it."""
+        self.paused.setdefault(node_id, [])
+
+    def wake(self, node_id: NodeId) -> None:
+        """Let a paused process go on, with the messages that have piled up."""
+        for delivery in self.paused.pop(node_id, []):
+            self._push(self.now, delivery)
+        self._push(self.now, self.nodes[node_id])
+
+    def _tick(self, node: Membership) -> None:
+        node_id = node.own.node_id
+        is_this_start = self.nodes.get(node_id) is node
+        if not is_this_start or node_id in self.down or node_id in self.paused:
+            return
+        self.send(node_id, tick_membership(node, self.now, self.random))
+        self._push(self.now + TICK_S, node)
+
+    def _deliver(self, delivery: Delivery) -> None:
+        if delivery.to in self.down or delivery.to not in self.nodes:
+            return
+        if delivery.to in self.paused:
+            self.paused[delivery.to].append(delivery)
+            return
+        node = self.nodes[delivery.to]
+        message = delivery.message
+        sends = receive_message(node, self.now, self.random, delivery.sender, message)
+        self.send(delivery.to, sends)
+
+    def _delay_s(self, delivery: Delivery) -> float:
+        sender = self.profiles[delivery.sender].region
+        to = self.profiles.get(delivery.to)
+        is_far = to is not None and to.region != sender
+        base_s = FAR_DELAY_S if is_far else NEAR_DELAY_S
+        return base_s + self.jitter_s * self.random.random()
+
+    def _push(self, at: float, event: Delivery | Membership) -> None:
+        self._count += 1
+        heapq.heappush(self._events, (at, self._count, event))
+
+
+def make_profile(index: int, services: int, domains: dict[str, tuple[str, ...]]) -> Profile:
+    """Return the profile of the node with this index, spread over all failure domains."""
+    places = [(region, name) for region, names in domains.items() for name in names]
+    region, domain = places[index % len(places)]
+    host = f"10.{index >> 8 & 255}.{index & 255}.1"
+    service = f"service-{index // len(places) % services:02d}"
+    return Profile(service, region, domain, f"{host}:7000", f"{host}:8080", f"{host}:7001")
+
+
+def make_fleet(
+    size: int,
+    services: int = 3,
+    domains: dict[str, tuple[str, ...]] = DOMAINS,
+    settings: MembershipSettings | None = None,
+    seed: int = 1,
+) -> Fleet:
+    """Return a fleet of nodes that all know each other and have been running for long."""
+    fleet = Fleet(settings or MembershipSettings(), seed)
+    for index in range(size):
+        node_id = NodeId(f"host-{index:04d}")
+        fleet.start(node_id, make_profile(index, services, domains))
+    fleet.settle_all()
+    return fleet
