--- a/packages/policy/src/ragwort_policy/__init__.py
+++ b/packages/policy/src/ragwort_policy/__init__.py
@@ -37,6 +37,8 @@
     record_sent,
     update_servers,
 )
+from ragwort_policy._claim import ClaimDecision, ClaimLimits, ClaimTable, KeyState, Need
+from ragwort_policy._fence import EpochFence
 from ragwort_policy._gossip_state import (
     GossipCounters,
     Membership,
@@ -52,6 +54,30 @@
     record_latency,
     take_hedge,
 )
+from ragwort_policy._journal import (
+    CloseSegment,
+    Journal,
+    JournalHead,
+    JournalLimits,
+    LoadSegments,
+    Phase,
+    ReadHead,
+    Segment,
+    Step,
+    WriteHead,
+    decode_head,
+    encode_head,
+    split_marks,
+)
+from ragwort_policy._keyrange import (
+    KEY_RANGES,
+    MAX_KEY_BYTES,
+    choose_range,
+    hash_call,
+    hash_key,
+    normalize_key,
+    read_minted_ms,
+)
 from ragwort_policy._membership import (
     RegionLoad,
     add_announced,
@@ -72,13 +98,9 @@
     take_changes,
     tick_membership,
 )
-from ragwort_policy._pause import (
-    is_current,
-)
-from ragwort_policy._peer import (
-    Peer,
-    first_incarnation,
-)
+from ragwort_policy._ownership import OwnerMap, RangeOwner, choose_owner, count_excess
+from ragwort_policy._pause import is_current
+from ragwort_policy._peer import Peer, first_incarnation
 from ragwort_policy._probing import ProbeBudget, ProbeSettings, make_probe_budget, plan_probe
 from ragwort_policy._retry import (
     Attempt,
@@ -88,9 +110,7 @@
     spend_attempt,
     take_retry,
 )
-from ragwort_policy._table import (
-    Change,
-)
+from ragwort_policy._table import Change
 
 __all__ = [
     "Arrival",
@@ -100,23 +120,43 @@
     "Change",
     "ChoiceSettings",
     "ChoiceState",
+    "ClaimDecision",
+    "ClaimLimits",
+    "ClaimTable",
+    "CloseSegment",
     "Decision",
+    "EpochFence",
     "Expiry",
     "GateLimits",
     "GateState",
     "GossipCounters",
     "HedgeState",
+    "Journal",
+    "JournalHead",
+    "JournalLimits",
+    "KEY_RANGES",
+    "KeyState",
+    "LoadSegments",
+    "MAX_KEY_BYTES",
     "Membership",
     "MembershipSettings",
+    "Need",
+    "OwnerMap",
     "Peer",
+    "Phase",
     "ProbeBudget",
     "ProbeSettings",
     "RandomSource",
+    "RangeOwner",
+    "ReadHead",
     "RegionLoad",
+    "Segment",
     "Send",
     "ServerPlace",
+    "Step",
     "Traffic",
     "Verdict",
+    "WriteHead",
     "add_announced",
     "announce_leaving",
     "announce_left",
@@ -125,14 +165,21 @@
     "can_spend",
     "cancel",
     "charge_received",
+    "choose_owner",
+    "choose_range",
     "choose_server",
+    "count_excess",
     "create_membership",
+    "decode_head",
     "earn_attempts",
+    "encode_head",
     "expire",
     "find_peer",
     "finish",
     "first_incarnation",
     "get_hedge_delay",
+    "hash_call",
+    "hash_key",
     "is_current",
     "is_repeatable",
     "join_peers",
@@ -147,8 +194,10 @@
     "make_probe_budget",
     "make_report",
     "measure_level",
+    "normalize_key",
     "note_link_lost",
     "plan_probe",
+    "read_minted_ms",
     "receive_message",
     "record_latency",
     "record_outcome",
@@ -157,9 +206,10 @@
     "set_load",
     "set_revision",
     "spend_attempt",
-    "stop_leaving",
+    "split_marks",
     "start_leaving",
     "start_waiting",
+    "stop_leaving",
     "take_changes",
     "take_hedge",
     "take_in",
--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -4,6 +4,14 @@
 """
 
 from ragwort_protocol._calls import Cancel, Data, Hello, Refusal, Request, Response
+from ragwort_protocol._claims import (
+    Answer,
+    ClaimReply,
+    ClaimRequest,
+    ClaimResult,
+    ClaimVerdict,
+    OwnerNotice,
+)
 from ragwort_protocol._codec import (
     BODY_PART_BYTES,
     MAX_FRAME_BYTES,
@@ -32,19 +40,25 @@
 from ragwort_protocol._message import Message, replace_fields
 
 __all__ = [
+    "Answer",
     "BODY_PART_BYTES",
-    "MAX_FRAME_BYTES",
-    "PROTOCOL_VERSION",
     "Cancel",
+    "ClaimReply",
+    "ClaimRequest",
+    "ClaimResult",
+    "ClaimVerdict",
     "Data",
     "Digest",
     "FrameReader",
     "Hello",
     "LoadNotice",
     "LoadReport",
+    "MAX_FRAME_BYTES",
     "Message",
     "News",
     "Notice",
+    "OwnerNotice",
+    "PROTOCOL_VERSION",
     "PeerState",
     "Ping",
     "PingAck",
@@ -61,6 +75,6 @@
     "ServiceLoad",
     "Summary",
     "encode_frame",
-    "replace_fields",
     "measure_news",
+    "replace_fields",
 ]
--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ragwort_protocol import _calls, _gossip, _load
+from ragwort_protocol import _calls, _claims, _gossip, _load
 from ragwort_protocol._message import Message
 
 PROTOCOL_VERSION = 1
@@ -41,6 +41,11 @@
     | _gossip.Records
     | _gossip.LoadNotice
     | _gossip.RegionReport
+    | _claims.ClaimRequest
+    | _claims.ClaimReply
+    | _claims.ClaimResult
+    | _claims.Answer
+    | _claims.OwnerNotice
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_MESSAGES)
