--- a/packages/node/src/ragwort_node/_once.py
+++ b/packages/node/src/ragwort_node/_once.py
@@ -8,7 +8,7 @@
 
 from expression import Result
 from ragwort_common import Epoch, NodeId, Outcome, Reason
-from ragwort_policy import OwnerMap
+from ragwort_policy import NOBODY, OwnerMap
 from ragwort_protocol import Answer, ClaimReply, ClaimRequest, ClaimResult, ClaimVerdict
 
 log = logging.getLogger(__name__)
@@ -165,7 +165,7 @@
                 await asyncio.sleep(CLAIM_PAUSE_S * turn)
             owner = self._owners.find(call.key_range)
             left_s = call.deadline_s - self._now()
-            if owner is None or left_s <= 0:
+            if owner is None or owner.node == NOBODY or left_s <= 0:
                 return None
             request = _make_request(call, attempt, owner.epoch, left_s)
             asked.append(owner.node)
--- a/packages/node/src/ragwort_node/_owner.py
+++ b/packages/node/src/ragwort_node/_owner.py
@@ -9,7 +9,7 @@
 
 from expression import Result
 from ragwort_common import Epoch, NodeId
-from ragwort_policy import KEY_RANGES, OwnerMap, choose_owner, count_excess
+from ragwort_policy import KEY_RANGES, NOBODY, OwnerMap, choose_owner, count_excess
 from ragwort_protocol import ClaimReply, ClaimRequest, ClaimResult, ClaimVerdict, OwnerNotice
 
 from ragwort_node._range_owner import JournalStore, OwnerClocks, OwnerLimits, RangeKeeper
@@ -148,7 +148,7 @@
 
     def _point_elsewhere(self, claim: ClaimRequest) -> ClaimReply:
         owner = self._owners.find(claim.key_range)
-        known = owner is not None and owner.node != self._node
+        known = owner is not None and owner.node not in (self._node, NOBODY)
         return ClaimReply(
             claim.attempt,
             ClaimVerdict.NOT_OWNER,
@@ -166,16 +166,20 @@
         counts[self._node] = len(self._held)
         wanted = []
         for number in range(self._ranges):
-            if number in self._held or self._has_other_owner(number, accepting):
+            owner = self._find_known(number, accepting)
+            if number in self._held or (owner is not None and owner != self._node):
                 continue
-            if choose_owner(number, nodes, counts, self._ranges) == self._node:
-                counts[self._node] += 1
+            # A range that the others still take for this node's is acquired again in any case.
+            chosen = owner or choose_owner(number, nodes, counts, self._ranges)
+            assert chosen is not None
+            counts[chosen] = counts.get(chosen, 0) + 1
+            if chosen == self._node:
                 wanted.append(number)
         return wanted
 
-    def _has_other_owner(self, number: int, accepting: set[NodeId]) -> bool:
+    def _find_known(self, number: int, accepting: set[NodeId]) -> NodeId | None:
         owner = self._owners.find(number)
-        return owner is not None and owner.node != self._node and owner.node in accepting
+        return owner.node if owner is not None and owner.node in accepting else None
 
     async def _acquire(self, number: int) -> None:
         got = await self._leases.acquire(number)
@@ -223,6 +227,8 @@
         self._forget(held)
         await held.keeper.release()
         await self._leases.release(held.lease)
+        self._owners.learn(held.lease.key_range, NOBODY, held.lease.epoch)
+        self._announce(OwnerNotice(held.lease.key_range, held.lease.epoch, NOBODY))
 
     def _forget(self, held: _Held) -> None:
         held.task.cancel()
--- a/packages/node/src/ragwort_node/_range_owner.py
+++ b/packages/node/src/ragwort_node/_range_owner.py
@@ -40,6 +40,7 @@
 
 CLAIMS_PREFIX = "claims"
 RETRY_PAUSE_S = 0.25
+TOKEN_PAUSE_S = 0.001
 OPENING_RETRY_MS = 1_000
 
 
@@ -238,7 +239,8 @@
             if self._tokens >= 1:
                 self._tokens -= 1
                 return
-            await self._clocks.sleep((1 - self._tokens) / limits.writes_per_s)
+            pause_s = (1 - self._tokens) / limits.writes_per_s
+            await self._clocks.sleep(max(TOKEN_PAUSE_S, pause_s))
 
     async def _make_step(self) -> None:
         # The step is asked for again here, so that the write takes all claims that have come in
--- a/packages/policy/src/ragwort_policy/__init__.py
+++ b/packages/policy/src/ragwort_policy/__init__.py
@@ -98,7 +98,7 @@
     take_changes,
     tick_membership,
 )
-from ragwort_policy._ownership import OwnerMap, RangeOwner, choose_owner, count_excess
+from ragwort_policy._ownership import NOBODY, OwnerMap, RangeOwner, choose_owner, count_excess
 from ragwort_policy._pause import is_current
 from ragwort_policy._peer import Peer, first_incarnation
 from ragwort_policy._probing import ProbeBudget, ProbeSettings, make_probe_budget, plan_probe
@@ -138,6 +138,7 @@
     "KeyState",
     "LoadSegments",
     "MAX_KEY_BYTES",
+    "NOBODY",
     "Membership",
     "MembershipSettings",
     "Need",
--- a/packages/policy/src/ragwort_policy/_ownership.py
+++ b/packages/policy/src/ragwort_policy/_ownership.py
@@ -9,17 +9,25 @@
 import xxhash
 from ragwort_common import Epoch, NodeId
 
+NOBODY = NodeId("")
+
 
 @dataclass(frozen=True, slots=True)
 class RangeOwner:
-    """The node that owns a key range, and the epoch of its lease."""
+    """The node that owns a key range, and the epoch of its lease.
+
+    The node is ``NOBODY`` when the owner of that epoch has released the range.
+    """
 
     node: NodeId
     epoch: Epoch
 
 
 class OwnerMap:
-    """Remembers the owner of each key range; a higher epoch replaces a lower one."""
+    """Remembers the owner of each key range.
+
+    News of a higher epoch replaces that of a lower one; within an epoch, a release comes last.
+    """
 
     def __init__(self) -> None:
         self._owners: dict[int, RangeOwner] = {}
@@ -27,7 +35,7 @@
     def learn(self, key_range: int, node: NodeId, epoch: Epoch) -> bool:
         """Take in news of an owner and tell whether it was new."""
         known = self._owners.get(key_range)
-        if known is not None and epoch <= known.epoch:
+        if known is not None and not _is_newer(node, epoch, known):
             return False
         self._owners[key_range] = RangeOwner(node, epoch)
         return True
@@ -80,5 +88,11 @@
     return max(0, held - 2 * share)
 
 
+def _is_newer(node: NodeId, epoch: Epoch, known: RangeOwner) -> bool:
+    if epoch == known.epoch:
+        return node == NOBODY and known.node != NOBODY
+    return epoch > known.epoch
+
+
 def _score(key_range: int, node: NodeId) -> int:
     return xxhash.xxh3_64_intdigest(node.encode(), seed=key_range)
--- a/packages/protocol/src/ragwort_protocol/_claims.py
+++ b/packages/protocol/src/ragwort_protocol/_claims.py
@@ -100,7 +100,10 @@
 
 
 class OwnerNotice(Message, tag=34):
-    """Says which node owns a key range, and in which epoch; a higher epoch replaces a lower."""
+    """Says which node owns a key range, and in which epoch; a higher epoch replaces a lower.
+
+    ``node`` is empty when the owner of that epoch has released the range.
+    """
 
     key_range: int
     epoch: int
