--- /dev/null
+++ b/tests/node/test_server.py
@@ -0,0 +1,93 @@
+import asyncio
+import contextlib
+
+import pytest
+from ragwort_common import Outcome, Reason
+from ragwort_node._server import Answer, Failure, ServerClient
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@contextlib.asynccontextmanager
+async def run_raw_server(replies):
+    """Serve raw bytes, one entry of ``replies`` for each request; None closes without a reply."""
+    requests = []
+
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                requests.append(await reader.readuntil(b"\r\n\r\n"))
+                reply = replies[min(len(requests), len(replies)) - 1]
+                if reply is None:
+                    break
+                writer.write(reply)
+                await writer.drain()
+                if reply is not WHOLE:
+                    break
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with server:
+        yield server.sockets[0].getsockname()[1], requests
+
+
+async def call(port, method="GET", budget_ms=5000.0, count=1):
+    client = ServerClient(f"http://127.0.0.1:{port}", 4, 1000)
+    try:
+        for _ in range(count):
+            result = await client.run_call(method, b"/a%2Fb?x=1", [(b"x-a", b"1")], b"", budget_ms)
+        return result
+    finally:
+        await client.close()
+
+
+async def call_raw(replies, **options):
+    async with run_raw_server(replies) as (port, requests):
+        return await call(port, **options), requests
+
+
+def test_a_whole_answer_comes_back_and_the_target_is_passed_as_it_came():
+    result, requests = asyncio.run(call_raw([WHOLE]))
+    assert result == Answer(200, [(b"content-length", b"2")], b"ok")
+    assert requests[0].startswith(b"GET /a%2Fb?x=1 HTTP/1.1\r\n")
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhalf\r\n0\r\n\r\n",
+        b"HTTP/1.1 abc\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"x" * 2000,
+    ],
+)
+def test_a_truncated_malformed_or_overlong_answer_is_never_passed_as_whole(reply):
+    result, _ = asyncio.run(call_raw([reply]))
+    assert result == Failure(Outcome.FAILED, Reason.BAD_ANSWER)
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+def test_a_kept_connection_that_breaks_is_unknown_and_is_never_tried_again(method):
+    result, requests = asyncio.run(call_raw([WHOLE, None], method=method, count=2))
+    assert result == Failure(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
+    assert len(requests) == 2
+
+
+def test_a_failed_connect_is_not_run():
+    async def connect_nowhere():
+        server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        await server.wait_closed()
+        return await call(port)
+
+    assert asyncio.run(connect_nowhere()) == Failure(Outcome.NOT_RUN, Reason.CONNECT_FAILED)
+
+
+def test_a_server_that_does_not_answer_in_time_leaves_the_outcome_unknown():
+    async def call_silent():
+        async with await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0) as server:
+            return await call(server.sockets[0].getsockname()[1], budget_ms=50.0)
+
+    assert asyncio.run(call_silent()) == Failure(Outcome.UNKNOWN, Reason.DEADLINE)
--- /dev/null
+++ b/tests/node/test_settings.py
@@ -0,0 +1,69 @@
+import pytest
+from ragwort_node._settings import Settings, load_settings
+
+GOOD = """\
+node:
+  id: n1
+  service: drum-tracking
+  region: gyeonggi
+  failure_domain: siheung
+server:
+  url: http://127.0.0.1:8080
+platform:
+  url: http://127.0.0.1:8500
+"""
+
+
+def load(tmp_path, text):
+    path = tmp_path / "node.yaml"
+    path.write_bytes(text if isinstance(text, bytes) else text.encode())
+    result = load_settings(path)
+    if isinstance(result, Settings):
+        return result
+    return [str(mistake).removeprefix(f"{path}:") for mistake in result]
+
+
+def test_the_operators_file_lies_over_the_defaults(tmp_path):
+    settings = load(tmp_path, GOOD + "  timeout_ms: 5\n")
+    assert settings.platform.timeout_ms == 5
+    assert settings.platform.calls_per_s == 10
+    assert settings.node.id == "n1"
+
+
+def test_every_mistake_is_told_at_its_line(tmp_path):
+    mistakes = load(tmp_path, GOOD + "  timeout: 5\n  calls_per_s: -1\nodd:\n  a: 1\n")
+    assert [mistake.partition(":")[0] for mistake in mistakes] == ["10", "11", "12"]
+    assert "platform.timeout is not a setting" in mistakes[0]
+    assert "greater than 0" in mistakes[1]
+
+
+def test_missing_settings_are_named(tmp_path):
+    mistakes = load(tmp_path, "")
+    assert "1: node.id is missing, expected a value" in mistakes
+    assert len(mistakes) == 6
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        (b"\xff\xfe\x00", "1: is not UTF-8 text"),
+        ("- a\n", "1: is not a mapping of sections"),
+        ("node: {a: 1\n", "2: is not valid YAML"),
+        ("node:\n  id: a\n  id: b\n", "3: is not valid YAML"),
+        ("node: 5\n", "1: node is 5"),
+    ],
+)
+def test_odd_files_get_readable_lines(tmp_path, text, expected):
+    mistakes = load(tmp_path, text)
+    assert any(mistake.startswith(expected) for mistake in mistakes)
+    assert all("\n" not in mistake for mistake in mistakes)
+
+
+def test_a_byte_order_mark_and_crlf_are_accepted(tmp_path):
+    text = b"\xef\xbb\xbf" + GOOD.replace("\n", "\r\n").encode()
+    assert load(tmp_path, text).node.region == "gyeonggi"
+
+
+def test_a_file_that_cannot_be_read(tmp_path):
+    (mistake,) = load_settings(tmp_path / "none.yaml")
+    assert "cannot be read" in str(mistake)
