--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -248,7 +248,7 @@
             name: f"127.0.0.1:{ports[name]}" for name in ("entry", "link", "control", "admin")
         },
         "server": {
-            "url": f"http://127.0.0.1:{ports['server']}",
+            "address": f"127.0.0.1:{ports['server']}",
             "slots": fleet.plan.slots,
             "connections": fleet.plan.connections,
         },
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,17 @@
+"""Prints a result of a benchmark as one JSON object on a line."""
+
+import json
+
+
+def print_result(name: str, value: float, unit: str, baseline: float | None, seed: int) -> None:
+    """Print a figure, with its ratio to the baseline of the same run where there is one."""
+    ratio = None if not baseline else round(value / baseline, 3)
+    line = {
+        "name": name,
+        "value": round(value, 4),
+        "unit": unit,
+        "baseline": None if baseline is None else round(baseline, 4),
+        "ratio": ratio,
+        "seed": seed,
+    }
+    print(json.dumps(line), flush=True)
--- a/packages/node/src/ragwort_node/_composition.py
+++ b/packages/node/src/ragwort_node/_composition.py
@@ -127,7 +127,7 @@
         counters, clock = self._counters, self._clock
         self._store = ObjectStore(settings.platform.url, settings.platform.timeout_ms)
         self._server = ServerClient(
-            settings.server.url, settings.server.connections, limits.answer_bytes
+            settings.server.address, settings.server.connections, limits.answer_bytes
         )
         self._tracer = Tracer(settings.tracing.sample_ratio, self._random, counters)
         self._gate = Gate(
--- a/packages/node/src/ragwort_node/_entry.py
+++ b/packages/node/src/ragwort_node/_entry.py
@@ -206,29 +206,46 @@
 async def _run_watched(
     call: Call, run_call: RunCall, receive: Receive
 ) -> Response | Refusal | None:
-    """Run a call; give it up and return None when its caller leaves meanwhile.
+    """Run a call; cancel it and return None when its caller leaves meanwhile.
 
     Most calls end within ``WATCH_CALLER_AFTER_S``, so only the others pay for being watched.
     """
-    task = asyncio.ensure_future(run_call(call))
-    done, _ = await asyncio.wait((task,), timeout=WATCH_CALLER_AFTER_S)
-    if done:
-        return task.result()
-    gone = asyncio.ensure_future(_wait_gone(receive))
+    watch = _CallerWatch(receive)
+    timer = asyncio.get_running_loop().call_later(WATCH_CALLER_AFTER_S, watch.start)
     try:
-        await asyncio.wait((task, gone), return_when=asyncio.FIRST_COMPLETED)
+        return await run_call(call)
+    except asyncio.CancelledError:
+        if not watch.caller_gone:
+            raise
+        return None
     finally:
-        gone.cancel()
-    if task.done():
-        return task.result()
-    if call.treatment.idempotent:
-        task.cancel()
-    return None
+        timer.cancel()
+        watch.stop()
 
 
-async def _wait_gone(receive: Receive) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
+class _CallerWatch:
+    """Cancels the task that runs a call once the caller has closed its connection."""
+
+    def __init__(self, receive: Receive) -> None:
+        self.caller_gone = False
+        self._receive = receive
+        self._call = asyncio.current_task()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start to watch."""
+        self._task = asyncio.create_task(self._watch())
+
+    def stop(self) -> None:
+        """End the watch."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _watch(self) -> None:
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+        self.caller_gone = True
+        self._call.cancel()
 
 
 def _name_outcome(reply: Response | Refusal | None) -> str:
--- a/packages/node/src/ragwort_node/_settings.py
+++ b/packages/node/src/ragwort_node/_settings.py
@@ -60,7 +60,7 @@
 class ServerSettings(_Section):
     """The server beside the node."""
 
-    url: Annotated[str, Field(pattern=r"^http://[^/\s]+/?$")]
+    address: Address
     slots: Positive
     connections: Positive
 
--- /dev/null
+++ b/tests/node/test_gate.py
@@ -0,0 +1,137 @@
+import asyncio
+import random
+
+import pytest
+from helper import wait_until
+from ragwort_common import Outcome, Reason
+from ragwort_node._gate import Gate
+from ragwort_node._metrics import Counters
+from ragwort_node._server import CONNECT_FAILED, CONNECTION_LOST, Answer
+from ragwort_node._tracing import Tracer
+from ragwort_policy import GateLimits
+from ragwort_protocol import Refusal, Request, Response
+
+
+class FakeServer:
+    """Answers when told; records what it ran to its end and what was broken off."""
+
+    def __init__(self, result=None):
+        self.result = result or Answer(200, [], b"ok")
+        self.release = asyncio.Event()
+        self.started, self.ended, self.broken_off = [], [], []
+
+    async def run_call(self, method, target, headers, body, budget_ms):
+        self.started.append(target)
+        try:
+            await self.release.wait()
+        except asyncio.CancelledError:
+            self.broken_off.append(target)
+            raise
+        self.ended.append(target)
+        return self.result
+
+
+def make_request(target=b"/", idempotent=True, budget_ms=5000.0, batch=False):
+    return Request(7, "GET", target, [], b"", budget_ms, idempotent, batch, "hanbit")
+
+
+def run_gate(scenario, slots=1, result=None):
+    async def run():
+        server = FakeServer(result)
+        loop = asyncio.get_running_loop()
+        counters = Counters()
+        tracer = Tracer(0.0, random.Random(1), counters)
+        gate = Gate(server, GateLimits(slots, queue_wait_ms=500.0), counters, loop.time, tracer)
+        await scenario(gate, server)
+
+    asyncio.run(run())
+
+
+def start(gate, *targets, **options):
+    requests = [make_request(target, **options) for target in targets]
+    return [asyncio.create_task(gate.run_call(request)) for request in requests]
+
+
+@pytest.mark.parametrize(
+    ("result", "outcome", "reason"),
+    [
+        (CONNECT_FAILED, Outcome.NOT_RUN, Reason.CONNECT_FAILED),
+        (CONNECTION_LOST, Outcome.UNKNOWN, Reason.CONNECTION_LOST),
+        (Answer(503, [(b"ragwort-shed", b"true")], b""), Outcome.NOT_RUN, Reason.SHED),
+    ],
+)
+def test_what_the_server_did_is_told_with_a_report(result, outcome, reason):
+    async def scenario(gate, server):
+        server.release.set()
+        reply = await gate.run_call(make_request())
+        assert isinstance(reply, Refusal)
+        assert (reply.outcome, reply.reason) == (outcome.value, reason.value)
+        assert reply.call_id == 7
+        assert reply.report.limit == 1
+
+    run_gate(scenario, result=result)
+
+
+def test_a_leaving_gate_refuses_from_the_first_moment_and_ends_what_runs():
+    async def scenario(gate, server):
+        (running,) = start(gate, b"/1")
+        await wait_until(lambda: server.started)
+        gate.set_leaving(True)
+        reply = await gate.run_call(make_request())
+        assert (reply.outcome, reply.reason) == ("not-run", "leaving")
+        idle = asyncio.create_task(gate.wait_idle())
+        await asyncio.sleep(0)
+        assert not idle.done()
+        server.release.set()
+        assert isinstance(await running, Response)
+        await idle
+        gate.set_leaving(False)
+        assert isinstance(await gate.run_call(make_request()), Response)
+
+    run_gate(scenario)
+
+
+def test_the_queue_runs_interactive_before_batch():
+    async def scenario(gate, server):
+        tasks = start(gate, b"/1")
+        await wait_until(lambda: server.started)
+        tasks += start(gate, b"/batch", batch=True)
+        tasks += start(gate, b"/2")
+        await asyncio.sleep(0)
+        server.release.set()
+        await asyncio.gather(*tasks)
+        assert server.ended == [b"/1", b"/2", b"/batch"]
+
+    run_gate(scenario)
+
+
+def test_a_queued_call_ends_as_not_run_at_its_deadline_and_frees_its_place():
+    async def scenario(gate, server):
+        (running,) = start(gate, b"/1")
+        await wait_until(lambda: server.started)
+        reply = await gate.run_call(make_request(b"/late", budget_ms=30.0, batch=True))
+        assert (reply.outcome, reply.reason) == ("not-run", "deadline")
+        server.release.set()
+        await running
+        await gate.wait_idle()
+        assert server.started == [b"/1"]
+        assert gate.make_report().in_flight == 0
+
+    run_gate(scenario)
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_cancelled_call_is_broken_off_only_if_that_is_safe(idempotent):
+    async def scenario(gate, server):
+        running, queued = start(gate, b"/1", b"/2", idempotent=idempotent)
+        await wait_until(lambda: server.started)
+        running.cancel()
+        queued.cancel()
+        await asyncio.gather(running, queued, return_exceptions=True)
+        server.release.set()
+        await gate.wait_idle()
+        assert server.started == [b"/1"]
+        assert (server.broken_off if idempotent else server.ended) == [b"/1"]
+        assert gate.make_report().in_flight == 0
+
+    run_gate(scenario)
