Pass over noise in measured service times, and let old ones fade

Cause: the queue-bound scan showed the policy refusing more than round robin at every bound, so capacity stayed unused. Measured service times of equal servers differ by a fifth from noise, and the entries all followed that to one server.

--- a/packages/policy/src/ragwort_policy/_choice.py
+++ b/packages/policy/src/ragwort_policy/_choice.py
@@ -36,6 +36,9 @@
     start_trial,
 )
 
+USUAL_MEMORY = 0.05
+SERVICE_NOISE = 1.5
+
 
 class RandomSource(Protocol):
     """The part of ``random.Random`` that the policy uses."""
@@ -105,6 +108,7 @@
     near: list[ServerView] = field(default_factory=list)
     far: list[ServerView] = field(default_factory=list)
     usual_load: float = 0.5
+    usual_service_s: float = 0.0
     crossing: bool = False
 
 
@@ -112,7 +116,9 @@
     settings: ChoiceSettings, failure_domain: FailureDomain, region: Region
 ) -> ChoiceState:
     """Return the state of an entry that stands in this failure domain and region."""
-    return ChoiceState(settings, failure_domain, region)
+    state = ChoiceState(settings, failure_domain, region)
+    state.usual_service_s = settings.expected_ms / 1e3
+    return state
 
 
 def update_servers(state: ChoiceState, places: Iterable[ServerPlace], now: float) -> None:
@@ -168,7 +174,10 @@
     view.accepting = report.accepting
     view.reported_at = now
     view.sent_since = _count_on_the_way(view, now)
-    state.usual_load += 0.05 * (view.load / view.limit - state.usual_load)
+    state.usual_load += USUAL_MEMORY * (view.load / view.limit - state.usual_load)
+    # A slow server must not become the usual: its reports count no more than twice the usual.
+    service_s = min(view.service_s, 2.0 * state.usual_service_s)
+    state.usual_service_s += USUAL_MEMORY * (service_s - state.usual_service_s)
 
 
 def record_outcome(
@@ -216,11 +225,27 @@
     over = load + 1.0 - view.limit
     spread = 1.0 + 0.1 * view.limit
     waiting = 0.5 * (over + sqrt(over * over + 4.0 * spread))
-    cost_s = view.round_trip_s + view.service_s * (1.0 + waiting / view.limit)
+    service_s = _estimate_service(state, view, weight)
+    cost_s = view.round_trip_s + service_s * (1.0 + waiting / view.limit)
     cost_s = max(cost_s, _estimate_from_own_calls(view, now))
     return cost_s * get_error_cost(view.trust)
 
 
+def _estimate_service(state: ChoiceState, view: ServerView, weight: float) -> float:
+    # Small differences between measured service times are noise, and following them would
+    # turn all entries to one server.
+    usual_s = state.usual_service_s
+    ratio = view.service_s / usual_s
+    if ratio > SERVICE_NOISE:
+        ratio /= SERVICE_NOISE
+    elif ratio * SERVICE_NOISE < 1.0:
+        ratio *= SERVICE_NOISE
+    else:
+        return usual_s
+    # What a slow server said long ago is no reason to pass it over: it may have recovered.
+    return usual_s * (1.0 + (ratio - 1.0) * weight)
+
+
 def _estimate_from_own_calls(view: ServerView, now: float) -> float:
     # Own calls that hang are evidence that no report has brought yet.
     if not view.sent_at:
