--- a/packages/policy/src/ragwort_policy/_probing.py
+++ b/packages/policy/src/ragwort_policy/_probing.py
@@ -29,7 +29,8 @@
     cost_bytes: int = 130
     fresh_ms: float = 20.0
     overdue_ms: float = 10.0
-    far_fresh_ms: float = 250.0
+    far_fresh_ms: float = 2000.0
+    crossing_fresh_ms: float = 100.0
     timeout_ms: float = 250.0
 
 
@@ -55,9 +56,10 @@
         need = _get_need(view, settings.fresh_ms, settings, now)
         if need > best_need:
             best, best_need = view, need
-    if state.crossing or best is None:
+    if best is None:
+        far_fresh_ms = settings.crossing_fresh_ms if state.crossing else settings.far_fresh_ms
         for view in state.far:
-            need = _get_need(view, settings.far_fresh_ms, settings, now)
+            need = _get_need(view, far_fresh_ms, settings, now)
             if need > best_need:
                 best, best_need = view, need
     if best is None:
