--- a/packages/policy/src/ragwort_policy/_admission.py
+++ b/packages/policy/src/ragwort_policy/_admission.py
@@ -147,7 +147,7 @@
     state: GateState, now: float, call_id: CallId, latency: float, failed: bool
 ) -> list[CallId]:
     """Take in the end of a running call and return the queued calls that start now."""
-    _stop(state, now, call_id, latency, counts=not failed)
+    _stop(state, now, call_id, counts=not failed)
     if not failed:
         adjust_limit(state.limit, latency, len(state.running) + 1)
     return start_waiting(state, now)
@@ -160,7 +160,7 @@
         remove_waiting(state.batch if call.batch else state.interactive, call.member, call_id)
         return []
     if call_id in state.running:
-        _stop(state, now, call_id, 0.0, counts=False)
+        _stop(state, now, call_id, counts=False)
     return start_waiting(state, now)
 
 
@@ -288,10 +288,10 @@
     add_call(state.service, now)
 
 
-def _stop(state: GateState, now: float, call_id: CallId, latency: float, counts: bool) -> None:
+def _stop(state: GateState, now: float, call_id: CallId, counts: bool) -> None:
     call = state.running.pop(call_id)
     state.batch_running -= call.batch
-    end_call(state.service, now, latency, counts)
+    end_call(state.service, now, counts)
 
 
 def _take_next(state: GateState, limit: int) -> Arrival | None:
--- a/packages/policy/src/ragwort_policy/_choice.py
+++ b/packages/policy/src/ragwort_policy/_choice.py
@@ -191,10 +191,9 @@
 ) -> None:
     """Take in how a call ended; a call that isn't known at this server is passed over."""
     view = state.servers.get(node)
-    sent_at = view.sent_at.pop(call_id, None) if view else None
-    if sent_at is None:
+    if view is None or view.sent_at.pop(call_id, None) is None:
         return
-    end_call(view.latency, now, now - sent_at, counts=outcome is Outcome.ANSWERED)
+    end_call(view.latency, now, counts=outcome is Outcome.ANSWERED)
     if is_error(outcome, reason):
         certain = reason is Reason.CONNECT_FAILED
         record_error(view.trust, now, jitter, certain)
--- a/packages/policy/src/ragwort_policy/_service_time.py
+++ b/packages/policy/src/ragwort_policy/_service_time.py
@@ -46,14 +46,12 @@
     time.in_flight += 1
 
 
-def end_call(time: ServiceTime, now: float, latency_s: float, counts: bool = True) -> None:
+def end_call(time: ServiceTime, now: float, counts: bool = True) -> None:
     """Count a call that ends; one that failed or was cancelled is no evidence of speed."""
     advance_time(time, now)
     time.in_flight -= 1
     if counts:
-        # A call much faster than the estimate shows a recovery and weighs more.
-        surprise = min(4.0, max(1.0, time.spent_s / time.ended / max(latency_s, MIN_TIME_S)))
-        kept = 1.0 - surprise / MEMORY_CALLS
+        kept = 1.0 - 1.0 / MEMORY_CALLS
         time.spent_s *= kept
         time.ended = time.ended * kept + 1.0
 
