Set the gate's limit from the present estimate instead of windows of ended calls

Cause: a slow server ends few calls, so a window of ten took over 200 ms, most of the slowdown, and the limit fell when it was over. The limit now follows the estimate that counts hanging calls.

--- a/packages/policy/src/ragwort_policy/_admission.py
+++ b/packages/policy/src/ragwort_policy/_admission.py
@@ -19,7 +19,14 @@
     pop_waiting,
     remove_waiting,
 )
-from ragwort_policy._limit import Limit, adjust_limit, get_limit, get_warmth, make_limit
+from ragwort_policy._limit import (
+    Limit,
+    adjust_limit,
+    get_limit,
+    get_warmth,
+    learn_no_load,
+    make_limit,
+)
 from ragwort_policy._service_time import (
     ServiceTime,
     add_call,
@@ -127,9 +134,9 @@
     """Decide on a call that arrives; a queued one is started by a later ``finish``."""
     if state.leaving:
         return Decision(Verdict.REFUSED, Reason.LEAVING)
-    service_s = estimate_time(state.service, now)
     if call.deadline <= now:
         return Decision(Verdict.REFUSED, Reason.DEADLINE)
+    service_s = _measure(state, now)
     limit = get_limit(state.limit, now)
     if _has_room(state, call.batch, limit):
         _start(state, call, now)
@@ -149,7 +156,7 @@
     """Take in the end of a running call and return the queued calls that start now."""
     _stop(state, now, call_id, counts=not failed)
     if not failed:
-        adjust_limit(state.limit, latency, len(state.running) + 1)
+        learn_no_load(state.limit, estimate_time(state.service, now))
     return start_waiting(state, now)
 
 
@@ -189,7 +196,7 @@
 def _shed_excess(state: GateState, now: float) -> list[Expiry]:
     if not state.interactive.size:
         return []
-    start_every_s = estimate_time(state.service, now) / get_limit(state.limit, now)
+    start_every_s = _measure(state, now) / get_limit(state.limit, now)
     allowed = int(state.limits.queue_wait_ms / 1e3 * SHED_FACTOR / start_every_s)
     excess = state.interactive.size - allowed
     if excess <= 0:
@@ -212,6 +219,7 @@
 def start_waiting(state: GateState, now: float) -> list[CallId]:
     """Start queued calls while there is room; return them in the order of their start."""
     started: list[CallId] = []
+    _measure(state, now)
     limit = get_limit(state.limit, now)
     while True:
         call = _take_next(state, limit)
@@ -227,11 +235,12 @@
 
 def make_report(state: GateState, now: float) -> LoadReport:
     """Return the report that goes out with an answer, a refusal or a probe's reply."""
+    service_s = _measure(state, now)
     return LoadReport(
         in_flight=len(state.running),
         limit=get_limit(state.limit, now),
         queued=state.interactive.size,
-        service_time_us=int(estimate_time(state.service, now) * 1e6),
+        service_time_us=int(service_s * 1e6),
         accepting=not state.leaving,
         warm=get_warmth(state.limit, now),
     )
@@ -248,6 +257,12 @@
     return [call.call_id for queue in queues for call in list_waiting(queue)]
 
 
+def _measure(state: GateState, now: float) -> float:
+    service_s = estimate_time(state.service, now)
+    adjust_limit(state.limit, service_s)
+    return service_s
+
+
 def _has_room(state: GateState, batch: bool, limit: int) -> bool:
     if len(state.running) >= limit:
         return False
