Keep the usual load of the other region apart from the own region's

Cause: with one of two near servers out, the near load became the usual one, aged reports of the far region faded to it, and the region with room looked full.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -88,7 +88,10 @@
     heap = EventHeap()
     tally = Tally()
     limits = GateLimits(
-        slots=site.slots, expected_ms=site.service_s * 1e3, warm_ms=scenario.warm_ms
+        slots=site.slots,
+        expected_ms=site.service_s * 1e3,
+        queue_wait_ms=site.service_s * 2e3,
+        warm_ms=scenario.warm_ms,
     )
     servers = [
         FakeServer(heap, place, limits, scenario.report_lag_s) for place in site.list_servers()
--- a/packages/policy/src/ragwort_policy/_choice.py
+++ b/packages/policy/src/ragwort_policy/_choice.py
@@ -114,6 +114,7 @@
     near: list[ServerView] = field(default_factory=list)
     far: list[ServerView] = field(default_factory=list)
     usual_load: float = 0.5
+    usual_far_load: float = 0.5
     usual_service_s: float = 0.0
     crossing: bool = False
 
@@ -181,7 +182,11 @@
     view.accepting = report.accepting
     view.reported_at = now
     view.sent_since = _count_on_the_way(view, now)
-    state.usual_load += USUAL_MEMORY * (view.load / view.limit - state.usual_load)
+    filled = view.load / view.limit
+    if view.distance is Distance.OTHER_REGION:
+        state.usual_far_load += USUAL_MEMORY * (filled - state.usual_far_load)
+    else:
+        state.usual_load += USUAL_MEMORY * (filled - state.usual_load)
     # A slow server must not become the usual: its reports count no more than twice the usual.
     service_s = min(view.service_s, 2.0 * state.usual_service_s)
     state.usual_service_s += USUAL_MEMORY * (service_s - state.usual_service_s)
@@ -245,7 +250,8 @@
 
 
 def _estimate_load(state: ChoiceState, view: ServerView, now: float) -> float:
-    usual = state.usual_load * view.limit
+    is_far = view.distance is Distance.OTHER_REGION
+    usual = (state.usual_far_load if is_far else state.usual_load) * view.limit
     load = usual + (view.load - usual) * _get_weight(state, view, now) + view.sent_since
     return max(load, float(len(view.sent_at)))
 
