Weigh reports by how well they have foretold the delays of calls

Cause: with reports that were 50 or 500 ms older than they looked, the policy followed them and refused more than random did, which the aim rules out. The entry now keeps the regression slope of met delays on foretold ones and weighs reports by it.

--- a/packages/policy/src/ragwort_policy/_choice.py
+++ b/packages/policy/src/ragwort_policy/_choice.py
@@ -18,6 +18,7 @@
 from ragwort_common import CallId, FailureDomain, NodeId, Outcome, Reason, Region
 from ragwort_protocol import LoadReport
 
+from ragwort_policy._faith import Faith, get_faith, record_delay
 from ragwort_policy._service_time import (
     ServiceTime,
     add_call,
@@ -38,6 +39,8 @@
 
 USUAL_MEMORY = 0.05
 SERVICE_NOISE = 1.5
+MOST_DELAY = 3.0
+"""Longest delay that counts when reports are judged, in usual service times."""
 FAR_FULL_DOUBLINGS = 4
 FAR_ROOM = 1.2
 FULL_REASONS = frozenset({Reason.OVERLOADED, Reason.LIMIT, Reason.SHED})
@@ -82,6 +85,14 @@
     full_ms: float = 20.0
 
 
+@dataclass(slots=True)
+class Sent:
+    """A call on its way: when it was sent, and the delay foretold by the report."""
+
+    at: float
+    foretold: float
+
+
 @dataclass(slots=True, eq=False)
 class ServerView:
     """What an entry knows of one server."""
@@ -99,7 +110,7 @@
     full_until: float = -1e9
     refusals_in_row: int = 0
     sent_since: int = 0
-    sent_at: dict[CallId, float] = field(default_factory=dict)
+    sent: dict[CallId, Sent] = field(default_factory=dict)
     trust: Trust = field(default_factory=Trust)
 
 
@@ -117,6 +128,7 @@
     usual_far_load: float = 0.5
     usual_service_s: float = 0.0
     crossing: bool = False
+    faith: Faith = field(default_factory=Faith)
 
 
 def make_choice(
@@ -166,7 +178,7 @@
     if view is None:
         return
     start_trial(view.trust)
-    view.sent_at[call_id] = now
+    view.sent[call_id] = Sent(now, _foretell(state, view, now))
     view.sent_since += 1
     add_call(view.latency, now)
 
@@ -203,8 +215,10 @@
 ) -> None:
     """Take in how a call ended; a call that isn't known at this server is passed over."""
     view = state.servers.get(node)
-    if view is None or view.sent_at.pop(call_id, None) is None:
+    sent = view.sent.pop(call_id, None) if view else None
+    if sent is None:
         return
+    _learn_from(state, view, sent, outcome, reason, now)
     end_call(view.latency, now, counts=outcome is Outcome.ANSWERED)
     if is_error(outcome, reason):
         certain = reason is Reason.CONNECT_FAILED
@@ -246,14 +260,40 @@
 
 def _get_weight(state: ChoiceState, view: ServerView, now: float) -> float:
     age_s = max(0.0, now - view.reported_at)
-    return exp(-age_s * 1e3 / state.settings.report_life_ms)
+    return exp(-age_s * 1e3 / state.settings.report_life_ms) * get_faith(state.faith)
+
+
+def _foretell(state: ChoiceState, view: ServerView, now: float) -> float:
+    # The aged report's deviation from the usual, before it is weighed by the faith in it.
+    age_s = max(0.0, now - view.reported_at)
+    weight = exp(-age_s * 1e3 / state.settings.report_life_ms)
+    load = view.load / view.limit - state.usual_load
+    service = view.service_s / state.usual_service_s - 1.0
+    if abs(service) < SERVICE_NOISE - 1.0:
+        service = 0.0
+    return weight * min(MOST_DELAY, load + service)
+
+
+def _learn_from(
+    state: ChoiceState, view: ServerView, sent: Sent, outcome: Outcome, reason: Reason, now: float
+) -> None:
+    if view.distance is Distance.OTHER_REGION:
+        return
+    if outcome is Outcome.ANSWERED:
+        delay_s = now - sent.at - view.round_trip_s
+        met = min(MOST_DELAY, delay_s / state.usual_service_s - 1.0)
+    elif reason in FULL_REASONS:
+        met = MOST_DELAY
+    else:
+        return
+    record_delay(state.faith, sent.foretold, met)
 
 
 def _estimate_load(state: ChoiceState, view: ServerView, now: float) -> float:
     is_far = view.distance is Distance.OTHER_REGION
     usual = (state.usual_far_load if is_far else state.usual_load) * view.limit
     load = usual + (view.load - usual) * _get_weight(state, view, now) + view.sent_since
-    return max(load, float(len(view.sent_at)))
+    return max(load, float(len(view.sent)))
 
 
 def _estimate_service(state: ChoiceState, view: ServerView, now: float) -> float:
@@ -273,7 +313,7 @@
 
 def _estimate_from_own_calls(view: ServerView, now: float) -> float:
     # Own calls that hang are evidence that no report has brought yet.
-    if not view.sent_at:
+    if not view.sent:
         return 0.0
     return 0.7 * estimate_time(view.latency, now)
 
@@ -390,8 +430,8 @@
     # The report left the gate half a round trip ago; later calls of ours aren't in it.
     sent_after = now - view.round_trip_s
     count = 0
-    for sent_at in reversed(view.sent_at.values()):
-        if sent_at < sent_after:
+    for sent in reversed(view.sent.values()):
+        if sent.at < sent_after:
             break
         count += 1
     return count
