--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -3,7 +3,15 @@
 The stubs of the rare gRPC exchanges are in ``ragwort_protocol.control``.
 """
 
-from ragwort_protocol._calls import Cancel, Data, Refusal, Request, Response
+from ragwort_protocol._calls import Cancel, Data, Hello, Refusal, Request, Response
+from ragwort_protocol._claims import (
+    Answer,
+    ClaimReply,
+    ClaimRequest,
+    ClaimResult,
+    ClaimVerdict,
+    OwnerNotice,
+)
 from ragwort_protocol._codec import (
     BODY_PART_BYTES,
     MAX_FRAME_BYTES,
@@ -12,23 +20,61 @@
     ProtocolError,
     encode_frame,
 )
+from ragwort_protocol._gossip import (
+    Digest,
+    LoadNotice,
+    News,
+    Notice,
+    PeerState,
+    Ping,
+    PingAck,
+    PingRequest,
+    Profile,
+    Records,
+    RegionReport,
+    ServiceLoad,
+    Summary,
+    measure_news,
+)
 from ragwort_protocol._load import LoadReport, Probe, ProbeReply
-from ragwort_protocol._message import Message
+from ragwort_protocol._message import Message, replace_fields
 
 __all__ = [
+    "Answer",
     "BODY_PART_BYTES",
-    "MAX_FRAME_BYTES",
-    "PROTOCOL_VERSION",
     "Cancel",
+    "ClaimReply",
+    "ClaimRequest",
+    "ClaimResult",
+    "ClaimVerdict",
     "Data",
+    "Digest",
     "FrameReader",
+    "Hello",
+    "LoadNotice",
     "LoadReport",
+    "MAX_FRAME_BYTES",
     "Message",
+    "News",
+    "Notice",
+    "OwnerNotice",
+    "PROTOCOL_VERSION",
+    "PeerState",
+    "Ping",
+    "PingAck",
+    "PingRequest",
     "Probe",
     "ProbeReply",
+    "Profile",
     "ProtocolError",
+    "Records",
     "Refusal",
+    "RegionReport",
     "Request",
     "Response",
+    "ServiceLoad",
+    "Summary",
     "encode_frame",
+    "measure_news",
+    "replace_fields",
 ]
