--- a/packages/policy/src/ragwort_policy/_choice.py
+++ b/packages/policy/src/ragwort_policy/_choice.py
@@ -18,6 +18,7 @@
 from ragwort_common import CallId, FailureDomain, NodeId, Outcome, Reason, Region
 from ragwort_protocol import LoadReport
 
+from ragwort_policy._faith import Faith, get_faith, record_delay
 from ragwort_policy._service_time import (
     ServiceTime,
     add_call,
@@ -36,6 +37,14 @@
     start_trial,
 )
 
+USUAL_MEMORY = 0.05
+SERVICE_NOISE = 1.5
+MOST_DELAY = 3.0
+"""Longest delay that counts when reports are judged, in usual service times."""
+FAR_FULL_DOUBLINGS = 4
+FAR_ROOM = 1.2
+FULL_REASONS = frozenset({Reason.OVERLOADED, Reason.LIMIT, Reason.SHED})
+
 
 class RandomSource(Protocol):
     """The part of ``random.Random`` that the policy uses."""
@@ -73,6 +82,15 @@
     other_region_ms: float = 60.0
     crossing_margin_ms: float = 10.0
     report_life_ms: float = 100.0
+    full_ms: float = 20.0
+
+
+@dataclass(slots=True)
+class Sent:
+    """A call on its way: when it was sent, and the delay foretold by the report."""
+
+    at: float
+    foretold: float
 
 
 @dataclass(slots=True, eq=False)
@@ -89,8 +107,10 @@
     reported_at: float = -1e9
     accepting: bool = True
     probed_at: float = -1e9
+    full_until: float = -1e9
+    refusals_in_row: int = 0
     sent_since: int = 0
-    sent_at: dict[CallId, float] = field(default_factory=dict)
+    sent: dict[CallId, Sent] = field(default_factory=dict)
     trust: Trust = field(default_factory=Trust)
 
 
@@ -105,14 +125,19 @@
     near: list[ServerView] = field(default_factory=list)
     far: list[ServerView] = field(default_factory=list)
     usual_load: float = 0.5
+    usual_far_load: float = 0.5
+    usual_service_s: float = 0.0
     crossing: bool = False
+    faith: Faith = field(default_factory=Faith)
 
 
 def make_choice(
     settings: ChoiceSettings, failure_domain: FailureDomain, region: Region
 ) -> ChoiceState:
     """Return the state of an entry that stands in this failure domain and region."""
-    return ChoiceState(settings, failure_domain, region)
+    state = ChoiceState(settings, failure_domain, region)
+    state.usual_service_s = settings.expected_ms / 1e3
+    return state
 
 
 def update_servers(state: ChoiceState, places: Iterable[ServerPlace], now: float) -> None:
@@ -139,7 +164,8 @@
     near = _compare(state, state.near, now, random, exclude)
     far = None
     if near is None or _is_crossing_worth_a_look(state, near.cost_s):
-        far = _compare(state, state.far, now, random, exclude)
+        open_far = [view for view in state.far if _has_room(state, view, now)]
+        far = _compare(state, open_far, now, random, exclude)
     best = _weigh_crossing(state, near, far)
     if best is None:
         best = _pick_paused(state, now, exclude)
@@ -152,7 +178,7 @@
     if view is None:
         return
     start_trial(view.trust)
-    view.sent_at[call_id] = now
+    view.sent[call_id] = Sent(now, _foretell(state, view, now))
     view.sent_since += 1
     add_call(view.latency, now)
 
@@ -168,7 +194,14 @@
     view.accepting = report.accepting
     view.reported_at = now
     view.sent_since = _count_on_the_way(view, now)
-    state.usual_load += 0.05 * (view.load / view.limit - state.usual_load)
+    filled = view.load / view.limit
+    if view.distance is Distance.OTHER_REGION:
+        state.usual_far_load += USUAL_MEMORY * (filled - state.usual_far_load)
+    else:
+        state.usual_load += USUAL_MEMORY * (filled - state.usual_load)
+    # A slow server must not become the usual: its reports count no more than twice the usual.
+    service_s = min(view.service_s, 2.0 * state.usual_service_s)
+    state.usual_service_s += USUAL_MEMORY * (service_s - state.usual_service_s)
 
 
 def record_outcome(
@@ -182,16 +215,21 @@
 ) -> None:
     """Take in how a call ended; a call that isn't known at this server is passed over."""
     view = state.servers.get(node)
-    if view is None or view.sent_at.pop(call_id, None) is None:
+    sent = view.sent.pop(call_id, None) if view else None
+    if sent is None:
         return
+    _learn_from(state, view, sent, outcome, reason, now)
     end_call(view.latency, now, counts=outcome is Outcome.ANSWERED)
     if is_error(outcome, reason):
         certain = reason is Reason.CONNECT_FAILED
         record_error(view.trust, now, jitter, certain)
     elif outcome is Outcome.ANSWERED:
         record_success(view.trust)
+        view.refusals_in_row = 0
     else:
         end_trial(view.trust)
+        if reason in FULL_REASONS:
+            _note_refusal(state, view, now)
     if reason is Reason.LEAVING:
         view.accepting = False
 
@@ -207,27 +245,96 @@
 def estimate_cost(state: ChoiceState, view: ServerView, now: float) -> float:
     """Return the expected time until the answer of a call sent now, errors counted in."""
     settings = state.settings
-    age_s = max(0.0, now - view.reported_at)
-    weight = exp(-age_s * 1e3 / settings.report_life_ms)
-    usual = state.usual_load * view.limit
-    load = usual + (view.load - usual) * weight + view.sent_since
-    load = max(load, float(len(view.sent_at)))
+    load = _estimate_load(state, view, now)
     # A smooth bend at the limit: a server nearly full may be full when the call arrives.
     over = load + 1.0 - view.limit
     spread = 1.0 + 0.1 * view.limit
     waiting = 0.5 * (over + sqrt(over * over + 4.0 * spread))
-    cost_s = view.round_trip_s + view.service_s * (1.0 + waiting / view.limit)
+    service_s = _estimate_service(state, view, now)
+    cost_s = view.round_trip_s + service_s * (1.0 + waiting / view.limit)
     cost_s = max(cost_s, _estimate_from_own_calls(view, now))
+    if now < view.full_until:
+        cost_s += settings.other_region_ms / 1e3
     return cost_s * get_error_cost(view.trust)
 
 
+def _get_weight(state: ChoiceState, view: ServerView, now: float) -> float:
+    age_s = max(0.0, now - view.reported_at)
+    return exp(-age_s * 1e3 / state.settings.report_life_ms) * get_faith(state.faith)
+
+
+def _foretell(state: ChoiceState, view: ServerView, now: float) -> float:
+    # The aged report's deviation from the usual, before it is weighed by the faith in it.
+    age_s = max(0.0, now - view.reported_at)
+    weight = exp(-age_s * 1e3 / state.settings.report_life_ms)
+    load = view.load / view.limit - state.usual_load
+    service = view.service_s / state.usual_service_s - 1.0
+    if abs(service) < SERVICE_NOISE - 1.0:
+        service = 0.0
+    return weight * min(MOST_DELAY, load + service)
+
+
+def _learn_from(
+    state: ChoiceState, view: ServerView, sent: Sent, outcome: Outcome, reason: Reason, now: float
+) -> None:
+    if view.distance is Distance.OTHER_REGION:
+        return
+    if outcome is Outcome.ANSWERED:
+        delay_s = now - sent.at - view.round_trip_s
+        met = min(MOST_DELAY, delay_s / state.usual_service_s - 1.0)
+    elif reason in FULL_REASONS:
+        met = MOST_DELAY
+    else:
+        return
+    record_delay(state.faith, sent.foretold, met)
+
+
+def _estimate_load(state: ChoiceState, view: ServerView, now: float) -> float:
+    is_far = view.distance is Distance.OTHER_REGION
+    usual = (state.usual_far_load if is_far else state.usual_load) * view.limit
+    load = usual + (view.load - usual) * _get_weight(state, view, now) + view.sent_since
+    return max(load, float(len(view.sent)))
+
+
+def _estimate_service(state: ChoiceState, view: ServerView, now: float) -> float:
+    # Small differences between measured service times are noise, and following them would
+    # turn all entries to one server.
+    usual_s = state.usual_service_s
+    ratio = view.service_s / usual_s
+    if ratio > SERVICE_NOISE:
+        ratio /= SERVICE_NOISE
+    elif ratio * SERVICE_NOISE < 1.0:
+        ratio *= SERVICE_NOISE
+    else:
+        return usual_s
+    # What a slow server said long ago is no reason to pass it over: it may have recovered.
+    return usual_s * (1.0 + (ratio - 1.0) * _get_weight(state, view, now))
+
+
 def _estimate_from_own_calls(view: ServerView, now: float) -> float:
     # Own calls that hang are evidence that no report has brought yet.
-    if not view.sent_at:
+    if not view.sent:
         return 0.0
     return 0.7 * estimate_time(view.latency, now)
 
 
+def _note_refusal(state: ChoiceState, view: ServerView, now: float) -> None:
+    full_s = state.settings.full_ms / 1e3
+    if view.distance is Distance.OTHER_REGION:
+        # Asking a full region again costs a paid round trip, so the pause grows.
+        view.refusals_in_row += 1
+        doublings = min(view.refusals_in_row, FAR_FULL_DOUBLINGS)
+        full_s = view.round_trip_s * 2.0**doublings
+    view.full_until = now + full_s
+
+
+def _has_room(state: ChoiceState, view: ServerView, now: float) -> bool:
+    # A region that queues its own calls has no room for those of the other.
+    if now < view.full_until:
+        return False
+    return _estimate_load(state, view, now) < view.limit * FAR_ROOM
+
+
 def _make_view(state: ChoiceState, place: ServerPlace, now: float) -> ServerView:
     settings = state.settings
     if place.region != state.region:
@@ -323,8 +430,8 @@
     # The report left the gate half a round trip ago; later calls of ours aren't in it.
     sent_after = now - view.round_trip_s
     count = 0
-    for sent_at in reversed(view.sent_at.values()):
-        if sent_at < sent_after:
+    for sent in reversed(view.sent.values()):
+        if sent.at < sent_after:
             break
         count += 1
     return count
