Keep watching below its limit in any one second

A bucket made by make_budget now takes its burst out of the limit: 35% burst, 65% rate, so burst and rate together stay below it in every one-second window. Ruled out: a full bucket at the start, since a node that restarts again and again would then overspend.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,6 +1,6 @@
 """A fake network for the real membership policy: time in steps, messages with a delay.
 
-It serves the tests of membership and the benchmark. It decides nothing itself: it hands messages
+It serves the tests of membership and the benchmark. It decides nothing itself: it hands frames
 over, late, twice or not at all, and lets nodes stop, pause and start again.
 """
 
@@ -11,7 +11,6 @@
 
 from ragwort_common import NodeId
 from ragwort_policy import (
-    Budget,
     Membership,
     MembershipSettings,
     Send,
@@ -19,10 +18,11 @@
     create_membership,
     first_incarnation,
     join_peers,
+    make_budget,
     receive_message,
     tick_membership,
 )
-from ragwort_protocol import Message, News, PeerState, Profile
+from ragwort_protocol import FrameReader, Message, News, PeerState, Profile, encode_frame
 
 NODE_BYTES_PER_S = 14_000.0
 PAID_BYTES_PER_S = 8_000.0
@@ -40,6 +40,7 @@
     sender: NodeId
     to: NodeId
     message: Message
+    frame: bytes
 
 
 @dataclass
@@ -72,8 +73,8 @@
         """Start a node, or start it anew with nothing but its settings."""
         now = self.now
         wall_ms = WALL_START_MS + int(now * 1000) + wall_step_ms
-        budget = Budget(self.node_bytes_per_s, self.node_bytes_per_s, now)
-        paid = Budget(PAID_BYTES_PER_S, PAID_BYTES_PER_S, now)
+        budget = make_budget(self.node_bytes_per_s, now)
+        paid = make_budget(PAID_BYTES_PER_S, now)
         incarnation = first_incarnation(wall_ms)
         node = create_membership(self.settings, node_id, profile, incarnation, budget, paid, now)
         self.nodes[node_id] = node
@@ -106,7 +107,7 @@
         """Put messages on the network."""
         for send in sends:
             self.on_send(sender, send)
-            delivery = Delivery(sender, send.to, send.message)
+            delivery = Delivery(sender, send.to, send.message, encode_frame(send.message))
             if not self.passes(delivery):
                 continue
             for _ in range(self.copies(delivery)):
@@ -148,9 +149,9 @@
             self.paused[delivery.to].append(delivery)
             return
         node = self.nodes[delivery.to]
-        message = delivery.message
-        sends = receive_message(node, self.now, self.random, delivery.sender, message)
-        self.send(delivery.to, sends)
+        for message in FrameReader().feed(delivery.frame):
+            sends = receive_message(node, self.now, self.random, delivery.sender, message)
+            self.send(delivery.to, sends)
 
     def _delay_s(self, delivery: Delivery) -> float:
         sender = self.profiles[delivery.sender].region
--- a/packages/policy/src/ragwort_policy/__init__.py
+++ b/packages/policy/src/ragwort_policy/__init__.py
@@ -21,6 +21,7 @@
     Traffic,
     can_spend,
     charge_received,
+    make_budget,
     measure_level,
     try_spend,
 )
@@ -138,6 +139,7 @@
     "list_queued",
     "list_region_loads",
     "list_servers",
+    "make_budget",
     "make_choice",
     "make_gate",
     "make_hedge",
--- a/packages/policy/src/ragwort_policy/_budget.py
+++ b/packages/policy/src/ragwort_policy/_budget.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+_BURST_SHARE = 0.35
+
 
 class Traffic(Enum):
     """Classes of traffic; the value is the share of the burst that the class must leave over.
@@ -45,6 +47,12 @@
     refused: dict[Traffic, int] = field(default_factory=lambda: dict.fromkeys(Traffic, 0))
 
 
+def make_budget(limit_bytes_per_s: float, now: float) -> Budget:
+    """Return an empty budget that keeps what is sent in any one second under a limit."""
+    burst_bytes = _BURST_SHARE * limit_bytes_per_s
+    return Budget(limit_bytes_per_s - burst_bytes, burst_bytes, now)
+
+
 def fill_budget(budget: Budget, now: float) -> None:
     """Add the bytes that the time since the last call has brought."""
     if now <= budget.filled_at:
--- a/packages/policy/src/ragwort_policy/_gossip_state.py
+++ b/packages/policy/src/ragwort_policy/_gossip_state.py
@@ -88,9 +88,9 @@
     relays: int = 3
     suspicion_factor: float = 4.0
     push_fanout: int = 3
-    news_bytes: int = 900
+    news_bytes: int = 1400
     repair_period_s: float = 10.0
-    repair_bytes: int = 3000
+    repair_bytes: int = 2000
     reconnect_period_s: float = 10.0
     pause_s: float = 2.5
     isolation_targets: int = 5
