Give shedding its own function beside the expiry of queued calls

Expiry returns ids again, as its callers expect; the calls shed when a server slows come with their refusal from another function.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -16,6 +16,7 @@
     finish,
     make_gate,
     make_report,
+    shed_waiting,
     start_leaving,
 )
 from ragwort_protocol import LoadReport
@@ -164,13 +165,18 @@
         for call_id in call_ids:
             self._run(self.held.pop(call_id))
 
-    def _expire(self) -> None:
-        for expiry in expire(self.gate, self.heap.now):
-            call = self.held.pop(expiry.call_id)
-            call.reply(Outcome.NOT_RUN, expiry.decision.reason, self.report())
+    def _refuse_waiting(self) -> None:
+        now = self.heap.now
+        for call_id in expire(self.gate, now):
+            self.held.pop(call_id).reply(Outcome.NOT_RUN, Reason.DEADLINE, self.report())
+        shed = shed_waiting(self.gate, now)
+        if shed is None:
+            return
+        for call_id in shed.call_ids:
+            self.held.pop(call_id).reply(Outcome.NOT_RUN, shed.decision.reason, self.report())
 
     def _tick(self) -> None:
-        self._expire()
+        self._refuse_waiting()
         self.heap.call_later(EXPIRE_EVERY_S, self._tick)
 
     def _sample_report(self) -> None:
--- a/packages/policy/src/ragwort_policy/_admission.py
+++ b/packages/policy/src/ragwort_policy/_admission.py
@@ -55,7 +55,6 @@
 
 RUN = Decision(Verdict.RUN)
 QUEUED = Decision(Verdict.QUEUED)
-LATE = Decision(Verdict.REFUSED, Reason.DEADLINE)
 SHED_FACTOR = 1.5
 """Queued calls are refused when the expected wait is over the queue's bound by this factor."""
 
@@ -171,44 +170,44 @@
     return start_waiting(state, now)
 
 
+def expire(state: GateState, now: float) -> list[CallId]:
+    """Take out and return the queued calls whose deadline has passed; they never ran."""
+    expired = state.lapsed
+    state.lapsed = []
+    for call in [call for call in state.waiting.values() if call.deadline <= now]:
+        _unqueue(state, call)
+        expired.append(call.call_id)
+    return expired
+
+
 @dataclass(slots=True, frozen=True)
-class Expiry:
-    """A queued call that is refused after all; it never ran."""
+class Shed:
+    """Queued calls that are refused after all, and the refusal; they never ran."""
 
-    call_id: CallId
+    call_ids: list[CallId]
     decision: Decision
 
 
-def expire(state: GateState, now: float) -> list[Expiry]:
-    """Take out and return the queued calls that can't start in time any more.
+def shed_waiting(state: GateState, now: float) -> Shed | None:
+    """Take out the interactive calls that the server has become too slow to start in time.
 
-    These are the calls whose deadline has passed and, when the server has slowed down since they
-    came, the newest interactive ones beyond what it can start within the queue's bound.
+    These are the newest ones beyond what it can start within the queue's bound. Asked while
+    calls wait, it lets them try another server instead of waiting for the slow one's end.
     """
-    expired = [Expiry(call_id, LATE) for call_id in state.lapsed]
-    state.lapsed = []
-    for call in [call for call in state.waiting.values() if call.deadline <= now]:
-        _unqueue(state, call)
-        expired.append(Expiry(call.call_id, LATE))
-    return expired + _shed_excess(state, now)
-
-
-def _shed_excess(state: GateState, now: float) -> list[Expiry]:
     if not state.interactive.size:
-        return []
+        return None
     start_every_s = _measure(state, now) / get_limit(state.limit, now)
     allowed = int(state.limits.queue_wait_ms / 1e3 * SHED_FACTOR / start_every_s)
     excess = state.interactive.size - allowed
     if excess <= 0:
-        return []
-    retry_after_ms = max(1, int((allowed + 1) * start_every_s * 1e3))
-    decision = Decision(Verdict.REFUSED, Reason.OVERLOADED, retry_after_ms)
+        return None
     # The dict of waiting calls is in the order of arrival.
-    interactive = [call for call in state.waiting.values() if not call.batch]
-    newest = interactive[-excess:]
+    newest = [call for call in state.waiting.values() if not call.batch][-excess:]
     for call in newest:
         _unqueue(state, call)
-    return [Expiry(call.call_id, decision) for call in newest]
+    retry_after_ms = max(1, int((allowed + 1) * start_every_s * 1e3))
+    decision = Decision(Verdict.REFUSED, Reason.OVERLOADED, retry_after_ms)
+    return Shed([call.call_id for call in newest], decision)
 
 
 def _unqueue(state: GateState, call: Arrival) -> None:
