--- a/packages/policy/src/ragwort_policy/_admission.py
+++ b/packages/policy/src/ragwort_policy/_admission.py
@@ -19,7 +19,14 @@
     pop_waiting,
     remove_waiting,
 )
-from ragwort_policy._limit import Limit, adjust_limit, get_limit, get_warmth, make_limit
+from ragwort_policy._limit import (
+    Limit,
+    adjust_limit,
+    get_limit,
+    get_warmth,
+    learn_no_load,
+    make_limit,
+)
 from ragwort_policy._service_time import (
     ServiceTime,
     add_call,
@@ -48,7 +55,6 @@
 
 RUN = Decision(Verdict.RUN)
 QUEUED = Decision(Verdict.QUEUED)
-LATE = Decision(Verdict.REFUSED, Reason.DEADLINE)
 SHED_FACTOR = 1.5
 """Queued calls are refused when the expected wait is over the queue's bound by this factor."""
 
@@ -127,9 +133,9 @@
     """Decide on a call that arrives; a queued one is started by a later ``finish``."""
     if state.leaving:
         return Decision(Verdict.REFUSED, Reason.LEAVING)
-    service_s = estimate_time(state.service, now)
     if call.deadline <= now:
         return Decision(Verdict.REFUSED, Reason.DEADLINE)
+    service_s = _measure(state, now)
     limit = get_limit(state.limit, now)
     if _has_room(state, call.batch, limit):
         _start(state, call, now)
@@ -149,7 +155,7 @@
     """Take in the end of a running call and return the queued calls that start now."""
     _stop(state, now, call_id, counts=not failed)
     if not failed:
-        adjust_limit(state.limit, latency, len(state.running) + 1)
+        learn_no_load(state.limit, estimate_time(state.service, now))
     return start_waiting(state, now)
 
 
@@ -164,44 +170,44 @@
     return start_waiting(state, now)
 
 
+def expire(state: GateState, now: float) -> list[CallId]:
+    """Take out and return the queued calls whose deadline has passed; they never ran."""
+    expired = state.lapsed
+    state.lapsed = []
+    for call in [call for call in state.waiting.values() if call.deadline <= now]:
+        _unqueue(state, call)
+        expired.append(call.call_id)
+    return expired
+
+
 @dataclass(slots=True, frozen=True)
-class Expiry:
-    """A queued call that is refused after all; it never ran."""
+class Shed:
+    """Queued calls that are refused after all, and the refusal; they never ran."""
 
-    call_id: CallId
+    call_ids: list[CallId]
     decision: Decision
 
 
-def expire(state: GateState, now: float) -> list[Expiry]:
-    """Take out and return the queued calls that can't start in time any more.
+def shed_waiting(state: GateState, now: float) -> Shed | None:
+    """Take out the interactive calls that the server has become too slow to start in time.
 
-    These are the calls whose deadline has passed and, when the server has slowed down since they
-    came, the newest interactive ones beyond what it can start within the queue's bound.
+    These are the newest ones beyond what it can start within the queue's bound. Asked while
+    calls wait, it lets them try another server instead of waiting for the slow one's end.
     """
-    expired = [Expiry(call_id, LATE) for call_id in state.lapsed]
-    state.lapsed = []
-    for call in [call for call in state.waiting.values() if call.deadline <= now]:
-        _unqueue(state, call)
-        expired.append(Expiry(call.call_id, LATE))
-    return expired + _shed_excess(state, now)
-
-
-def _shed_excess(state: GateState, now: float) -> list[Expiry]:
     if not state.interactive.size:
-        return []
-    start_every_s = estimate_time(state.service, now) / get_limit(state.limit, now)
+        return None
+    start_every_s = _measure(state, now) / get_limit(state.limit, now)
     allowed = int(state.limits.queue_wait_ms / 1e3 * SHED_FACTOR / start_every_s)
     excess = state.interactive.size - allowed
     if excess <= 0:
-        return []
-    retry_after_ms = max(1, int((allowed + 1) * start_every_s * 1e3))
-    decision = Decision(Verdict.REFUSED, Reason.OVERLOADED, retry_after_ms)
+        return None
     # The dict of waiting calls is in the order of arrival.
-    interactive = [call for call in state.waiting.values() if not call.batch]
-    newest = interactive[-excess:]
+    newest = [call for call in state.waiting.values() if not call.batch][-excess:]
     for call in newest:
         _unqueue(state, call)
-    return [Expiry(call.call_id, decision) for call in newest]
+    retry_after_ms = max(1, int((allowed + 1) * start_every_s * 1e3))
+    decision = Decision(Verdict.REFUSED, Reason.OVERLOADED, retry_after_ms)
+    return Shed([call.call_id for call in newest], decision)
 
 
 def _unqueue(state: GateState, call: Arrival) -> None:
@@ -212,6 +218,7 @@
 def start_waiting(state: GateState, now: float) -> list[CallId]:
     """Start queued calls while there is room; return them in the order of their start."""
     started: list[CallId] = []
+    _measure(state, now)
     limit = get_limit(state.limit, now)
     while True:
         call = _take_next(state, limit)
@@ -227,11 +234,12 @@
 
 def make_report(state: GateState, now: float) -> LoadReport:
     """Return the report that goes out with an answer, a refusal or a probe's reply."""
+    service_s = _measure(state, now)
     return LoadReport(
         in_flight=len(state.running),
         limit=get_limit(state.limit, now),
         queued=state.interactive.size,
-        service_time_us=int(estimate_time(state.service, now) * 1e6),
+        service_time_us=int(service_s * 1e6),
         accepting=not state.leaving,
         warm=get_warmth(state.limit, now),
     )
@@ -253,6 +261,12 @@
     return [call.call_id for queue in queues for call in list_waiting(queue)]
 
 
+def _measure(state: GateState, now: float) -> float:
+    service_s = estimate_time(state.service, now)
+    adjust_limit(state.limit, service_s)
+    return service_s
+
+
 def _has_room(state: GateState, batch: bool, limit: int) -> bool:
     if len(state.running) >= limit:
         return False
