Let nodes meet through membership, and settle sooner after a start

Cause: the entry's list of servers came from polling the platform. The node now runs the membership task: it announces itself once, lists its peers once, and hears the rest from them. Messages to a peer without a link wait for the dial instead of being lost, and a dialled node has to greet with the expected id before it gets calls, since an address may pass to another node.

Found when 12 nodes start together: after 16 s two nodes still missed two peers.

Ruled out: lost messages at closed links (none were counted as unsent after messages wait for the dial).

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -171,7 +171,7 @@
 
 
 async def wait_ready(fleet: Fleet) -> None:
-    """Wait until every node says that it is ready.
+    """Wait until every node is ready and knows all the others.
 
     Raises
     ------
@@ -272,8 +272,9 @@
 async def _wait_ready(session: aiohttp.ClientSession, place: Place, fleet: Fleet) -> None:
     while True:
         with contextlib.suppress(aiohttp.ClientError):
-            async with session.get(place.admin_url("/readyz")) as response:
-                if response.status == 200:
+            async with session.get(place.admin_url("/v1/state")) as response:
+                state = await response.json()
+                if state["ready"] and state["peers"].get("alive") == len(fleet.places):
                     return
         if place.process is not None and place.process.returncode is not None:
             raise RuntimeError(f"node {place.node} has ended with {place.process.returncode}")
--- a/packages/node/src/ragwort_node/_composition.py
+++ b/packages/node/src/ragwort_node/_composition.py
@@ -10,28 +10,49 @@
 from typing import Any
 
 from opentelemetry.sdk.resources import Resource
-from ragwort_common import FailureDomain, Incarnation, NodeId, Region, Revision, ServiceName
+from ragwort_common import FailureDomain, NodeId, Region, Revision
 from ragwort_platform import (
-    NODES_PREFIX,
     RULES_PATH,
-    Announcement,
     ObjectStore,
     RulesDocument,
     decode_document,
-    encode_announcement,
     encode_document,
 )
-from ragwort_policy import ChoiceSettings, GateLimits, ServerPlace, make_probe_budget
-from ragwort_protocol import Hello, Message, Probe, ProbeReply
-from ragwort_protocol.control import FetchRulesReply, GetStatusReply, Peer
+from ragwort_policy import (
+    Change,
+    ChoiceSettings,
+    GateLimits,
+    MembershipSettings,
+    create_membership,
+    first_incarnation,
+    is_current,
+    make_budget,
+    make_probe_budget,
+)
+from ragwort_protocol import Hello, Message, PeerState, Probe, ProbeReply
+from ragwort_protocol.control import FetchRulesReply
 from ragwort_rules import build_matcher, list_services, parse_rules
 
 from ragwort_node._admin import build_admin
 from ragwort_node._caller import Caller
 from ragwort_node._control import Control, start_control
-from ragwort_node._directory import Directory, refresh_directory
+from ragwort_node._directory import find_link_address, list_places, make_profile
 from ragwort_node._entry import EntryLimits, RulesInForce, build_entry
 from ragwort_node._gate import Gate
+from ragwort_node._gossip import (
+    Gossip,
+    LinkLost,
+    LoadChanged,
+    PeerMessage,
+    RevisionApplied,
+    StateWanted,
+    change_state,
+    put_event,
+    run_announcer,
+    run_gossip,
+    run_seeds,
+    withdraw,
+)
 from ragwort_node._http import start_http
 from ragwort_node._link import Link
 from ragwort_node._metrics import Counters, flush_metrics
@@ -39,15 +60,21 @@
 from ragwort_node._pool import LinkPool
 from ragwort_node._prober import Prober
 from ragwort_node._server import ServerClient
-from ragwort_node._services import Services, ServiceServer
+from ragwort_node._services import Services
 from ragwort_node._settings import Exporter, Settings
+from ragwort_node._status import StatusSources, read_state, read_status
 from ragwort_node._tracing import Tracer, export_spans, make_console_exporter
 
 log = logging.getLogger(__name__)
 
 RULES_INTERVAL_S = 0.5
+LOAD_INTERVAL_S = 1.0
 LEAVING_NOTICE_S = 1.0
-"""How long a stop waits after it has told the peers, before it refuses their calls' links."""
+"""How long a stop waits for its notice to spread before it stops to accept callers."""
+
+ADMIN_GRACE_MS = 1000
+MEMBERSHIP_SHARE = 0.6
+"""Part of the bytes of watching that membership may spend; probes may spend the rest."""
 
 
 class Node:
@@ -66,43 +93,40 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._rules = RulesInForce()
         self._document: RulesDocument | None = None
-        self._draining = False
 
     async def start(self) -> None:
         """Start every part; the node takes calls when this returns."""
         settings = self._settings
-        self._build_parts()
-        link_port = await self._pool.listen(*_split(settings.addresses.link))
-        grace_ms = settings.limits.drain_timeout_ms
-        entry = build_entry(
-            self._rules,
-            self._caller.run_call,
-            EntryLimits(settings.limits.header_bytes, settings.limits.body_bytes),
-            self._counters,
-            self._clock,
-            self._tracer,
+        addresses = settings.addresses
+        self._build_path()
+        link_port = await self._pool.listen(*_split(addresses.link))
+        self._entry = await self._start_entry()
+        control = Control(
+            self._read_rules, lambda: read_status(self._status), self.set_drain, self._token
         )
-        self._entry = await start_http(entry, settings.addresses.entry, grace_ms)
-        control = Control(self._read_rules, self._read_status, self.set_drain, settings.admin.token)
-        self._control, control_port = await start_control(settings.addresses.control, control)
-        admin = build_admin(self._read_state, self._is_ready, self.set_drain, settings.admin.token)
-        self._admin = await start_http(admin, settings.addresses.admin, 1000)
-        self._announce(link_port, control_port)
+        self._control, control_port = await start_control(addresses.control, control)
+        self._build_membership(link_port, control_port)
+        admin = build_admin(
+            lambda: read_state(self._status), self._is_ready, self.set_drain, self._token
+        )
+        self._admin = await start_http(admin, addresses.admin, ADMIN_GRACE_MS)
         await self._store.__aenter__()
         self._start_tasks()
-        log.info("node %s takes calls at %s", self._id, self._own.entry_address)
+        log.info("node %s takes calls on port %d", self._id, self._entry.port)
 
     async def stop(self) -> None:
         """Refuse new calls, let those under way end, and close everything."""
         log.info("node %s stops: it refuses new calls from its peers", self._id)
         self._gate.set_leaving(True)
-        await self._withdraw()
         grace_s = self._settings.limits.drain_timeout_ms / 1000
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(grace_s):
+                await change_state(self._gossip, PeerState.LEAVING)
+                await withdraw(self._gossip, self._store)
                 await asyncio.sleep(LEAVING_NOTICE_S)
                 await self._entry.stop()
                 await self._gate.wait_idle()
+                await change_state(self._gossip, PeerState.LEFT)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -115,16 +139,23 @@
 
     def set_drain(self, draining: bool) -> None:
         """Start or end the draining of the local server."""
-        if draining == self._draining:
+        if draining == self._gate.leaving:
             return
-        self._draining = draining
         self._gate.set_leaving(draining)
+        state = PeerState.LEAVING if draining else PeerState.ALIVE
+        put_event(self._gossip, StateWanted(state))
         log.info("draining of the server %s", "starts" if draining else "ends")
 
-    def _build_parts(self) -> None:
+    @property
+    def _token(self) -> str | None:
+        return self._settings.admin.token
+
+    def _build_path(self) -> None:
+        """Build what carries calls: the gate, the links, the choice and the caller."""
         settings = self._settings
         node, limits = settings.node, settings.limits
         counters, clock = self._counters, self._clock
+        self._incarnation = first_incarnation(time.time_ns() // 1_000_000)
         self._store = ObjectStore(settings.platform.url, settings.platform.timeout_ms)
         self._server = ServerClient(
             settings.server.address, settings.server.connections, limits.answer_bytes
@@ -133,28 +164,18 @@
         self._gate = Gate(
             self._server, GateLimits(settings.server.slots), counters, clock, self._tracer
         )
-        self._incarnation = Incarnation(time.time_ns() // 1_000_000)
-        self._peer_calls = PeerCalls(self._gate, counters, self._receive_other)
-        self._directory: Directory | None = None
         self._pool = LinkPool(
             Hello(self._id, self._incarnation),
-            self._find_link_address,
-            self._peer_calls.receive,
+            lambda peer: find_link_address(self._gossip.membership, peer),
+            PeerCalls(self._gate, counters, self._receive_other).receive,
             counters,
             limits.connect_timeout_ms,
+            lambda peer: put_event(self._gossip, LinkLost(peer)),
         )
         self._services = Services(
             FailureDomain(node.failure_domain), Region(node.region), ChoiceSettings()
         )
-        now = clock()
-        self._prober = Prober(
-            self._services,
-            self._pool.send,
-            make_probe_budget(settings.watching.node_bytes_per_s / 2, now),
-            make_probe_budget(settings.watching.region_bytes_per_s / 2, now),
-            counters,
-            clock,
-        )
+        self._prober = self._make_prober()
         self._caller = Caller(
             self._id,
             self._gate,
@@ -166,28 +187,70 @@
             self._random,
         )
 
-    def _announce(self, link_port: int, control_port: int) -> None:
-        node, addresses = self._settings.node, self._settings.addresses
-        self._own = Announcement(
-            node_id=self._id,
-            service=ServiceName(node.service),
-            region=Region(node.region),
-            failure_domain=FailureDomain(node.failure_domain),
-            link_address=f"{_split(addresses.link)[0]}:{link_port}",
-            entry_address=f"{_split(addresses.entry)[0]}:{self._entry.port}",
-            control_address=f"{_split(addresses.control)[0]}:{control_port}",
-            incarnation=self._incarnation,
+    def _make_prober(self) -> Prober:
+        watching = self._settings.watching
+        now = self._clock()
+        share = 1 - MEMBERSHIP_SHARE
+        return Prober(
+            self._services,
+            self._pool.send,
+            make_probe_budget(share * watching.node_bytes_per_s, now),
+            make_probe_budget(share * watching.region_bytes_per_s, now),
+            self._counters,
+            self._clock,
+        )
+
+    async def _start_entry(self) -> Any:
+        limits = self._settings.limits
+        entry = build_entry(
+            self._rules,
+            self._caller.run_call,
+            EntryLimits(limits.header_bytes, limits.body_bytes),
+            self._counters,
+            self._clock,
+            self._tracer,
+        )
+        return await start_http(entry, self._settings.addresses.entry, limits.drain_timeout_ms)
+
+    def _build_membership(self, link_port: int, control_port: int) -> None:
+        addresses, watching = self._settings.addresses, self._settings.watching
+        now = self._clock()
+        profile = make_profile(
+            self._settings,
+            f"{_split(addresses.link)[0]}:{link_port}",
+            f"{_split(addresses.entry)[0]}:{self._entry.port}",
+            f"{_split(addresses.control)[0]}:{control_port}",
+        )
+        membership = create_membership(
+            MembershipSettings(),
+            self._id,
+            profile,
+            self._incarnation,
+            make_budget(MEMBERSHIP_SHARE * watching.node_bytes_per_s, now),
+            make_budget(MEMBERSHIP_SHARE * watching.region_bytes_per_s, now),
+            now,
+        )
+        self._gossip = Gossip(
+            membership, self._pool.send, self._clock, self._random, self._take_changes
+        )
+        self._status = StatusSources(
+            membership,
+            self._gate,
+            self._pool,
+            self._counters,
+            self._clock,
+            self._get_revision,
+            self._is_ready,
         )
-        self._directory = Directory(self._own)
-        self._update_servers()
 
     def _start_tasks(self) -> None:
         settings = self._settings
         statsd = settings.statsd
-        self._spawn(self._keep_announced())
-        self._spawn(
-            refresh_directory(self._directory, self._store, self._update_servers, self._counters)
-        )
+        self._spawn(run_gossip(self._gossip))
+        self._spawn(run_announcer(self._gossip, self._store))
+        if settings.node.seeds:
+            self._spawn(run_seeds(self._gossip, settings.node.seeds, self._pool.meet))
+        self._spawn(self._report_load())
         self._spawn(self._follow_rules())
         self._spawn(
             flush_metrics(
@@ -200,26 +263,22 @@
             self._spawn(export_spans(self._tracer, exporter.export, resource))
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
-
-    async def _keep_announced(self) -> None:
-        path = NODES_PREFIX + self._id
-        data = encode_announcement(self._own)
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(_stop_process_on_failure)
+        self._tasks.append(task)
+
+    def _take_changes(self, changes: list[Change]) -> None:
+        """Let the choice know of the services whose peers have changed."""
+        now = self._clock()
+        for service in {change.peer.service for change in changes}:
+            places = list_places(self._gossip.membership, service)
+            self._services.update(service, places, now)
+
+    async def _report_load(self) -> None:
         while True:
-            stored = await self._store.get(path)
-            if stored.is_ok():
-                written = await self._store.update(path, data, stored.ok.version)
-            else:
-                written = await self._store.create(path, data)
-            if written.is_ok():
-                return
-            await asyncio.sleep(1)
-
-    async def _withdraw(self) -> None:
-        path = NODES_PREFIX + self._id
-        stored = await self._store.get(path)
-        if stored.is_ok():
-            await self._store.delete(path, stored.ok.version)
+            report = self._gate.make_report()
+            put_event(self._gossip, LoadChanged(max(0, report.limit - report.in_flight)))
+            await asyncio.sleep(LOAD_INTERVAL_S)
 
     async def _follow_rules(self) -> None:
         while True:
@@ -239,84 +298,43 @@
         self._rules.find_treatment = build_matcher(parsed.rules)
         self._rules.services = list_services(parsed.rules)
         self._document = document
+        put_event(self._gossip, RevisionApplied(document.revision))
         log.info("rules revision %d is in force", document.revision)
         return True
 
-    def _find_link_address(self, node: NodeId) -> str | None:
-        return self._directory.find_link_address(node) if self._directory else None
-
-    def _update_servers(self) -> None:
-        servers = [
-            ServiceServer(
-                announcement.service,
-                ServerPlace(announcement.node_id, announcement.failure_domain, announcement.region),
-            )
-            for announcement in self._directory.nodes.values()
-        ]
-        self._services.update(servers, self._clock())
-
     def _receive_other(self, link: Link, message: Message) -> None:
-        kind = type(message)
-        if kind is Probe:
-            sent = link.send(ProbeReply(message.probe_id, self._gate.make_report()))
-            self._counters.add("watching.probe_bytes_out", sent)
-        elif kind is ProbeReply and link.peer is not None:
-            self._prober.receive(link.peer, message)
-        else:
+        if link.peer is None:
             self._counters.add("link.unexpected_messages")
+            return
+        match message:
+            case Probe():
+                sent = link.send(ProbeReply(message.probe_id, self._gate.make_report()))
+                self._counters.add("watching.probe_bytes_out", sent)
+            case ProbeReply():
+                self._prober.receive(link.peer, message)
+            case _:
+                put_event(self._gossip, PeerMessage(link.peer, message))
 
     def _is_ready(self) -> bool:
-        return self._rules.find_treatment is not None and not self._draining
+        knows_peers = is_current(self._gossip.membership, self._clock())
+        return self._rules.find_treatment is not None and knows_peers and not self._gate.leaving
+
+    def _get_revision(self) -> Revision:
+        return self._document.revision if self._document else Revision(0)
 
     def _read_rules(self) -> FetchRulesReply:
         if self._document is None:
             return FetchRulesReply(revision=0)
-        return FetchRulesReply(
-            revision=self._document.revision, document=encode_document(self._document)
-        )
+        document = encode_document(self._document)
+        return FetchRulesReply(revision=self._document.revision, document=document)
 
-    def _read_status(self) -> GetStatusReply:
-        report = self._gate.make_report()
-        return GetStatusReply(
-            self=self._describe(self._own),
-            ready=self._is_ready(),
-            draining=self._gate.leaving,
-            in_flight=report.in_flight,
-            limit=report.limit,
-            queued=report.queued,
-            peers=[self._describe(peer) for peer in self._directory.nodes.values()],
-        )
-
-    def _describe(self, announcement: Announcement) -> Peer:
-        return Peer(
-            node_id=announcement.node_id,
-            service=announcement.service,
-            region=announcement.region,
-            failure_domain=announcement.failure_domain,
-            incarnation=announcement.incarnation,
-            link_address=announcement.link_address,
-            control_address=announcement.control_address,
-            revision=self._get_revision() if announcement is self._own else 0,
-        )
-
-    def _get_revision(self) -> Revision:
-        return self._document.revision if self._document else Revision(0)
 
-    def _read_state(self) -> dict[str, Any]:
-        report = self._gate.make_report()
-        return {
-            "node": self._id,
-            "revision": self._get_revision(),
-            "draining": self._gate.leaving,
-            "gate": {
-                "in_flight": report.in_flight,
-                "limit": report.limit,
-                "queued": report.queued,
-                "service_time_us": report.service_time_us,
-            },
-            "links": self._pool.count_links(),
-            "counters": dict(self._counters.totals),
-        }
+def _stop_process_on_failure(task: asyncio.Task[None]) -> None:
+    """End the process when a task ended by an exception: that is a broken invariant."""
+    if task.cancelled() or task.exception() is None:
+        return
+    log.critical("a task has failed; the node ends", exc_info=task.exception())
+    signal.raise_signal(signal.SIGTERM)
 
 
 def _split(address: str) -> tuple[str, int]:
--- a/packages/node/src/ragwort_node/_directory.py
+++ b/packages/node/src/ragwort_node/_directory.py
@@ -1,51 +1,54 @@
-"""Finds the nodes that announced themselves in the platform."""
-
-import asyncio
-import logging
-from collections.abc import Callable
-
-from ragwort_common import NodeId
-from ragwort_platform import NODES_PREFIX, Announcement, ObjectStore, decode_announcement
-
-from ragwort_node._metrics import Counters
-
-log = logging.getLogger(__name__)
-
-REFRESH_INTERVAL_S = 0.5
-
-
-class Directory:
-    """Owns the latest announcement of each node."""
-
-    def __init__(self, own: Announcement) -> None:
-        self._own = own
-        self.nodes: dict[NodeId, Announcement] = {own.node_id: own}
-
-    def find_link_address(self, node: NodeId) -> str | None:
-        """Return the address at which a node takes links."""
-        announcement = self.nodes.get(node)
-        return announcement.link_address if announcement else None
-
-    def replace(self, announcements: list[Announcement]) -> bool:
-        """Set the known nodes and tell whether that changed anything."""
-        nodes = {announcement.node_id: announcement for announcement in announcements}
-        nodes[self._own.node_id] = self._own
-        changed = nodes != self.nodes
-        self.nodes = nodes
-        return changed
-
-
-async def refresh_directory(
-    directory: Directory, store: ObjectStore, changed: Callable[[], None], counters: Counters
-) -> None:
-    """List the announcements again and again, until cancelled."""
-    while True:
-        listing = await store.list_objects(NODES_PREFIX)
-        if listing.is_ok():
-            decoded = [decode_announcement(item.data) for item in listing.ok.items]
-            malformed = sum(1 for result in decoded if result.is_error())
-            if malformed:
-                counters.add("directory.malformed", malformed)
-            if directory.replace([result.ok for result in decoded if result.is_ok()]):
-                changed()
-        await asyncio.sleep(REFRESH_INTERVAL_S)
+"""What the other parts of a node read from its table of peers."""
+
+from ragwort_common import FailureDomain, NodeId, Region, Revision, ServiceName
+from ragwort_policy import Membership, Peer, ServerPlace, find_peer, list_servers
+from ragwort_protocol import Profile, control
+
+from ragwort_node._settings import Settings
+
+
+def find_link_address(membership: Membership, node: NodeId) -> str | None:
+    """Return the address at which a node takes links, or None when it is not known."""
+    peer = find_peer(membership, node)
+    return peer.profile.link_address if peer else None
+
+
+def list_places(membership: Membership, service: ServiceName) -> list[ServerPlace]:
+    """Return where the servers of a service stand that may be given calls."""
+    return [
+        ServerPlace(peer.node_id, peer.failure_domain, peer.region)
+        for peer in list_servers(membership, service)
+    ]
+
+
+def list_peers(membership: Membership) -> list[Peer]:
+    """Return every peer in the table, the node itself and those that are gone included."""
+    return list(membership.table.peers.values())
+
+
+def describe_peer(peer: Peer, revision: Revision) -> control.Peer:
+    """Return a peer as the operators' command is told of it."""
+    return control.Peer(
+        node_id=peer.node_id,
+        service=peer.service,
+        region=peer.region,
+        failure_domain=peer.failure_domain,
+        state=peer.state.name.lower(),
+        incarnation=peer.incarnation,
+        link_address=peer.profile.link_address,
+        control_address=peer.profile.control_address,
+        revision=revision,
+    )
+
+
+def make_profile(settings: Settings, link: str, entry: str, control_address: str) -> Profile:
+    """Return what a node states about itself, given the addresses that it listens on."""
+    node = settings.node
+    return Profile(
+        ServiceName(node.service),
+        Region(node.region),
+        FailureDomain(node.failure_domain),
+        link,
+        entry,
+        control_address,
+    )
--- a/packages/node/src/ragwort_node/_link.py
+++ b/packages/node/src/ragwort_node/_link.py
@@ -63,6 +63,7 @@
     ) -> None:
         self.peer: NodeId | None = None
         self.clogged = False
+        self.greeted: asyncio.Future[NodeId] = asyncio.get_running_loop().create_future()
         self._hello = hello
         self._handle = handle
         self._opened = opened
@@ -108,6 +109,10 @@
                 future.set_result(LinkLost())
         self._pending.clear()
         self._partial.clear()
+        if not self.greeted.done():
+            self.greeted.set_exception(ConnectionResetError("the peer did not greet"))
+            # Most links have nobody who waits for the greeting.
+            self.greeted.exception()
         self._closed(self)
 
     @property
@@ -155,6 +160,8 @@
             self._receive_part(message)
         elif kind is Hello:
             self.peer = NodeId(message.node_id)
+            if not self.greeted.done():
+                self.greeted.set_result(self.peer)
             self._opened(self)
         else:
             self._handle(self, message)
--- a/packages/node/src/ragwort_node/_logging.py
+++ b/packages/node/src/ragwort_node/_logging.py
@@ -16,4 +16,6 @@
         handler.setFormatter(JsonFormatter(JSON_FIELDS))
     else:
         handler.setFormatter(logging.Formatter(TEXT_FORMAT))
+    # uvicorn tells of each start and stop of its own; the node does that in its own words.
+    logging.getLogger("uvicorn").setLevel(logging.WARNING)
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
--- a/packages/node/src/ragwort_node/_pool.py
+++ b/packages/node/src/ragwort_node/_pool.py
@@ -5,13 +5,16 @@
 from collections.abc import Callable
 
 from ragwort_common import NodeId
-from ragwort_protocol import Hello, Message
+from ragwort_protocol import Hello, Message, encode_frame
 
 from ragwort_node._link import Handler, Link
 from ragwort_node._metrics import Counters
 
 log = logging.getLogger(__name__)
 
+MAX_WAITING_MESSAGES = 32
+"""Most messages to one peer that wait for its link to open."""
+
 Resolve = Callable[[NodeId], str | None]
 """Returns a peer's link address, ``host:port``, or None when it is not known."""
 
@@ -29,6 +32,8 @@
         Gets every message that is not the reply to a call.
     connect_timeout_ms
         How long a dial may take, in milliseconds.
+    lost
+        Told of each peer whose link broke or could not be opened.
     """
 
     def __init__(
@@ -38,12 +43,15 @@
         handle: Handler,
         counters: Counters,
         connect_timeout_ms: int,
+        lost: Callable[[NodeId], None] = lambda peer: None,
     ) -> None:
         self._hello = hello
         self._resolve = resolve
         self._handle = handle
         self._counters = counters
         self._timeout_s = connect_timeout_ms / 1000
+        self._lost = lost
+        self._waiting: dict[NodeId, list[Message]] = {}
         self._links: dict[NodeId, Link] = {}
         self._all: set[Link] = set()
         self._dials: dict[NodeId, asyncio.Task[Link | None]] = {}
@@ -67,23 +75,30 @@
         link = self.find_link(peer)
         if link is not None:
             return link
-        dial = self._dials.get(peer)
-        if dial is None:
-            dial = asyncio.create_task(self._dial(peer))
-            self._dials[peer] = dial
-            dial.add_done_callback(lambda _: self._dials.pop(peer, None))
+        dial = self._dials.get(peer) or self._start_dial(peer)
         return await asyncio.shield(dial)
 
     def send(self, peer: NodeId, message: Message) -> int:
-        """Send a message if a link is open and return its bytes; else dial and return 0."""
-        link = self.find_link(peer)
-        if link is not None:
-            return link.send(message)
+        """Send a message, and return its bytes.
+
+        Without a link the message waits for a dial; 0 says that too many wait already, or that
+        the link takes in nothing at present.
+        """
+        link = self._links.get(peer)
+        if link is not None and link.is_open:
+            return 0 if link.clogged else link.send(message)
+        waiting = self._waiting.setdefault(peer, [])
+        if len(waiting) >= MAX_WAITING_MESSAGES:
+            return 0
+        waiting.append(message)
         if peer not in self._dials:
-            dial = asyncio.create_task(self._dial(peer))
-            self._dials[peer] = dial
-            dial.add_done_callback(lambda _: self._dials.pop(peer, None))
-        return 0
+            self._start_dial(peer)
+        return len(encode_frame(message))
+
+    async def meet(self, address: str) -> NodeId | None:
+        """Dial an address of which the node is not known; return the node's id if it answers."""
+        link = await self._connect(address)
+        return link.peer if link else None
 
     def count_links(self) -> int:
         """Return the number of open links."""
@@ -101,20 +116,41 @@
     def _make_link(self) -> Link:
         return Link(self._hello, self._handle, self._add, self._remove, self._counters)
 
+    def _start_dial(self, peer: NodeId) -> "asyncio.Task[Link | None]":
+        dial = asyncio.create_task(self._dial(peer))
+        self._dials[peer] = dial
+        dial.add_done_callback(lambda _: self._dials.pop(peer, None))
+        return dial
+
     async def _dial(self, peer: NodeId) -> Link | None:
         address = self._resolve(peer)
-        if address is None:
+        link = await self._connect(address) if address else None
+        waiting = self._waiting.pop(peer, [])
+        if link is not None and link.peer != peer:
+            # Another node has taken over the address; it must not get this peer's calls.
+            self._counters.add("link.wrong_peers")
+            link = None
+        if link is None:
+            self._lost(peer)
             return None
+        for message in waiting:
+            link.send(message)
+        return link
+
+    async def _connect(self, address: str) -> Link | None:
+        """Open a link and wait for the peer's greeting."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
+        link: Link | None = None
         try:
             async with asyncio.timeout(self._timeout_s):
                 _, link = await loop.create_connection(self._make_link, host, int(port))
+                await link.greeted
         except (OSError, TimeoutError):
             self._counters.add("link.connect_failures")
+            if link is not None:
+                link.close()
             return None
-        link.peer = peer
-        self._add(link)
         return link
 
     def _add(self, link: Link) -> None:
@@ -126,3 +162,4 @@
         self._all.discard(link)
         if link.peer is not None and self._links.get(link.peer) is link:
             del self._links[link.peer]
+            self._lost(link.peer)
--- a/packages/node/src/ragwort_node/_services.py
+++ b/packages/node/src/ragwort_node/_services.py
@@ -25,14 +25,6 @@
     retries: AttemptBudget = field(default_factory=AttemptBudget)
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceServer:
-    """A server that may be chosen, with its service."""
-
-    service: ServiceName
-    place: ServerPlace
-
-
 class Services:
     """Owns the state of every service that this entry knows servers of."""
 
@@ -53,16 +45,16 @@
         """Return the state of the service that a node's server provides."""
         return self._states.get(self._services_of.get(node))
 
-    def update(self, servers: Iterable[ServiceServer], now: float) -> None:
-        """Set the servers that may be chosen; what is known of those that stay is kept."""
-        places: dict[ServiceName, list[ServerPlace]] = {name: [] for name in self._states}
-        self._services_of = {}
-        for server in servers:
-            places.setdefault(server.service, []).append(server.place)
-            self._services_of[server.place.node] = server.service
-        for service, listed in places.items():
-            state = self._states.get(service) or self._add(service)
-            update_servers(state.choice, listed, now)
+    def update(self, service: ServiceName, places: Iterable[ServerPlace], now: float) -> None:
+        """Set a service's servers that may be chosen; what is known of those that stay is kept."""
+        listed = list(places)
+        state = self._states.get(service)
+        if state is None:
+            state = self._add(service)
+        for node in state.choice.servers:
+            self._services_of.pop(node, None)
+        self._services_of.update({place.node: service for place in listed})
+        update_servers(state.choice, listed, now)
 
     def _add(self, service: ServiceName) -> ServiceState:
         choice = make_choice(self._settings, self._failure_domain, self._region)
