Add leases on platform objects, with growing epochs and no wall clocks

Cause: a lease can lapse while its holder is paused, and a reply can be lost after its write took effect; never may two nodes hold one lease at the same moment.

Ruled out: expiry times in the object (they compare clocks of two hosts); a holder recognised by its node id (a restarted process would take a paused predecessor's lease for its own, so each process writes a nonce); counting the deadline from the reply.

Conclusion: safe while the clocks' rates differ by less than half of the margin's share.

--- a/packages/platform/src/ragwort_platform/__init__.py
+++ b/packages/platform/src/ragwort_platform/__init__.py
@@ -14,6 +14,16 @@
     history_path,
 )
 from ragwort_platform._error import ErrorKind, StoreError
+from ragwort_platform._lease import (
+    DEFAULT_MARGIN_MS,
+    DEFAULT_TTL_MS,
+    Lease,
+    LeaseClient,
+    LeaseError,
+    LeaseErrorKind,
+    holds,
+    read_boot_clock,
+)
 from ragwort_platform._record import Change, Changes, Listing, Stored
 from ragwort_platform._store import (
     DEFAULT_BURST_CALLS,
@@ -26,6 +36,8 @@
 __all__ = [
     "DEFAULT_BURST_CALLS",
     "DEFAULT_CALLS_PER_S",
+    "DEFAULT_MARGIN_MS",
+    "DEFAULT_TTL_MS",
     "MAX_OBJECT_BYTES",
     "NODES_PREFIX",
     "RULES_PATH",
@@ -36,6 +48,10 @@
     "Changes",
     "DocumentError",
     "ErrorKind",
+    "Lease",
+    "LeaseClient",
+    "LeaseError",
+    "LeaseErrorKind",
     "Listing",
     "ObjectStore",
     "RulesDocument",
@@ -46,4 +62,6 @@
     "encode_announcement",
     "encode_document",
     "history_path",
+    "holds",
+    "read_boot_clock",
 ]
