Cut long messages to the budget and find live counterparts after a cut

And after a cut, bridges kept writing to peers of the other region that had died meanwhile, since only that region can tell.

Messages now hold what the budgets allow at that moment; load reports go on where the last one ended; bridges write back to whoever writes to them, and else try others in turn. Ruled out: larger bursts, since they break the limit in one second.

--- a/packages/policy/src/ragwort_policy/__init__.py
+++ b/packages/policy/src/ragwort_policy/__init__.py
@@ -41,6 +41,7 @@
     Membership,
     MembershipSettings,
     RandomSource,
+    RegionLoad,
     Send,
     take_in,
 )
@@ -52,7 +53,6 @@
     take_hedge,
 )
 from ragwort_policy._membership import (
-    RegionLoad,
     add_announced,
     announce_leaving,
     announce_left,
--- a/packages/policy/src/ragwort_policy/_bridge.py
+++ b/packages/policy/src/ragwort_policy/_bridge.py
@@ -13,9 +13,11 @@
 from ragwort_policy._gossip_state import (
     Membership,
     RandomSource,
+    RegionLoad,
     RegionView,
     Send,
     emit,
+    fit_bytes,
     is_bridge,
     take_in,
 )
@@ -25,7 +27,11 @@
 
 RELAY_FANOUT = 4
 
-_NEWS_BYTES = 2000
+_NEWS_BYTES = 1000
+_LOADS_BYTES = 900
+_LOAD_BYTES = 24
+_REPORTER_S = 5.0
+_OTHERS_SHARE = 0.5
 _RANK_MASK = (1 << 64) - 1
 
 
@@ -41,7 +47,7 @@
     if not is_bridge(membership):
         bridging.loads.clear()
         return
-    _push_far(membership, now, sends)
+    _push_far(membership, now, random, sends)
     if now >= bridging.next_report_at:
         bridging.next_report_at = now + membership.settings.load_period_s
         _send_reports(membership, now, random, sends)
@@ -72,6 +78,9 @@
     view = view_region(membership, region, now)
     is_rejoin = region in membership.table.unreachable
     view.heard_at = now
+    if not report.root:
+        view.reporter = sender
+        view.reported_at = now
     set_reachable(membership.table, region, True)
     take_in(membership, report.news, now)
     _note_revision(membership, report)
@@ -82,7 +91,8 @@
         return
     view.origin = report.origin
     view.version = report.version
-    view.loads = {load.service: load for load in report.loads}
+    for load in report.loads:
+        view.loads[load.service] = RegionLoad(region, load, now)
     _relay_report(membership, now, report, sends)
 
 
@@ -123,23 +133,28 @@
 
 
 def _pick_counterpart(membership: Membership, region: Region, random: RandomSource) -> NodeId:
-    # The bridges of a region that is cut off may have changed meanwhile; any of its peers will do.
+    # Whoever writes from there is up. The nodes that this one takes for the bridges there may have
+    # died or been replaced during a cut, so others are tried in turn with them.
+    view = membership.bridging.regions.get(region)
+    if view is not None and membership.active_at - view.reported_at < _REPORTER_S:
+        return view.reporter
     bridges = list_bridges(membership.table, region)
-    if region in membership.table.unreachable or not bridges:
+    if not bridges or random.random() < _OTHERS_SHARE:
         return random.choice(list_region(membership.table, region)).node_id
-    own_index = list_bridges(membership.table, membership.own.region).index(membership.own.node_id)
-    return bridges[own_index % len(bridges)]
+    own = membership.own
+    index = list_bridges(membership.table, own.region).index(own.node_id)
+    return bridges[index % len(bridges)]
 
 
-def _push_far(membership: Membership, now: float, sends: list[Send]) -> None:
+def _push_far(membership: Membership, now: float, random: RandomSource, sends: list[Send]) -> None:
     news = take_unsent(membership.bridging.queue, _NEWS_BYTES)
     if not news:
         return
     for region in _list_other_regions(membership):
-        bridges = list_bridges(membership.table, region)
-        if bridges and region not in membership.table.unreachable:
+        if region not in membership.table.unreachable:
             notice = Notice(membership.own.revision, news)
-            emit(membership, sends, now, bridges[0], notice, Traffic.URGENT)
+            to = _pick_counterpart(membership, region, random)
+            emit(membership, sends, now, to, notice, Traffic.URGENT)
 
 
 def _send_reports(
@@ -149,16 +164,27 @@
     bridging.version += 1
     own = membership.own
     is_first = list_bridges(membership.table, own.region)[0] == own.node_id
-    loads = _sum_loads(membership) if is_first else []
-    news = take_news(bridging.queue, 1, _NEWS_BYTES)
     revision = max(own.revision, membership.highest_revision)
-    report = RegionReport(own.region, own.node_id, bridging.version, "", revision, loads, news)
     for region in _list_other_regions(membership):
         to = _pick_counterpart(membership, region, random)
+        room = fit_bytes(membership, now, to, Traffic.SUMMARY, _NEWS_BYTES + _LOADS_BYTES)
+        loads = _sum_loads(membership, min(_LOADS_BYTES, room // 2)) if is_first else []
+        news = take_news(bridging.queue, 1, room // 2)
+        report = RegionReport(own.region, own.node_id, bridging.version, "", revision, loads, news)
         emit(membership, sends, now, to, report, Traffic.SUMMARY)
 
 
-def _sum_loads(membership: Membership) -> list[ServiceLoad]:
+def _sum_loads(membership: Membership, room_bytes: int) -> list[ServiceLoad]:
+    # A report that is too long for all services starts where the last one ended.
+    totals = _sum_services(membership)
+    count = max(1, room_bytes // _LOAD_BYTES)
+    start = membership.bridging.next_service % max(1, len(totals))
+    membership.bridging.next_service = start + count
+    turned = totals[start:] + totals[:start]
+    return turned[:count]
+
+
+def _sum_services(membership: Membership) -> list[ServiceLoad]:
     servers: dict[str, int] = {}
     free: dict[str, int] = {}
     for peer in list_region(membership.table, membership.own.region):
@@ -167,7 +193,7 @@
         service = peer.service
         servers[service] = servers.get(service, 0) + 1
         free[service] = free.get(service, 0) + membership.bridging.loads.get(peer.node_id, 0)
-    return [ServiceLoad(service, count, free[service]) for service, count in servers.items()]
+    return [ServiceLoad(name, servers[name], free[name]) for name in sorted(servers)]
 
 
 def _note_revision(membership: Membership, report: RegionReport) -> None:
--- a/packages/policy/src/ragwort_policy/_gossip_state.py
+++ b/packages/policy/src/ragwort_policy/_gossip_state.py
@@ -8,7 +8,13 @@
 from ragwort_common import NodeId, Region, Revision
 from ragwort_protocol import Message, News, PeerState, Ping, ServiceLoad, encode_frame
 
-from ragwort_policy._budget import Budget, Traffic, can_spend, measure_level, try_spend
+from ragwort_policy._budget import (
+    Budget,
+    Traffic,
+    measure_level,
+    measure_tokens_bytes,
+    try_spend,
+)
 from ragwort_policy._dissemination import NewsQueue, add_news, take_news
 from ragwort_policy._peer import Peer, describe_peer, generation_of, raise_incarnation
 from ragwort_policy._table import (
@@ -141,14 +147,28 @@
     isolated_at: float = float("inf")
 
 
+@dataclass(frozen=True, slots=True)
+class RegionLoad:
+    """The last load that another region reported of a service, and when that was."""
+
+    region: Region
+    load: ServiceLoad
+    heard_at: float
+
+
 @dataclass(slots=True)
 class RegionView:
-    """What this node last heard of another region."""
+    """What this node last heard of another region.
+
+    ``reporter`` is the node there that last wrote to this one itself, at ``reported_at``.
+    """
 
     heard_at: float
     origin: str = ""
     version: int = 0
-    loads: dict[str, ServiceLoad] = field(default_factory=dict)
+    reporter: NodeId = NodeId("")
+    reported_at: float = float("-inf")
+    loads: dict[str, RegionLoad] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -159,6 +179,7 @@
     next_report_at: float = 0.0
     next_repair_at: float = 0.0
     version: int = 0
+    next_service: int = 0
     queue: NewsQueue = field(default_factory=NewsQueue)
     loads: dict[NodeId, int] = field(default_factory=dict)
     regions: dict[Region, RegionView] = field(default_factory=dict)
@@ -231,30 +252,41 @@
 ) -> bool:
     """Add a message to the sends if the budgets allow it, and return whether they did."""
     size_bytes = len(encode_frame(message))
-    budgets = [membership.budget]
-    peer = membership.table.peers.get(to)
-    if peer is not None and peer.region != membership.own.region:
-        budgets.append(membership.paid_budget)
-    if not try_spend(budgets, now, traffic, size_bytes):
+    if not try_spend(_budgets_to(membership, to), now, traffic, size_bytes):
         return False
     membership.counters.sent_bytes += size_bytes
     sends.append(Send(to, message, size_bytes, traffic))
     return True
 
 
+def fit_bytes(
+    membership: Membership, now: float, to: NodeId, traffic: Traffic, wanted_bytes: int
+) -> int:
+    """Return how much a message to a peer may hold so that the budgets allow it now.
+
+    Long messages are cut to this, since one that is longer than a budget's burst would never go.
+    """
+    room = min(
+        measure_tokens_bytes(budget, now) - traffic.value * budget.burst_bytes
+        for budget in _budgets_to(membership, to)
+    )
+    return min(wanted_bytes, int(room) - _FRAME_MARGIN_BYTES)
+
+
 def pick_news(membership: Membership, now: float, to: NodeId, traffic: Traffic) -> list[News]:
     """Return the news to ride on a message to a peer.
 
     What is held against the receiver itself always rides along, so that it can refute it. The
     rest shrinks with the budget's level.
     """
-    if not can_spend(membership.budget, now, traffic, _FRAME_MARGIN_BYTES + _LEAST_NEWS_BYTES):
+    settings = membership.settings
+    room = fit_bytes(membership, now, to, traffic, settings.news_bytes)
+    if room < _LEAST_NEWS_BYTES:
         return []
     news = _accuse(membership, to)
     level = measure_level(membership.budget, now)
-    room = (level - traffic.value) * membership.budget.burst_bytes - _FRAME_MARGIN_BYTES
-    limit = min(membership.settings.news_bytes * min(1.0, 2 * level), room)
-    news += take_news(membership.queue, len(membership.table.peers), int(limit))
+    limit_bytes = min(room, int(settings.news_bytes * min(1.0, 2 * level)))
+    news += take_news(membership.queue, len(membership.table.peers), limit_bytes)
     return news
 
 
@@ -327,6 +359,13 @@
     return [peer for peer in peers if peer is not membership.own]
 
 
+def _budgets_to(membership: Membership, to: NodeId) -> list[Budget]:
+    peer = membership.table.peers.get(to)
+    if peer is not None and peer.region != membership.own.region:
+        return [membership.budget, membership.paid_budget]
+    return [membership.budget]
+
+
 def _accuse(membership: Membership, to: NodeId) -> list[News]:
     peer = membership.table.peers.get(to)
     if peer is None or peer.state in (PeerState.ALIVE, PeerState.LEAVING):
--- a/packages/policy/src/ragwort_policy/_membership.py
+++ b/packages/policy/src/ragwort_policy/_membership.py
@@ -4,9 +4,7 @@
 on links; their bytes have been charged to the budgets already.
 """
 
-from dataclasses import dataclass
-
-from ragwort_common import Incarnation, NodeId, Region, Revision, ServiceName
+from ragwort_common import Incarnation, NodeId, Revision, ServiceName
 from ragwort_protocol import (
     Digest,
     LoadNotice,
@@ -20,7 +18,6 @@
     Profile,
     Records,
     RegionReport,
-    ServiceLoad,
     Summary,
     encode_frame,
 )
@@ -39,6 +36,7 @@
     Membership,
     MembershipSettings,
     RandomSource,
+    RegionLoad,
     Send,
     emit,
     list_neighbours,
@@ -70,15 +68,6 @@
 _FRAME_BYTES = 32
 
 
-@dataclass(frozen=True, slots=True)
-class RegionLoad:
-    """The last load report of another region, and how old it is."""
-
-    region: Region
-    load: ServiceLoad
-    age_s: float
-
-
 def create_membership(
     settings: MembershipSettings,
     node_id: NodeId,
@@ -259,12 +248,14 @@
 
 
 def list_region_loads(membership: Membership, service: ServiceName, now: float) -> list[RegionLoad]:
-    """Return what other regions last reported of a service."""
+    """Return what other regions have lately reported of a service."""
     found = []
     for region, view in membership.bridging.regions.items():
-        load = view.loads.get(service)
-        if load is not None and region not in membership.table.unreachable:
-            found.append(RegionLoad(region, load, now - view.heard_at))
+        known = view.loads.get(service)
+        if known is None or region in membership.table.unreachable:
+            continue
+        if now - known.heard_at < membership.settings.cut_after_s:
+            found.append(known)
     return found
 
 
--- a/packages/policy/src/ragwort_policy/_repair.py
+++ b/packages/policy/src/ragwort_policy/_repair.py
@@ -16,6 +16,7 @@
     RandomSource,
     Send,
     emit,
+    fit_bytes,
     list_neighbours,
     take_in,
 )
@@ -23,6 +24,8 @@
 from ragwort_policy._table import list_bucket
 
 _WANTED_BYTES = 24
+# The digest that starts an exchange is held back first; an exchange once started goes through.
+_ANSWERS = Traffic.SUMMARY
 
 
 def tick_repair(
@@ -67,7 +70,7 @@
     random.shuffle(differing)
     buckets: list[int] = []
     entries: list[News] = []
-    room = membership.settings.repair_bytes
+    room = fit_bytes(membership, now, sender, _ANSWERS, membership.settings.repair_bytes)
     for number in differing:
         listed = [describe_peer(peer, False) for peer in list_bucket(membership.table, number)]
         room -= sum(measure_news(news) for news in listed)
@@ -80,7 +83,7 @@
     if accused is not None and accused.is_gone:
         entries.append(describe_peer(accused, False))
     summary = Summary(buckets, entries, is_complete)
-    emit(membership, sends, now, sender, summary, Traffic.REPAIR if differing else Traffic.ANSWER)
+    emit(membership, sends, now, sender, summary, _ANSWERS if differing else Traffic.ANSWER)
 
 
 def take_summary(
@@ -131,8 +134,8 @@
     wanted: list[str],
     sends: list[Send],
 ) -> None:
-    room = membership.settings.repair_bytes
-    asked = wanted[: room // _WANTED_BYTES]
+    room = fit_bytes(membership, now, to, _ANSWERS, membership.settings.repair_bytes)
+    asked = wanted[: room // 2 // _WANTED_BYTES]
     room -= len(asked) * _WANTED_BYTES
     news = []
     for peer in peers:
@@ -141,7 +144,7 @@
         if room < 0 and news:
             break
         news.append(item)
-    emit(membership, sends, now, to, Records(news, asked), Traffic.REPAIR)
+    emit(membership, sends, now, to, Records(news, asked), _ANSWERS)
 
 
 def _list_newer(membership: Membership, summary: Summary) -> Iterable[Peer]:
