--- a/packages/policy/src/ragwort_policy/__init__.py
+++ b/packages/policy/src/ragwort_policy/__init__.py
@@ -46,6 +46,7 @@
     Membership,
     MembershipSettings,
     RandomSource,
+    RegionLoad,
     Send,
     take_in,
 )
@@ -81,7 +82,6 @@
     read_minted_ms,
 )
 from ragwort_policy._membership import (
-    RegionLoad,
     add_announced,
     announce_leaving,
     announce_left,
