--- a/bench/choice.py
+++ b/bench/choice.py
@@ -221,7 +221,8 @@
 def _print_row(name: str, chooser: str, result: Result) -> None:
     print(
         f"{name:28} {chooser:12} p50 {result.p50_ms:6.1f} p99 {result.p99_ms:6.1f}"
-        f" p99.9 {result.p999_ms:6.1f} p99all {result.p99_all_ms:6.1f} ref {result.refused_part:.4f}"
+        f" p99.9 {result.p999_ms:6.1f} p99all {result.p99_all_ms:6.1f}"
+        f" ref {result.refused_part:.4f}"
         f" ({result.refusal_p99_ms:5.1f} ms) una {result.unanswered_part:.4f}"
         f" att {result.attempts_per_call:.3f} hed {result.hedges_per_call:.3f}"
         f" far {result.crossing_part:.3f} B/s {result.watch_bytes_per_s:6.0f}"
--- a/packages/policy/src/ragwort_policy/_choice.py
+++ b/packages/policy/src/ragwort_policy/_choice.py
@@ -32,6 +32,7 @@
     get_error_cost,
     is_error,
     is_paused,
+    is_trial_due,
     record_error,
     record_success,
     start_trial,
@@ -128,6 +129,7 @@
     usual_far_load: float = 0.5
     usual_service_s: float = 0.0
     crossing: bool = False
+    calls: int = 0
     faith: Faith = field(default_factory=Faith)
 
 
@@ -177,6 +179,7 @@
     view = state.servers.get(node)
     if view is None:
         return
+    state.calls += 1
     start_trial(view.trust)
     view.sent[call_id] = Sent(now, _foretell(state, view, now))
     view.sent_since += 1
@@ -222,7 +225,7 @@
     end_call(view.latency, now, counts=outcome is Outcome.ANSWERED)
     if is_error(outcome, reason):
         certain = reason is Reason.CONNECT_FAILED
-        record_error(view.trust, now, jitter, certain)
+        record_error(view.trust, now, state.calls, jitter, certain)
     elif outcome is Outcome.ANSWERED:
         record_success(view.trust)
         view.refusals_in_row = 0
@@ -255,23 +258,21 @@
     cost_s = max(cost_s, _estimate_from_own_calls(view, now))
     if now < view.full_until:
         cost_s += settings.other_region_ms / 1e3
-    return cost_s * get_error_cost(view.trust)
+    return cost_s * get_error_cost(view.trust, now)
 
 
-def _get_weight(state: ChoiceState, view: ServerView, now: float) -> float:
+def _get_freshness(state: ChoiceState, view: ServerView, now: float) -> float:
     age_s = max(0.0, now - view.reported_at)
-    return exp(-age_s * 1e3 / state.settings.report_life_ms) * get_faith(state.faith)
+    return exp(-age_s * 1e3 / state.settings.report_life_ms)
 
 
 def _foretell(state: ChoiceState, view: ServerView, now: float) -> float:
     # The aged report's deviation from the usual, before it is weighed by the faith in it.
-    age_s = max(0.0, now - view.reported_at)
-    weight = exp(-age_s * 1e3 / state.settings.report_life_ms)
     load = view.load / view.limit - state.usual_load
     service = view.service_s / state.usual_service_s - 1.0
     if abs(service) < SERVICE_NOISE - 1.0:
         service = 0.0
-    return weight * min(MOST_DELAY, load + service)
+    return _get_freshness(state, view, now) * min(MOST_DELAY, load + service)
 
 
 def _learn_from(
@@ -292,8 +293,12 @@
 def _estimate_load(state: ChoiceState, view: ServerView, now: float) -> float:
     is_far = view.distance is Distance.OTHER_REGION
     usual = (state.usual_far_load if is_far else state.usual_load) * view.limit
-    load = usual + (view.load - usual) * _get_weight(state, view, now) + view.sent_since
-    return max(load, float(len(view.sent)))
+    fresh = _get_freshness(state, view, now)
+    own = len(view.sent)
+    # Calls that the report didn't count, but for those that have ended.
+    uncounted = min(view.sent_since, own)
+    load = usual + (view.load - usual) * get_faith(state.faith) * fresh + uncounted
+    return max(load, float(own))
 
 
 def _estimate_service(state: ChoiceState, view: ServerView, now: float) -> float:
@@ -308,7 +313,8 @@
     else:
         return usual_s
     # What a slow server said long ago is no reason to pass it over: it may have recovered.
-    return usual_s * (1.0 + (ratio - 1.0) * _get_weight(state, view, now))
+    weight = _get_freshness(state, view, now) * get_faith(state.faith)
+    return usual_s * (1.0 + (ratio - 1.0) * weight)
 
 
 def _estimate_from_own_calls(view: ServerView, now: float) -> float:
@@ -388,8 +394,14 @@
 ) -> Candidate | None:
     best: Candidate | None = None
     for view in views:
-        if not view.accepting or view.place.node in exclude or is_paused(view.trust, now):
+        if (
+            not view.accepting
+            or view.place.node in exclude
+            or is_paused(view.trust, now, state.calls)
+        ):
             continue
+        if is_trial_due(view.trust, now, state.calls):
+            return Candidate(view, 0.0)
         cost_s = estimate_cost(state, view, now)
         if best is None or cost_s < best.cost_s:
             best = Candidate(view, cost_s)
--- a/packages/policy/src/ragwort_policy/_trust.py
+++ b/packages/policy/src/ragwort_policy/_trust.py
@@ -2,9 +2,12 @@
 
 Errors lower the trust, whatever the speed at which they came back. After several errors in a
 row the server is paused, for longer each time; a paused server gets one trial call at a time.
+A pause lasts for a time and for a number of the entry's calls, so that trials stay a small part
+of the calls also at an entry that has few.
 """
 
 from dataclasses import dataclass
+from math import exp
 
 from ragwort_common import Outcome, Reason
 
@@ -12,8 +15,11 @@
 PAUSE_AFTER_ERRORS = 3
 PAUSE_ERROR_RATIO = 0.4
 FIRST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 5.0
+LONGEST_PAUSE_S = 1.0
+CALLS_PER_PAUSE_S = 50
 ERROR_COST = 8.0
+ERROR_LIFE_S = 1.0
+RATIO_AFTER_TRIAL = 0.05
 
 
 @dataclass(slots=True)
@@ -21,9 +27,11 @@
     """The evidence of errors against one server."""
 
     error_ratio: float = 0.0
+    error_at: float = 0.0
     errors_in_row: int = 0
     pause_s: float = FIRST_PAUSE_S
     paused_until: float = 0.0
+    trial_after: int = 0
     on_trial: bool = False
 
 
@@ -42,31 +50,43 @@
     trust.error_ratio *= 1.0 - ERROR_MEMORY
     if trust.on_trial:
         trust.on_trial = False
-        trust.error_ratio *= 0.5
-        trust.pause_s = max(FIRST_PAUSE_S, trust.pause_s * 0.5)
         trust.paused_until = 0.0
+        trust.trial_after = 0
+        trust.pause_s = max(FIRST_PAUSE_S, trust.pause_s * 0.5)
+        # The server is used again, but its next error pauses it at once.
+        trust.error_ratio = min(trust.error_ratio, RATIO_AFTER_TRIAL)
+        trust.errors_in_row = PAUSE_AFTER_ERRORS - 1
 
 
-def record_error(trust: Trust, now: float, jitter: float, certain: bool) -> None:
+def record_error(trust: Trust, now: float, calls: int, jitter: float, certain: bool) -> None:
     """Take in an error; ``certain`` is set when the server can't be reached at all.
 
-    ``jitter`` between 0 and 1 spreads the trials of many entries.
+    ``calls`` counts the entry's calls so far; ``jitter`` between 0 and 1 spreads the trials of
+    many entries.
     """
     trust.errors_in_row += 1
+    trust.error_ratio = get_error_ratio(trust, now)
     trust.error_ratio += ERROR_MEMORY * (1.0 - trust.error_ratio)
+    trust.error_at = now
     failing = trust.errors_in_row >= PAUSE_AFTER_ERRORS or trust.error_ratio > PAUSE_ERROR_RATIO
     if not (failing or certain or trust.on_trial):
         return
     if now < trust.paused_until:
         return
     trust.paused_until = now + trust.pause_s * (0.75 + 0.5 * jitter)
+    trust.trial_after = calls + int(trust.pause_s * CALLS_PER_PAUSE_S)
     trust.pause_s = min(LONGEST_PAUSE_S, trust.pause_s * 2.0)
     trust.on_trial = False
 
 
-def is_paused(trust: Trust, now: float) -> bool:
+def is_paused(trust: Trust, now: float, calls: int) -> bool:
     """Tell whether the server gets no call now, because of its pause or a trial under way."""
-    return trust.on_trial or now < trust.paused_until
+    return trust.on_trial or now < trust.paused_until or calls < trust.trial_after
+
+
+def is_trial_due(trust: Trust, now: float, calls: int) -> bool:
+    """Tell whether a pause is over and the next call shall be the trial."""
+    return trust.paused_until > 0.0 and not is_paused(trust, now, calls)
 
 
 def start_trial(trust: Trust) -> None:
@@ -80,6 +100,13 @@
     trust.on_trial = False
 
 
-def get_error_cost(trust: Trust) -> float:
+def get_error_ratio(trust: Trust, now: float) -> float:
+    """Return the share of errors, faded with the time since the last one."""
+    if not trust.error_ratio:
+        return 0.0
+    return trust.error_ratio * exp((trust.error_at - now) / ERROR_LIFE_S)
+
+
+def get_error_cost(trust: Trust, now: float) -> float:
     """Return the factor by which errors make a server's calls dearer, at least 1."""
-    return 1.0 + ERROR_COST * trust.error_ratio
+    return 1.0 + ERROR_COST * get_error_ratio(trust, now)
