Leave small differences of cost to chance

Cause: among few servers a tie always went to the first of the list, and a leftover of 1% cost kept a recovered server idle. Costs are now compared with up to 10% of chance. The tests of an exact choice use a random source without chance; they are as strict as before.

--- a/packages/policy/src/ragwort_policy/_choice.py
+++ b/packages/policy/src/ragwort_policy/_choice.py
@@ -40,6 +40,7 @@
 
 USUAL_MEMORY = 0.05
 SERVICE_NOISE = 1.5
+TIE_PART = 0.1
 MOST_DELAY = 3.0
 """Longest delay that counts when reports are judged, in usual service times."""
 FAR_FULL_DOUBLINGS = 4
@@ -373,10 +374,10 @@
     compared = state.settings.compared
     if count > compared:
         drawn = _draw(views, compared, random)
-        best = _find_best(state, drawn, now, exclude)
+        best = _find_best(state, drawn, now, random, exclude)
         if best is not None:
             return best
-    return _find_best(state, views, now, exclude)
+    return _find_best(state, views, now, random, exclude)
 
 
 def _draw(views: list[ServerView], wanted: int, random: RandomSource) -> list[ServerView]:
@@ -390,9 +391,14 @@
 
 
 def _find_best(
-    state: ChoiceState, views: list[ServerView], now: float, exclude: Collection[NodeId]
+    state: ChoiceState,
+    views: list[ServerView],
+    now: float,
+    random: RandomSource,
+    exclude: Collection[NodeId],
 ) -> Candidate | None:
     best: Candidate | None = None
+    best_rank = 0.0
     for view in views:
         if (
             not view.accepting
@@ -403,8 +409,10 @@
         if is_trial_due(view.trust, now, state.calls):
             return Candidate(view, 0.0)
         cost_s = estimate_cost(state, view, now)
-        if best is None or cost_s < best.cost_s:
-            best = Candidate(view, cost_s)
+        # Differences too small to matter are left to chance, so that entries spread.
+        rank = cost_s * (1.0 + TIE_PART * random.random())
+        if best is None or rank < best_rank:
+            best, best_rank = Candidate(view, cost_s), rank
     return best
 
 
--- a/tests/policy/test_choice.py
+++ b/tests/policy/test_choice.py
@@ -23,6 +23,13 @@
 FAR = ["far-0", "far-1"]
 
 
+class Still:
+    """A random source without chance, for choices that must be the exact best."""
+
+    def random(self):
+        return 0.0
+
+
 def _make_state(near=NEAR, far=(), settings=SETTINGS):
     state = make_choice(settings, "domain", "region")
     places = [ServerPlace(node, "domain", "region") for node in near]
@@ -55,7 +62,7 @@
     state = _make_state(nodes, settings=ChoiceSettings(compared=9))
     for node, load in zip(nodes, found, strict=True):
         _report(state, node, load, 1.0)
-    chosen = choose_server(state, 1.0, Random(1))
+    chosen = choose_server(state, 1.0, Still())
     assert found[nodes.index(chosen)] == min(found)
 
 
@@ -87,7 +94,7 @@
     _report(state, NEAR[1], 4, 1.0)
     chosen = []
     for number in range(8):
-        chosen.append(choose_server(state, 1.0, Random(1)))
+        chosen.append(choose_server(state, 1.0, Still()))
         _send(state, chosen[-1], number, 1.0)
     assert chosen[:4] == [NEAR[0]] * 4 and NEAR[1] in chosen[4:]
 
