--- /dev/null
+++ b/tests/process/test_failures.py
@@ -0,0 +1,188 @@
+"""Real processes under failure: each scenario starts a small deployment of its own."""
+
+import asyncio
+import collections
+import contextlib
+import itertools
+import signal
+
+import aiohttp
+from helper import wait_until
+from ragwort_common import Revision
+from ragwort_platform import RULES_PATH, ObjectStore, RulesDocument, encode_document
+
+from bench.deployment import Plan, count_runs, order_server, run_fleet, start_node, wait_ready
+from bench.load import open_session
+
+PLAN = Plan(
+    services=("tracking", "collections"),
+    domains=(("north", "n1"), ("south", "s1")),
+    slots=8,
+    connections=32,
+    service_ms=5.0,
+)
+RULES = b"""\
+tracking GET /** idempotent deadline=3s retries=1  # hanbit: lookups
+collections POST /** non-idempotent deadline=3s  # hanbit: confirmations
+"""
+PATIENCE_S = 60.0
+_ids = itertools.count()
+
+
+def count_answered(results):
+    return sum(outcome == "answered" for _, outcome, _ in results)
+
+
+def list_servers(results):
+    return {server for _, _, server in results}
+
+
+async def put_rules(fleet):
+    async with ObjectStore(fleet.platform_url, 2000) as store:
+        document = RulesDocument(Revision(1), "test", "", "1", RULES)
+        assert (await store.create(RULES_PATH, encode_document(document))).is_ok()
+
+
+def run_scenario(scenario):
+    async def run():
+        async with run_fleet(PLAN) as fleet, open_session() as session:
+            await put_rules(fleet)
+            await wait_ready(fleet)
+            await scenario(fleet, session)
+
+    asyncio.run(run())
+
+
+async def call(session, place, service, method="GET", key=None):
+    """Send one call; return its request id, outcome and the server that answered."""
+    request_id = f"id-{next(_ids)}"
+    headers = {"Host": service, "X-Request-Id": request_id}
+    if key:
+        headers["Idempotency-Key"] = key
+    try:
+        async with session.request(method, place.entry_url("/x"), headers=headers) as response:
+            answered = response.status == 200
+            server = (await response.json())["server"] if answered else None
+            return request_id, response.headers["Ragwort-Outcome"], server
+    except aiohttp.ClientError:
+        return request_id, "broken", None
+
+
+async def call_until(session, place, service, wanted, **options):
+    """Repeat a call until its result is as wanted; the runner's time limit bounds it."""
+    while True:
+        result = await call(session, place, service, **options)
+        if wanted(result):
+            return result
+        await asyncio.sleep(0.05)
+
+
+async def send_steadily(session, fleet, service, method, stop, results):
+    for place in itertools.cycle(fleet):
+        if stop.is_set():
+            return
+        results.append(await call(session, place, service, method))
+
+
+@contextlib.asynccontextmanager
+async def steady_load(session, entries, service, method="GET", streams=4):
+    """Send calls in the background and collect how they ended."""
+    stop, results = asyncio.Event(), []
+    tasks = [
+        asyncio.create_task(send_steadily(session, entries, service, method, stop, results))
+        for _ in range(streams)
+    ]
+    try:
+        yield results
+    finally:
+        stop.set()
+        await asyncio.gather(*tasks)
+
+
+def test_a_killed_server_and_node_leave_honest_outcomes_and_no_second_run():
+    async def scenario(fleet, session):
+        first, second = fleet.find_places("collections")
+        entries = fleet.find_places("tracking")
+        async with steady_load(session, entries, "collections", "POST") as results:
+            await asyncio.sleep(0.5)
+            first.server.kill()
+            await asyncio.sleep(0.5)
+            first.process.kill()
+            found = len(results)
+            await wait_until(lambda: count_answered(results[found:]) >= 50, PATIENCE_S)
+        runs = await count_runs(session, fleet)
+        assert max(runs.values()) == 1
+        for request_id, outcome, server in results:
+            if outcome == "not-run":
+                assert request_id not in runs
+            if server == second.node:
+                assert runs[request_id] == 1
+        assert {outcome for _, outcome, _ in results} <= {"answered", "not-run", "unknown"}
+
+    run_scenario(scenario)
+
+
+def test_a_graceful_stop_of_a_node_cuts_off_no_call():
+    async def scenario(fleet, session):
+        leaving = fleet.find_places("tracking")[0]
+        entries = [place for place in fleet.places if place is not leaving]
+        await order_server(session, leaving, service_ms=300)
+        async with steady_load(session, entries, "tracking", streams=8) as results:
+            await wait_until(lambda: leaving.node in list_servers(results), PATIENCE_S)
+            leaving.process.send_signal(signal.SIGTERM)
+            assert await leaving.process.wait() == 0
+            after = len(results)
+            await asyncio.sleep(0.3)
+        outcomes = collections.Counter(outcome for _, outcome, _ in results)
+        assert set(outcomes) == {"answered"}
+        started_after = results[after + 8 :]
+        assert leaving.node not in list_servers(started_after)
+
+    run_scenario(scenario)
+
+
+def test_calls_go_on_and_nodes_leave_and_join_while_the_platform_is_down():
+    async def scenario(fleet, session):
+        places = fleet.find_places("tracking")
+        entry = fleet.find_places("collections")[0]
+        faults = f"{fleet.platform_url}/control/faults"
+        async with session.post(faults, json={"outage": True}) as response:
+            assert response.status == 200
+        assert (await call(session, entry, "tracking"))[1] == "answered"
+        places[0].process.terminate()
+        await places[0].process.wait()
+        for _ in range(20):
+            assert (await call(session, entry, "tracking"))[2] == places[1].node
+        # The node has nothing but its settings; it joins through a seed.
+        seeds = [f"127.0.0.1:{entry.ports['link']}"]
+        await start_node(fleet, places[0], {"node": {"seeds": seeds}})
+        places[1].process.terminate()
+        await places[1].process.wait()
+        wanted = places[0].node
+        await call_until(session, entry, "tracking", lambda result: result[2] == wanted)
+
+    run_scenario(scenario)
+
+
+def test_a_frozen_node_never_makes_a_keyed_call_run_twice():
+    async def scenario(fleet, session):
+        first, second = fleet.find_places("tracking")
+        frozen = fleet.find_places("collections")[0]
+        options = {"method": "POST", "key": "confirmation-1"}
+        answered = await call_until(
+            session, first, "collections", lambda result: result[1] == "answered", **options
+        )
+        frozen.process.send_signal(signal.SIGSTOP)
+        repeats = [call(session, place, "collections", **options) for place in (first, second)]
+        outcomes = {outcome for _, outcome, _ in await asyncio.gather(*repeats)}
+        frozen.process.send_signal(signal.SIGCONT)
+        repeat = await call_until(
+            session, second, "collections", lambda result: result[1] == "answered", **options
+        )
+        assert outcomes <= {"answered", "unknown", "not-run"}
+        assert repeat[2] == answered[2]
+        runs = await count_runs(session, fleet)
+        assert runs.get(repeat[0], 0) == 0
+        assert sum(runs.values()) == 1
+
+    run_scenario(scenario)
