--- /dev/null
+++ b/packages/node/src/ragwort_node/_configuration.py
@@ -0,0 +1,324 @@
+"""Keeps the rules in force on this node: hears of revisions, fetches them, passes them on.
+
+One task owns the state; everything it learns comes as a message through its inbox.
+"""
+
+import asyncio
+import logging
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from ragwort_common import NodeId, Revision
+from ragwort_platform import RULES_PATH, ObjectStore, RulesDocument, decode_document
+from ragwort_policy import (
+    NOTICE_FANOUT,
+    UNKNOWN_DIGEST,
+    WATCHERS_PER_DOMAIN,
+    PlacedPeer,
+    RevisionState,
+    Stamp,
+    Standing,
+    adopt_revision,
+    choose_notice_targets,
+    choose_source,
+    digest_document,
+    drop_source,
+    is_watcher,
+    judge_revision,
+    note_source,
+    refuse_revision,
+)
+from ragwort_protocol import RevisionNotice
+
+from ragwort_node._rules_watch import PlatformRead, WatchSettings, watch_rules
+
+log = logging.getLogger(__name__)
+
+
+class ConfigurationEvent(Enum):
+    """What is counted."""
+
+    ADOPTED = "adopted"
+    REFUSED = "refused"
+    MALFORMED = "malformed"
+    FORKED = "forked"
+    PLATFORM_OLDER = "platform-older"
+    WRITTEN_BACK = "written-back"
+    FETCHED = "fetched"
+    FETCH_FAILED = "fetch-failed"
+    NOTICE_SENT = "notice-sent"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSettings:
+    """How the rules are spread.
+
+    Attributes
+    ----------
+    watchers_per_domain
+        Nodes of each failure domain that watch the platform.
+    notice_fanout
+        Peers of the region that a node tells of each new revision.
+    notice_repeat_ms
+        After how long a node tells as many peers once more, since some that it told may be
+        failing without being known to.
+    fetch_timeout_ms
+        How long a peer may take to send a document, before another one is asked.
+    write_back_ms
+        How long the platform must show older rules before a watcher writes the newer ones back.
+    watch
+        How the platform is watched.
+    """
+
+    watchers_per_domain: int = WATCHERS_PER_DOMAIN
+    notice_fanout: int = NOTICE_FANOUT
+    notice_repeat_ms: float = 500
+    fetch_timeout_ms: float = 1_500
+    write_back_ms: float = 2_000
+    watch: WatchSettings = WatchSettings()
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationPorts:
+    """The functions by which the task reaches the rest of the node.
+
+    Attributes
+    ----------
+    accept
+        Tells whether a document can come into force.
+    publish
+        Takes in each document that comes into force.
+    send_notice
+        Sends a notice to a peer; it may be lost.
+    fetch_document
+        Asks a peer for its stored document of a revision or a later one; None when the peer has
+        none or can't be asked.
+    list_peers
+        Returns the alive peers; this node may be among them or not.
+    """
+
+    accept: Callable[[RulesDocument], bool]
+    publish: Callable[[RulesDocument], None]
+    send_notice: Callable[[NodeId, RevisionNotice], None]
+    fetch_document: Callable[[NodeId, Revision], Awaitable[bytes | None]]
+    list_peers: Callable[[], Sequence[PlacedPeer]]
+
+
+@dataclass(frozen=True, slots=True)
+class CurrentRules:
+    """The document in force, with its stored form for peers that ask."""
+
+    stamp: Stamp
+    document: RulesDocument
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class _RevisionHeard:
+    """A peer told that it has a revision in force."""
+
+    peer: NodeId
+    stamp: Stamp
+
+
+@dataclass(frozen=True, slots=True)
+class _FetchEnded:
+    """A peer sent its document, or couldn't."""
+
+    peer: NodeId
+    data: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class _RepeatDue:
+    """It is time to tell peers again of a revision."""
+
+    stamp: Stamp
+
+
+_Message = _RevisionHeard | _FetchEnded | _RepeatDue | PlatformRead
+
+
+class ConfigurationTask:
+    """Owns the rules in force; ``run`` is the task, the other methods may be called any time.
+
+    Attributes
+    ----------
+    counts
+        Count of each ``ConfigurationEvent``.
+    current
+        The rules in force, or None.
+    """
+
+    def __init__(
+        self,
+        own: PlacedPeer,
+        store: ObjectStore,
+        ports: ConfigurationPorts,
+        rng: random.Random,
+        settings: ConfigurationSettings = ConfigurationSettings(),  # noqa: B008
+    ) -> None:
+        self.counts: Counter[ConfigurationEvent] = Counter()
+        self.current: CurrentRules | None = None
+        self._own = own
+        self._store = store
+        self._ports = ports
+        self._rng = rng
+        self._settings = settings
+        self._state = RevisionState()
+        self._inbox: asyncio.Queue[_Message] = asyncio.Queue()
+        self._fetching = False
+        self._older_version: int | None = None
+        self._forks: set[Stamp] = set()
+
+    def hear_notice(self, peer: NodeId, notice: RevisionNotice) -> None:
+        """Take in a peer's notice of a revision."""
+        stamp = Stamp(Revision(notice.revision), notice.digest)
+        self._inbox.put_nowait(_RevisionHeard(peer, stamp))
+
+    def hear_revision(self, peer: NodeId, revision: Revision) -> None:
+        """Take in the revision number on a peer's gossip."""
+        if revision > self._state.in_force.revision:
+            self._inbox.put_nowait(_RevisionHeard(peer, Stamp(revision, UNKNOWN_DIGEST)))
+
+    async def run(self) -> None:
+        """Handle messages and watch the platform until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            watching = watch_rules(
+                self._store,
+                self._is_chosen,
+                self._inbox.put_nowait,
+                self._rng,
+                self._settings.watch,
+            )
+            group.create_task(watching)
+            while True:
+                self._handle(await self._inbox.get(), group)
+
+    def _is_chosen(self) -> bool:
+        # A node without rules asks the platform itself, since its peers may know no more.
+        if self.current is None:
+            return True
+        peers = self._ports.list_peers()
+        return is_watcher(self._own, peers, self._settings.watchers_per_domain)
+
+    def _handle(self, message: _Message, group: asyncio.TaskGroup) -> None:
+        match message:
+            case _RevisionHeard(peer, stamp):
+                self._note_standing(note_source(self._state, peer, stamp), stamp)
+            case _FetchEnded(peer, data):
+                self._fetching = False
+                self._take_fetched(peer, data)
+            case _RepeatDue(stamp):
+                if self._state.in_force == stamp:
+                    self._send_notices(stamp, crosses_regions=False)
+            case PlatformRead(data, version):
+                self._take_read(data, version, group)
+        self._start_fetch(group)
+
+    def _take_fetched(self, peer: NodeId, data: bytes | None) -> None:
+        drop_source(self._state, peer)
+        if data is None:
+            self.counts[ConfigurationEvent.FETCH_FAILED] += 1
+            return
+        self.counts[ConfigurationEvent.FETCHED] += 1
+        self._take_document(data, is_from_platform=False)
+
+    def _take_read(self, data: bytes | None, version: int, group: asyncio.TaskGroup) -> None:
+        standing = Standing.OLDER
+        if data is not None:
+            standing = self._take_document(data, is_from_platform=True)
+        if standing is not Standing.OLDER or self.current is None:
+            self._older_version = None
+            return
+        self.counts[ConfigurationEvent.PLATFORM_OLDER] += 1
+        self._older_version = version
+        group.create_task(self._write_back(version))
+
+    def _take_document(self, data: bytes, is_from_platform: bool) -> Standing | None:
+        """Bring a document into force if it is newer and sound; None when it is malformed."""
+        decoded = decode_document(data)
+        if decoded.is_error():
+            self.counts[ConfigurationEvent.MALFORMED] += 1
+            log.error("a stored rules document is malformed: %s", decoded.error.message)
+            return None
+        document = decoded.ok
+        stamp = Stamp(document.revision, digest_document(data))
+        standing = judge_revision(self._state, stamp)
+        self._note_standing(standing, stamp)
+        if standing is Standing.NEWER:
+            self._try_document(CurrentRules(stamp, document, data), is_from_platform)
+        return standing
+
+    def _try_document(self, rules: CurrentRules, is_from_platform: bool) -> None:
+        if not self._ports.accept(rules.document):
+            refuse_revision(self._state, rules.stamp)
+            self.counts[ConfigurationEvent.REFUSED] += 1
+            log.error("rules revision %d is broken and stays out of force", rules.stamp.revision)
+            return
+        adopt_revision(self._state, rules.stamp)
+        self.current = rules
+        self.counts[ConfigurationEvent.ADOPTED] += 1
+        log.info("rules revision %d by %s in force", rules.stamp.revision, rules.document.author)
+        self._ports.publish(rules.document)
+        self._send_notices(rules.stamp, is_from_platform)
+        delay_s = self._settings.notice_repeat_ms / 1000
+        repeat = _RepeatDue(rules.stamp)
+        asyncio.get_running_loop().call_later(delay_s, self._inbox.put_nowait, repeat)
+
+    def _send_notices(self, stamp: Stamp, crosses_regions: bool) -> None:
+        notice = RevisionNotice(stamp.revision, stamp.digest)
+        targets = choose_notice_targets(
+            self._own,
+            self._ports.list_peers(),
+            self._rng,
+            self._settings.notice_fanout,
+            crosses_regions,
+        )
+        for peer in targets:
+            self._ports.send_notice(peer, notice)
+        self.counts[ConfigurationEvent.NOTICE_SENT] += len(targets)
+
+    def _note_standing(self, standing: Standing, stamp: Stamp) -> None:
+        if standing is not Standing.FORKED:
+            return
+        self.counts[ConfigurationEvent.FORKED] += 1
+        if stamp not in self._forks:
+            self._forks = {stamp}
+            log.error("rules revision %d exists with another content", stamp.revision)
+
+    def _start_fetch(self, group: asyncio.TaskGroup) -> None:
+        source = choose_source(self._state)
+        if source is None or self._fetching:
+            return
+        self._fetching = True
+        peer, stamp = source
+        group.create_task(self._fetch(peer, stamp.revision))
+
+    async def _fetch(self, peer: NodeId, at_least: Revision) -> None:
+        data = None
+        try:
+            async with asyncio.timeout(self._settings.fetch_timeout_ms / 1000):
+                data = await self._ports.fetch_document(peer, at_least)
+        except TimeoutError:
+            log.debug("peer %s sent no rules in time", peer)
+        self._inbox.put_nowait(_FetchEnded(peer, data))
+
+    async def _write_back(self, version: int) -> None:
+        """Give the platform the rules in force again, after it came back with an older copy."""
+        # Most often the read was only overtaken by a peer's notice, or another watcher is first;
+        # then a later read tells so during the delay.
+        await asyncio.sleep(self._rng.uniform(0.5, 1.0) * self._settings.write_back_ms / 1000)
+        rules = self.current
+        if self._older_version != version or rules is None:
+            return
+        if version:
+            written = await self._store.update(RULES_PATH, rules.data, version)
+        else:
+            written = await self._store.create(RULES_PATH, rules.data)
+        if written.is_ok():
+            self.counts[ConfigurationEvent.WRITTEN_BACK] += 1
+            log.warning("the platform had older rules; wrote revision %d", rules.stamp.revision)
--- /dev/null
+++ b/packages/node/src/ragwort_node/_rules_watch.py
@@ -0,0 +1,133 @@
+"""Watches the rules on the platform while this node is one of the chosen watchers."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from expression import Error, Ok, Result
+from ragwort_platform import RULES_PATH, ObjectStore, StoreError
+
+log = logging.getLogger(__name__)
+
+
+class JitterSource(Protocol):
+    """The part of ``random.Random`` that spreads the retries of many nodes over time."""
+
+    def uniform(self, a: float, b: float) -> float:
+        """Return a number between two bounds."""
+
+
+@dataclass(frozen=True, slots=True)
+class WatchSettings:
+    """How the platform is watched.
+
+    Attributes
+    ----------
+    wait_ms
+        How long one waiting watch lasts.
+    recheck_ms
+        How often a node that isn't a watcher looks whether it has become one.
+    first_retry_ms, last_retry_ms
+        Bounds of the exponential delay between attempts while the platform is down.
+    """
+
+    wait_ms: int = 30_000
+    recheck_ms: float = 5_000
+    first_retry_ms: float = 100
+    last_retry_ms: float = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformRead:
+    """What the platform holds as the current rules.
+
+    ``data`` is None and ``version`` zero when it holds none.
+    """
+
+    data: bytes | None
+    version: int
+
+
+async def watch_rules(
+    store: ObjectStore,
+    is_chosen: Callable[[], bool],
+    deliver: Callable[[PlatformRead], None],
+    rng: JitterSource,
+    settings: WatchSettings,
+) -> None:
+    """Deliver what the platform holds, now and after each change, until cancelled.
+
+    Parameters
+    ----------
+    store
+        The platform's object API.
+    is_chosen
+        Tells whether this node has to watch; asked again after each wait.
+    deliver
+        Takes in each state that was read.
+    rng
+        Source of jitter.
+    settings
+        Waits and delays.
+    """
+    after: int | None = None
+    failures = 0
+    while True:
+        if not is_chosen():
+            after = None
+            await _sleep_jittered(settings.recheck_ms, rng)
+            continue
+        read = await _read_next(store, deliver, after, settings)
+        if read.is_ok():
+            after = read.ok
+            if failures:
+                log.info("the platform replies again after %d failed calls", failures)
+            failures = 0
+            continue
+        # After a failure the whole state is read again: it may be another copy.
+        after = None
+        if not failures:
+            log.warning("watching the rules failed: %s", read.error.message)
+        await _sleep_jittered(_get_delay(failures, settings), rng)
+        failures += 1
+
+
+async def _read_next(
+    store: ObjectStore,
+    deliver: Callable[[PlatformRead], None],
+    after: int | None,
+    settings: WatchSettings,
+) -> Result[int, StoreError]:
+    """Make one call, deliver what it gave and return the version to watch from next."""
+    if after is None:
+        listing = await store.list_objects(RULES_PATH)
+        if listing.is_error():
+            return Error(listing.error)
+        current = [item for item in listing.ok.items if item.path == RULES_PATH]
+        if not current:
+            deliver(PlatformRead(None, 0))
+        for item in current:
+            deliver(PlatformRead(item.data, item.version))
+        return Ok(listing.ok.version)
+    changes = await store.watch(RULES_PATH, after, settings.wait_ms)
+    if changes.is_error():
+        return Error(changes.error)
+    for change in changes.ok.items:
+        if change.path != RULES_PATH:
+            continue
+        if change.deleted:
+            deliver(PlatformRead(None, 0))
+        else:
+            deliver(PlatformRead(change.data, change.version))
+    return Ok(changes.ok.version)
+
+
+def _get_delay(failures: int, settings: WatchSettings) -> float:
+    # The exponent is bounded, since an outage may be long and a float is not.
+    return min(settings.last_retry_ms, settings.first_retry_ms * 2.0 ** min(failures, 20))
+
+
+async def _sleep_jittered(delay_ms: float, rng: JitterSource) -> None:
+    await asyncio.sleep(rng.uniform(0.5, 1.0) * delay_ms / 1000)
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_watchers.py
@@ -0,0 +1,107 @@
+"""Chooses which nodes watch the platform, and whom a node tells of a new revision."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from typing import Protocol
+
+from ragwort_common import FailureDomain, NodeId, Region
+from xxhash import xxh64_intdigest
+
+WATCHERS_PER_DOMAIN = 2
+NOTICE_FANOUT = 4
+
+
+class PlacedPeer(Protocol):
+    """What the choice needs to know of a peer."""
+
+    @property
+    def node_id(self) -> NodeId:
+        """Name of the peer."""
+
+    @property
+    def region(self) -> Region:
+        """Region in which it stands."""
+
+    @property
+    def failure_domain(self) -> FailureDomain:
+        """Failure domain in which it stands."""
+
+
+class Sampler(Protocol):
+    """The part of ``random.Random`` that is used here."""
+
+    def sample(self, population: Sequence[NodeId], k: int) -> list[NodeId]:
+        """Return distinct elements of a sequence."""
+
+
+def choose_watchers(
+    peers: Iterable[PlacedPeer], per_domain: int = WATCHERS_PER_DOMAIN
+) -> frozenset[NodeId]:
+    """Return the watchers among all alive peers: the highest ranks of each failure domain.
+
+    Nodes with the same view choose the same watchers without a message; where views differ, a
+    few nodes more or fewer watch for a while.
+    """
+    domains: defaultdict[FailureDomain, list[NodeId]] = defaultdict(list)
+    for peer in peers:
+        domains[peer.failure_domain].append(peer.node_id)
+    return frozenset(
+        node
+        for nodes in domains.values()
+        for node in sorted(nodes, key=_rank_node, reverse=True)[:per_domain]
+    )
+
+
+def is_watcher(
+    own: PlacedPeer, peers: Iterable[PlacedPeer], per_domain: int = WATCHERS_PER_DOMAIN
+) -> bool:
+    """Tell whether a node is one of the watchers of its failure domain."""
+    rank = _rank_node(own.node_id)
+    higher = 0
+    for peer in peers:
+        if peer.failure_domain == own.failure_domain and _rank_node(peer.node_id) > rank:
+            higher += 1
+    return higher < per_domain
+
+
+def choose_notice_targets(
+    own: PlacedPeer,
+    peers: Sequence[PlacedPeer],
+    rng: Sampler,
+    fanout: int = NOTICE_FANOUT,
+    crosses_regions: bool = False,
+) -> list[NodeId]:
+    """Return the peers to tell of a revision that has just come into force.
+
+    These are the node's successor in the order of ids, by which the news reaches every node of
+    the region while none fails, and random ones, by which it does so in few hops. Other regions
+    have watchers of their own; only a watcher tells one peer of each, in case those are cut off
+    from the platform.
+    """
+    near = [peer.node_id for peer in peers if peer.region == own.region]
+    targets = _choose_near(own.node_id, near, rng, fanout)
+    if crosses_regions:
+        targets += _choose_far(own.region, peers, rng)
+    return targets
+
+
+def _choose_near(own: NodeId, near: Iterable[NodeId], rng: Sampler, fanout: int) -> list[NodeId]:
+    others = [node for node in near if node != own]
+    if len(others) <= fanout:
+        return others
+    following = [node for node in others if node > own]
+    successor = min(following or others)
+    others.remove(successor)
+    return [successor, *rng.sample(others, fanout - 1)]
+
+
+def _choose_far(own: Region, peers: Iterable[PlacedPeer], rng: Sampler) -> list[NodeId]:
+    regions: defaultdict[Region, list[NodeId]] = defaultdict(list)
+    for peer in peers:
+        if peer.region != own:
+            regions[peer.region].append(peer.node_id)
+    return [rng.sample(nodes, 1)[0] for nodes in regions.values()]
+
+
+def _rank_node(node: NodeId) -> int:
+    return xxh64_intdigest(node.encode())
--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -14,6 +14,7 @@
 )
 from ragwort_protocol._load import LoadReport
 from ragwort_protocol._message import Message
+from ragwort_protocol._revision import RevisionNotice
 
 __all__ = [
     "BODY_PART_BYTES",
@@ -28,5 +29,6 @@
     "Refusal",
     "Request",
     "Response",
+    "RevisionNotice",
     "encode_frame",
 ]
--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ragwort_protocol import _calls, _load
+from ragwort_protocol import _calls, _load, _revision
 from ragwort_protocol._message import Message
 
 PROTOCOL_VERSION = 1
@@ -29,6 +29,7 @@
     | _calls.Refusal
     | _calls.Cancel
     | _load.LoadReport
+    | _revision.RevisionNotice
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_MESSAGES)
--- a/packages/protocol/src/ragwort_protocol/_message.py
+++ b/packages/protocol/src/ragwort_protocol/_message.py
@@ -1,7 +1,8 @@
 """The base of every message on a link.
 
 Each message is a positional MessagePack array that starts with its tag. Tags are given out in
-blocks: calls 1 to 9, load reports and probes 10 to 19, gossip 20 to 29, claims 30 to 39.
+blocks: calls 1 to 9, load reports and probes 10 to 19, gossip 20 to 29, claims 30 to 39,
+revisions of the rules 40 to 49.
 """
 
 import msgspec
--- a/standins/src/ragwort_standins/_objects.py
+++ b/standins/src/ragwort_standins/_objects.py
@@ -52,11 +52,15 @@
 
 @dataclass(slots=True)
 class ObjectTable:
-    """Keeps the objects under one version counter for the whole store."""
+    """Keeps the objects under one version counter for the whole store.
+
+    ``counts`` has the calls by kind, and ``waiting`` the watches that wait at the moment.
+    """
 
     objects: dict[str, StoredObject] = field(default_factory=dict)
     version: int = 0
     counts: Counter[str] = field(default_factory=Counter)
+    waiting: int = 0
     faults: Faults = field(default_factory=Faults)
     _changes: deque[StoredObject] = field(default_factory=deque)
     _oldest: int = 0
@@ -119,10 +123,13 @@
 
     async def wait_for_change(self, timeout_s: float) -> None:
         """Wait until something changes, or for the timeout."""
+        self.waiting += 1
         try:
             await asyncio.wait_for(self._changed.wait(), timeout_s)
         except TimeoutError:
             return
+        finally:
+            self.waiting -= 1
 
     def _record_change(self, change: StoredObject) -> None:
         self._changes.append(change)
