--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ragwort_protocol import _calls, _load, _revision
+from ragwort_protocol import _calls, _claims, _gossip, _load, _revision
 from ragwort_protocol._message import Message
 
 PROTOCOL_VERSION = 1
@@ -28,7 +28,24 @@
     | _calls.Response
     | _calls.Refusal
     | _calls.Cancel
+    | _calls.Hello
     | _load.LoadReport
+    | _load.Probe
+    | _load.ProbeReply
+    | _gossip.Ping
+    | _gossip.PingAck
+    | _gossip.PingRequest
+    | _gossip.Notice
+    | _gossip.Digest
+    | _gossip.Summary
+    | _gossip.Records
+    | _gossip.LoadNotice
+    | _gossip.RegionReport
+    | _claims.ClaimRequest
+    | _claims.ClaimReply
+    | _claims.ClaimResult
+    | _claims.Answer
+    | _claims.OwnerNotice
     | _revision.RevisionNotice
 )
 _encoder = msgspec.msgpack.Encoder()
