--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -3,12 +3,21 @@
 import asyncio
 from collections import deque
 from collections.abc import Coroutine
+from dataclasses import dataclass
 from typing import Any
 
 from expression import Error, Ok, Result
 from ragwort_common import Epoch
-from ragwort_node._owner import LEASE_TTL_S, LeaseFailure, RangeLease
-from ragwort_platform import ErrorKind, Listing, Stored, StoreError
+from ragwort_node._owner import LEASE_TTL_MS
+from ragwort_platform import (
+    ErrorKind,
+    Lease,
+    LeaseError,
+    LeaseErrorKind,
+    Listing,
+    Stored,
+    StoreError,
+)
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
@@ -123,43 +132,58 @@
         return Ok(self.objects[path]) if fate == "ok" else _fail(ErrorKind.UNCERTAIN)
 
 
+@dataclass(slots=True)
+class _Holding:
+    """Who holds a lease, in which epoch and until when."""
+
+    holder: str
+    epoch: Epoch
+    until_s: float
+
+
+class LeaseTable(dict[str, _Holding]):
+    """The leases that the nodes of a test share."""
+
+
 class MemoryLeases:
-    """Leases of key ranges in memory, for one node each; they share a table."""
+    """Leases in memory as one node sees them."""
 
-    def __init__(self, node: str, table: dict[int, tuple[str, int, float]]) -> None:
+    def __init__(self, node: str, table: LeaseTable) -> None:
         self.down = False
         self._node = node
         self._table = table
 
-    async def acquire(self, key_range: int) -> Result[RangeLease, LeaseFailure]:
+    async def acquire_lease(self, path: str, floor: Epoch) -> Result[Lease, LeaseError]:
         """Take a lease that is free or has lapsed."""
-        if self.down:
-            return Error(LeaseFailure.UNAVAILABLE)
-        holder, epoch, until_s = self._table.get(key_range, ("", 0, 0.0))
-        if holder and read_clock() < until_s:
-            return Error(LeaseFailure.LOST)
-        return self._hold(key_range, epoch + 1)
+        known = self._table.get(path, _Holding("", floor, 0.0))
+        if known.holder and read_clock() < known.until_s:
+            return _fail_lease(LeaseErrorKind.HELD)
+        return self._hold(path, Epoch(max(known.epoch, floor) + 1))
 
-    async def renew(self, lease: RangeLease) -> Result[RangeLease, LeaseFailure]:
+    async def renew_lease(self, lease: Lease) -> Result[Lease, LeaseError]:
         """Hold a lease for longer, in the same epoch."""
-        if self.down:
-            return Error(LeaseFailure.UNAVAILABLE)
-        if self._table[lease.key_range][:2] != (self._node, lease.epoch):
-            return Error(LeaseFailure.LOST)
-        return self._hold(lease.key_range, lease.epoch)
+        known = self._table[lease.path]
+        if (known.holder, known.epoch) != (self._node, lease.epoch):
+            return _fail_lease(LeaseErrorKind.LOST)
+        return self._hold(lease.path, lease.epoch)
 
-    async def release(self, lease: RangeLease) -> Result[None, LeaseFailure]:
+    async def release_lease(self, lease: Lease) -> Result[None, LeaseError]:
         """Give a lease up at once."""
-        if self.down:
-            return Error(LeaseFailure.UNAVAILABLE)
-        if self._table[lease.key_range][:2] == (self._node, lease.epoch):
-            self._table[lease.key_range] = ("", lease.epoch, 0.0)
+        known = self._table[lease.path]
+        if not self.down and (known.holder, known.epoch) == (self._node, lease.epoch):
+            known.holder = ""
         return Ok(None)
 
-    def _hold(self, key_range: int, epoch: int) -> Result[RangeLease, LeaseFailure]:
-        until_s = read_clock() + LEASE_TTL_S
-        self._table[key_range] = (self._node, epoch, until_s)
-        return Ok(RangeLease(key_range, Epoch(epoch), until_s, 0))
+    def _hold(self, path: str, epoch: Epoch) -> Result[Lease, LeaseError]:
+        if self.down:
+            return _fail_lease(LeaseErrorKind.UNAVAILABLE)
+        until_s = read_clock() + LEASE_TTL_MS / 1_000
+        self._table[path] = _Holding(self._node, epoch, until_s)
+        return Ok(Lease(path, epoch, 0, until_s))
+
+
+def _fail_lease(kind: LeaseErrorKind) -> Result:
+    return Error(LeaseError(kind, "ordered by the test"))
 
 
 def _fail(kind: ErrorKind) -> Result:
--- a/packages/node/src/ragwort_node/_owner.py
+++ b/packages/node/src/ragwort_node/_owner.py
@@ -4,61 +4,41 @@
 import logging
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from enum import Enum
 from typing import Protocol
 
 from expression import Result
 from ragwort_common import Epoch, NodeId
+from ragwort_platform import Lease, LeaseError, LeaseErrorKind
 from ragwort_policy import KEY_RANGES, NOBODY, OwnerMap, choose_owner, count_excess
 from ragwort_protocol import ClaimReply, ClaimRequest, ClaimResult, ClaimVerdict, OwnerNotice
 
-from ragwort_node._range_owner import JournalStore, OwnerClocks, OwnerLimits, RangeKeeper
+from ragwort_node._range_owner import (
+    CLAIMS_PREFIX,
+    JournalStore,
+    OwnerClocks,
+    OwnerLimits,
+    RangeKeeper,
+)
 
 log = logging.getLogger(__name__)
 
-LEASE_TTL_S = 60.0
+LEASE_TTL_MS = 60_000
+LEASE_MARGIN_MS = 2_000
 RENEW_EVERY_S = 15.0
 TICK_S = 5.0
 NOT_OWNER_RETRY_MS = 2_000
 
 
-class LeaseFailure(Enum):
-    """Why a lease call failed: another node holds the lease, or the platform did not say."""
-
-    LOST = "lost"
-    UNAVAILABLE = "unavailable"
-
-
-@dataclass(frozen=True, slots=True)
-class RangeLease:
-    """A held lease.
-
-    Attributes
-    ----------
-    epoch
-        Grows each time that the lease changes hands, and each time that a node starts anew.
-    until_s
-        The owner's monotonic time up to which it is held, counted from before the request.
-    version
-        Version of the lease's object.
-    """
-
-    key_range: int
-    epoch: Epoch
-    until_s: float
-    version: int
-
-
 class RangeLeases(Protocol):
-    """The leases of the key ranges at the platform."""
+    """The leases of the key ranges at the platform; ``LeaseClient`` has these calls."""
 
-    async def acquire(self, key_range: int) -> Result[RangeLease, LeaseFailure]:
-        """Take a lease that is free or has lapsed."""
+    async def acquire_lease(self, path: str, floor: Epoch) -> Result[Lease, LeaseError]:
+        """Take a lease that is free or has lapsed, in an epoch above the floor."""
 
-    async def renew(self, lease: RangeLease) -> Result[RangeLease, LeaseFailure]:
+    async def renew_lease(self, lease: Lease) -> Result[Lease, LeaseError]:
         """Hold a lease for longer, in the same epoch."""
 
-    async def release(self, lease: RangeLease) -> Result[None, LeaseFailure]:
+    async def release_lease(self, lease: Lease) -> Result[None, LeaseError]:
         """Give a lease up at once."""
 
 
@@ -66,7 +46,8 @@
 class _Held:
     """An owned range: its lease, its state and the task that writes its journal."""
 
-    lease: RangeLease
+    key_range: int
+    lease: Lease
     keeper: RangeKeeper
     task: asyncio.Task[None]
     renewed_s: float
@@ -111,10 +92,12 @@
         self._announce = announce
         self._ranges = ranges
         self._held: dict[int, _Held] = {}
+        self._floors: dict[int, Epoch] = {}
 
     def list_held(self) -> list[OwnerNotice]:
         """Return the ranges that this node owns."""
-        return [self._make_notice(held.lease) for held in self._held.values()]
+        held = self._held.values()
+        return [OwnerNotice(each.key_range, each.lease.epoch, self._node) for each in held]
 
     async def run(self) -> None:
         """Renew and acquire leases until cancelled."""
@@ -182,36 +165,40 @@
         return owner.node if owner is not None and owner.node in accepting else None
 
     async def _acquire(self, number: int) -> None:
-        got = await self._leases.acquire(number)
+        known = self._owners.find(number)
+        floor = max(self._floors.get(number, Epoch(0)), known.epoch if known else Epoch(0))
+        got = await self._leases.acquire_lease(format_lease_path(number), floor)
         if got.is_error():
             return
         lease = got.ok
         keeper = RangeKeeper(number, lease.epoch, self._store, self._clocks, self._limits)
-        keeper.extend_lease(lease.until_s)
+        keeper.extend_lease(lease.deadline)
         task = asyncio.create_task(keeper.run(), name=f"key range {number}")
-        self._held[number] = _Held(lease, keeper, task, self._clocks.now())
+        self._held[number] = _Held(number, lease, keeper, task, self._clocks.now())
         self._owners.learn(number, self._node, lease.epoch)
-        self._announce(self._make_notice(lease))
+        self._announce(OwnerNotice(number, lease.epoch, self._node))
 
     def _is_due(self, held: _Held) -> bool:
         return self._clocks.now() - held.renewed_s >= RENEW_EVERY_S
 
     async def _renew(self, held: _Held) -> None:
-        got = await self._leases.renew(held.lease)
+        got = await self._leases.renew_lease(held.lease)
         if got.is_ok():
             held.lease = got.ok
             held.renewed_s = self._clocks.now()
-            held.keeper.extend_lease(held.lease.until_s)
+            held.keeper.extend_lease(held.lease.deadline)
             await held.keeper.drop_expired()
-        elif got.error is LeaseFailure.LOST:
-            log.warning("range %d: another node holds the lease", held.lease.key_range)
+        elif got.error.kind is LeaseErrorKind.LOST:
+            log.warning("range %d: another node holds the lease", held.key_range)
             self._forget(held)
             held.keeper.close()
 
     async def _drop_lost(self) -> None:
         for held in [held for held in self._held.values() if held.task.done()]:
+            # A head of a higher epoch than the lease's: the lease object was lost or replaced.
+            self._floors[held.key_range] = held.keeper.journal.seen_epoch
             self._forget(held)
-            await self._leases.release(held.lease)
+            await self._leases.release_lease(held.lease)
 
     async def _release_excess(self) -> None:
         nodes = list(self._list_nodes())
@@ -226,13 +213,15 @@
         held.keeper.extend_lease(0.0)
         self._forget(held)
         await held.keeper.release()
-        await self._leases.release(held.lease)
-        self._owners.learn(held.lease.key_range, NOBODY, held.lease.epoch)
-        self._announce(OwnerNotice(held.lease.key_range, held.lease.epoch, NOBODY))
+        await self._leases.release_lease(held.lease)
+        self._owners.learn(held.key_range, NOBODY, held.lease.epoch)
+        self._announce(OwnerNotice(held.key_range, held.lease.epoch, NOBODY))
 
     def _forget(self, held: _Held) -> None:
         held.task.cancel()
-        self._held.pop(held.lease.key_range, None)
+        self._held.pop(held.key_range, None)
+
 
-    def _make_notice(self, lease: RangeLease) -> OwnerNotice:
-        return OwnerNotice(lease.key_range, lease.epoch, self._node)
+def format_lease_path(key_range: int) -> str:
+    """Return where the lease of a key range is kept."""
+    return f"{CLAIMS_PREFIX}/{key_range:03d}/lease"
--- a/packages/node/src/ragwort_node/_range_owner.py
+++ b/packages/node/src/ragwort_node/_range_owner.py
@@ -39,6 +39,7 @@
 log = logging.getLogger(__name__)
 
 CLAIMS_PREFIX = "claims"
+RESOLVED_BY_READING = (ErrorKind.UNCERTAIN, ErrorKind.CONFLICT)
 RETRY_PAUSE_S = 0.25
 TOKEN_PAUSE_S = 0.001
 OPENING_RETRY_MS = 1_000
@@ -133,6 +134,7 @@
         self._wake = asyncio.Event()
         self._tokens = limits.writes_burst
         self._filled_s = clocks.now()
+        self._failing = False
 
     def extend_lease(self, until_s: float) -> None:
         """Take in the monotonic time up to which the lease is held."""
@@ -144,7 +146,7 @@
         """Decide a claim, if need be after the journal's next write."""
         deadline_s = self._clocks.now() + claim.budget_ms / 1_000
         decision = self._decide(claim, deadline_s)
-        while decision.need is not Need.NONE and self._is_open(deadline_s):
+        while decision.need is not Need.NONE and self._can_write_by(deadline_s):
             self._want(claim, decision.need)
             if not await self._wait_change(deadline_s):
                 break
@@ -205,8 +207,15 @@
             self._wake.set()
         return decision
 
-    def _is_open(self, deadline_s: float) -> bool:
-        return self.journal.phase is not Phase.LOST and self._clocks.now() < deadline_s
+    def _can_write_by(self, deadline_s: float) -> bool:
+        # A claim that the journal cannot serve in time is refused at once, not at its deadline.
+        if self.journal.phase is Phase.LOST or self._failing:
+            return False
+        if self.journal.waiting >= self._limits.journal.segment_marks:
+            return False
+        missing = max(0.0, 1 - self._tokens)
+        turn_s = self._filled_s + missing / self._limits.writes_per_s
+        return max(self._clocks.now(), turn_s) < deadline_s
 
     def _want(self, claim: ClaimRequest, need: Need) -> None:
         if need is Need.MARK:
@@ -246,8 +255,9 @@
         # The step is asked for again here, so that the write takes all claims that have come in
         # while the task waited for its turn.
         step = self.journal.next_step(self._clocks.wall_ms())
-        done = step is None or await self._carry_out(step)
-        if not done:
+        self._failing = step is not None and not await self._carry_out(step)
+        if self._failing:
+            self._notify()
             await self._clocks.sleep(RETRY_PAUSE_S)
 
     async def _carry_out(self, step: Step) -> bool:
@@ -285,7 +295,7 @@
             written = await self._store.update(self._path_head(), data, step.version)
         version = written.ok.version if written.is_ok() else None
         self._admit(self.journal.take_write(step, version))
-        return written.is_ok()
+        return written.is_ok() or written.error.kind in RESOLVED_BY_READING
 
     async def _close_segment(self, step: CloseSegment) -> bool:
         path = self._path_segment(step.version)
@@ -318,6 +328,11 @@
         self.table.horizon_ms = head.horizon_ms
         self.table.lease_until_s = self._lease_until_s
         log.info("range %d: owned in epoch %d", self.key_range, self.epoch)
+        ahead_ms = head.floor_ms - self._clocks.wall_ms()
+        if ahead_ms > self._limits.journal.horizon_ms:
+            log.warning(
+                "range %d: the floor is %d ms ahead of this clock", self.key_range, ahead_ms
+            )
         self._notify()
 
     def _admit(self, key_hashes: list[bytes]) -> None:
--- a/packages/policy/src/ragwort_policy/_journal.py
+++ b/packages/policy/src/ragwort_policy/_journal.py
@@ -126,6 +126,8 @@
         Claims are decided only when it is ``READY``; after ``LOST`` the epoch is over.
     head
         The head as last written or read.
+    seen_epoch
+        Highest epoch found in the head.
     earlier
         Marks of earlier epochs, complete when the phase is ``READY``.
     """
@@ -134,6 +136,7 @@
         self.epoch = epoch
         self.phase = Phase.READ
         self.head: JournalHead | None = None
+        self.seen_epoch = Epoch(0)
         self.earlier: set[bytes] = set()
         self._version: int | None = None
         self._limits = limits
@@ -181,10 +184,13 @@
         known = self.head
         sealed = known is not None and known.epoch == self.epoch
         found = head.epoch if head is not None else Epoch(0)
+        self.seen_epoch = max(self.seen_epoch, found)
         if found > self.epoch or (sealed and found < self.epoch):
             # Another owner has sealed the head, or the platform came back with an older copy.
             self.phase = Phase.LOST
             return []
+        if sealed and self._is_older(version):
+            return self._restore_head(version)
         self.head = head
         self._version = version
         if head is None or head.epoch < self.epoch:
@@ -240,6 +246,18 @@
         horizon_ms = max(self.head.floor_ms, highest_ms)
         return WriteHead(self._version, replace(self.head, horizon_ms=horizon_ms))
 
+    def _is_older(self, version: int | None) -> bool:
+        return version is not None and self._version is not None and version < self._version
+
+    def _restore_head(self, version: int | None) -> list[bytes]:
+        # The platform came back with an older copy of this epoch. What it had confirmed is
+        # written again, before anything else.
+        assert self.head is not None
+        self._version = version
+        self._wanted_horizon_ms = max(self._wanted_horizon_ms, self.head.horizon_ms)
+        self.phase = Phase.READY if self._loaded else Phase.LOST
+        return []
+
     def _start_seal(self) -> None:
         self.phase = Phase.SEAL
 
--- a/tests/node/test_owner.py
+++ b/tests/node/test_owner.py
@@ -1,15 +1,26 @@
 import asyncio
 
 import pytest
-from ragwort_common import NodeId
-from ragwort_node._owner import KeyOwner
+from helper import wait_until
+from ragwort_common import Epoch, NodeId
+from ragwort_node._owner import LEASE_MARGIN_MS, LEASE_TTL_MS, KeyOwner
 from ragwort_node._range_owner import OwnerClocks, OwnerLimits
-from ragwort_policy import OwnerMap
+from ragwort_platform import CallBudget, LeaseClient, ObjectStore, read_boot_clock
+from ragwort_policy import JournalHead, OwnerMap, encode_head
 from ragwort_protocol import Answer, ClaimRequest, ClaimResult, ClaimVerdict
+from ragwort_standins.platform import PlatformStandIn
 
-from bench.virtual import MemoryLeases, MemoryStore, read_clock, read_wall_ms, run_virtual
+from bench.virtual import (
+    LeaseTable,
+    MemoryLeases,
+    MemoryStore,
+    read_clock,
+    read_wall_ms,
+    run_virtual,
+)
 
 RANGES = 2
+WALL_MS = 1_700_000_000_000
 ANSWER = Answer(200, [], b"ok")
 
 
@@ -22,9 +33,10 @@
         self.notices = []
         self.leases = {}
         self.attempts = 0
-        table = {}
+        table = LeaseTable()
         clocks = OwnerClocks(read_clock, read_wall_ms)
         self.owners = {}
+        self.maps = {name: OwnerMap() for name in names}
         for name in names:
             self.leases[name] = MemoryLeases(name, table)
             self.owners[name] = KeyOwner(
@@ -33,7 +45,7 @@
                 self.leases[name],
                 clocks,
                 OwnerLimits(**limits),
-                OwnerMap(),
+                self.maps[name],
                 lambda: self.nodes,
                 self.notices.append,
                 RANGES,
@@ -180,12 +192,114 @@
     run(scenario, "a")
 
 
-def test_a_claim_is_given_up_at_its_deadline():
+def test_a_claim_that_needs_the_journal_is_refused_at_once_in_an_outage():
     async def scenario(fleet):
         await fleet.tick()
         fleet.store.down = True
+        await fleet.claim("a", "first")
+        start_s = read_clock()
+        assert (await fleet.claim("a", "k")).verdict is ClaimVerdict.BUSY
+        assert read_clock() == start_s
+        fleet.store.down = False
+        await asyncio.sleep(3)
+        assert (await fleet.claim("a", "k")).verdict is ClaimVerdict.GRANTED
+
+    run(scenario, "a")
+
+
+def test_a_claim_that_the_pace_of_writes_cannot_serve_is_refused_at_once():
+    async def scenario(fleet):
+        await fleet.tick()
+        await asyncio.sleep(5)
+        for number in range(5):
+            start_s = read_clock()
+            reply = await fleet.claim("a", f"k{number}", budget_ms=200.0)
+        assert reply.verdict is ClaimVerdict.BUSY
+        assert read_clock() - start_s < 0.2
+
+    run(scenario, "a")
+
+
+def test_a_claim_waits_no_longer_than_its_deadline():
+    async def scenario(fleet):
+        await fleet.tick()
+        fleet.store.round_trip_s = 2.0
         start_s = read_clock()
         assert (await fleet.claim("a", "k", budget_ms=300.0)).verdict is ClaimVerdict.BUSY
         assert read_clock() - start_s == pytest.approx(0.3)
 
     run(scenario, "a")
+
+
+def test_an_epoch_below_the_head_of_the_journal_grants_nothing_and_is_passed_over():
+    async def scenario(fleet):
+        head = JournalHead(Epoch(40), 0, read_wall_ms(), 0)
+        await fleet.store.create("claims/000/head", encode_head(head))
+        await fleet.tick()
+        assert (await fleet.claim("a", "k", read_wall_ms())).verdict is ClaimVerdict.NO_LEASE
+        await fleet.tick()
+        reply = await fleet.claim("a", "k", read_wall_ms())
+        assert (reply.verdict, reply.epoch) == (ClaimVerdict.GRANTED, 41)
+
+    run(scenario, "a")
+
+
+def test_a_range_that_others_take_for_this_nodes_is_acquired_again_over_its_share():
+    async def scenario(fleet):
+        fleet.nodes[:] = ["a"]
+        await fleet.tick("a")
+        fleet.nodes[:] = ["a", "b"]
+        for notice in fleet.notices:
+            fleet.maps["b"].learn(notice.key_range, NodeId(notice.node), Epoch(notice.epoch))
+        for held in fleet.owners["a"]._held.values():
+            held.task.cancel()
+        await asyncio.sleep(1)
+        await fleet.tick("b", "a")
+        await fleet.tick("b", "a")
+        assert len(fleet.owners["a"].list_held()) == RANGES
+
+    run(scenario, "a", "b")
+
+
+def test_two_owners_on_the_platforms_api_hand_over_and_survive_a_lost_reply():
+    async def scenario(platform, store):
+        nodes = [NodeId("a")]
+        clocks = OwnerClocks(read_boot_clock, lambda: WALL_MS)
+        owners = [
+            KeyOwner(
+                node,
+                store,
+                LeaseClient(store, node, ttl_ms=LEASE_TTL_MS, margin_ms=LEASE_MARGIN_MS),
+                clocks,
+                OwnerLimits(),
+                OwnerMap(),
+                lambda: nodes,
+                lambda notice: None,
+                1,
+            )
+            for node in (NodeId("a"), NodeId("b"))
+        ]
+        first, second = owners
+        await first.tick()
+        platform.table.faults.lost_replies = 1
+        assert (await ask(first, b"k")).verdict is ClaimVerdict.GRANTED
+        assert platform.table.faults.lost_replies == 0
+        nodes[:] = ["b"]
+        await first.tick()
+        await second.tick()
+        assert (await ask(second, b"k")).verdict is ClaimVerdict.UNPROVEN
+        reply = await ask(second, b"l")
+        assert (reply.verdict, reply.epoch) == (ClaimVerdict.GRANTED, 2)
+        await second.stop()
+
+    async def ask(owner, key):
+        claim = ClaimRequest(b"a" * 16, key * 16, b"f", 0, 0, 0, 30_000.0)
+        await wait_until(lambda: owner._held[0].keeper.table is not None)
+        return await owner.answer_claim(claim)
+
+    async def main():
+        budget = CallBudget(1e9, 1e9, lambda: 0.0)
+        async with PlatformStandIn() as platform, ObjectStore(platform.url, 300, budget) as store:
+            await scenario(platform, store)
+
+    asyncio.run(main())
--- a/tests/policy/test_once.py
+++ b/tests/policy/test_once.py
@@ -379,3 +379,20 @@
     world.platform.down = False
     world.renew(a)
     assert world.call(a, "k", world.wall_ms()) is ClaimVerdict.GRANTED
+
+
+def test_an_owner_restores_its_journal_when_the_platform_comes_back_with_an_older_copy():
+    world = World()
+    a, b, _ = world.owners
+    world.open(a)
+    older = world.platform.head
+    minted_ms = world.wall_ms() + 9_000
+    world.now += 58
+    assert world.call(a, "opaque") is ClaimVerdict.GRANTED
+    assert world.call(a, "timed", minted_ms + 58_000) is ClaimVerdict.GRANTED
+    world.platform.head = older
+    assert world.call(a, "other") is ClaimVerdict.GRANTED
+    world.now += 61
+    world.open(b)
+    assert world.call(b, "opaque") is ClaimVerdict.UNPROVEN
+    assert world.call(b, "timed", minted_ms + 58_000) is ClaimVerdict.UNPROVEN
