--- a/bench/choice.py
+++ b/bench/choice.py
@@ -19,6 +19,7 @@
 from bench.choosers import (
     Chooser,
     make_least_load,
+    make_plain_least_load,
     make_policy,
     make_random,
     make_round_robin,
@@ -45,6 +46,7 @@
     "random": make_random,
     "round-robin": make_round_robin,
     "least-load": make_least_load,
+    "plain-least-load": make_plain_least_load,
 }
 POLICY: Maker = make_policy(
     ChoiceSettings(), ProbeSettings(), PROBE_BYTES_PER_S, FAR_PROBE_BYTES_PER_S
--- a/bench/choosers.py
+++ b/bench/choosers.py
@@ -3,6 +3,7 @@
 All of them get the same gates (limit, queue, refusals), the same retry rules and budget, the
 same list of servers, and all try the servers of the entry's own region before the other's. A
 baseline crosses the regions only for a further attempt, when its own region has no server left.
+Least reported load is measured a second time in its plain form, which knows no regions.
 """
 
 from collections.abc import Callable, Collection
@@ -54,12 +55,13 @@
     far: list[NodeId]
 
 
-def _keep_lists(region: Region) -> tuple[Lists, Callable[[list[ServerPlace], float], None]]:
+def _keep_lists(region: Region | None) -> tuple[Lists, Callable[[list[ServerPlace], float], None]]:
     lists = Lists([], [])
 
     def update(places: list[ServerPlace], _: float) -> None:
-        lists.near = [place.node for place in places if place.region == region]
-        lists.far = [place.node for place in places if place.region != region]
+        near = [place.node for place in places if region in (None, place.region)]
+        lists.near = near
+        lists.far = [place.node for place in places if place.node not in near]
 
     return lists, update
 
@@ -94,8 +96,17 @@
     return Chooser(choose, ignore, ignore, ignore, update, ignore)
 
 
+def make_plain_least_load(domain: FailureDomain, region: Region, random: Random) -> Chooser:
+    """Choose by the last polled report among the servers of all regions."""
+    return _make_least_load(None, random)
+
+
 def make_least_load(domain: FailureDomain, region: Region, random: Random) -> Chooser:
     """Choose the server with the fewest calls, running and queued, in its last polled report."""
+    return _make_least_load(region, random)
+
+
+def _make_least_load(region: Region | None, random: Random) -> Chooser:
     lists, update = _keep_lists(region)
     reports: dict[NodeId, LoadReport] = {}
 
