Take turns among equal servers, and cross regions in proportion to the gain

Causes: with few calls per entry equal servers were hit at random, which costs more queueing than turns; and entries that all crossed at the first gain filled both regions in turns. A server just used now ranks up to 10% dearer, and a call crosses with a chance that grows over 20 ms of gain.

--- a/packages/policy/src/ragwort_policy/_choice.py
+++ b/packages/policy/src/ragwort_policy/_choice.py
@@ -41,6 +41,8 @@
 USUAL_MEMORY = 0.05
 SERVICE_NOISE = 1.5
 TIE_PART = 0.1
+RECENT_PART = 0.1
+CROSSING_BAND_S = 0.020
 MOST_DELAY = 3.0
 """Longest delay that counts when reports are judged, in usual service times."""
 FAR_FULL_DOUBLINGS = 4
@@ -112,6 +114,7 @@
     full_until: float = -1e9
     refusals_in_row: int = 0
     sent_since: int = 0
+    last_call: int = -1000
     sent: dict[CallId, Sent] = field(default_factory=dict)
     trust: Trust = field(default_factory=Trust)
 
@@ -169,7 +172,7 @@
     if near is None or _is_crossing_worth_a_look(state, near.cost_s):
         open_far = [view for view in state.far if _has_room(state, view, now)]
         far = _compare(state, open_far, now, random, exclude)
-    best = _weigh_crossing(state, near, far)
+    best = _weigh_crossing(state, near, far, random)
     if best is None:
         best = _pick_paused(state, now, exclude)
     return best.view.place.node if best else None
@@ -181,6 +184,7 @@
     if view is None:
         return
     state.calls += 1
+    view.last_call = state.calls
     start_trial(view.trust)
     view.sent[call_id] = Sent(now, _foretell(state, view, now))
     view.sent_since += 1
@@ -399,6 +403,7 @@
 ) -> Candidate | None:
     best: Candidate | None = None
     best_rank = 0.0
+    spread = len(state.near) + 1.0
     for view in views:
         if (
             not view.accepting
@@ -410,7 +415,9 @@
             return Candidate(view, 0.0)
         cost_s = estimate_cost(state, view, now)
         # Differences too small to matter are left to chance, so that entries spread.
-        rank = cost_s * (1.0 + TIE_PART * random.random())
+        # Among equals the servers take turns.
+        recent = max(0.0, 1.0 - (state.calls - view.last_call) / spread)
+        rank = cost_s * (1.0 + TIE_PART * random.random() + RECENT_PART * recent)
         if best is None or rank < best_rank:
             best, best_rank = Candidate(view, cost_s), rank
     return best
@@ -421,7 +428,7 @@
 
 
 def _weigh_crossing(
-    state: ChoiceState, near: Candidate | None, far: Candidate | None
+    state: ChoiceState, near: Candidate | None, far: Candidate | None, random: RandomSource
 ) -> Candidate | None:
     if near is None or far is None:
         return near or far
@@ -429,8 +436,11 @@
     margin_s = state.settings.crossing_margin_ms / 1e3
     if state.crossing:
         margin_s = -margin_s
-    state.crossing = far.cost_s + margin_s < near.cost_s
-    return far if state.crossing else near
+    gain_s = near.cost_s - far.cost_s - margin_s
+    state.crossing = gain_s > 0.0
+    # The more is gained, the more calls cross: news of the far region comes late, and if all
+    # crossed at the first gain, both regions would be too full in turns.
+    return far if gain_s > CROSSING_BAND_S * random.random() else near
 
 
 def _pick_paused(state: ChoiceState, now: float, exclude: Collection[NodeId]) -> Candidate | None:
