--- a/packages/node/src/ragwort_node/_composition.py
+++ b/packages/node/src/ragwort_node/_composition.py
@@ -12,15 +12,7 @@
 
 from opentelemetry.sdk.resources import Resource
 from ragwort_common import FailureDomain, NodeId, Region, Revision
-from ragwort_platform import (
-    RULES_PATH,
-    CallBudget,
-    ObjectStore,
-    RulesDocument,
-    decode_document,
-    encode_document,
-    read_boot_clock,
-)
+from ragwort_platform import CallBudget, LeaseClient, ObjectStore, read_boot_clock
 from ragwort_policy import (
     Change,
     ChoiceSettings,
@@ -29,6 +21,7 @@
     MembershipSettings,
     OwnerMap,
     create_membership,
+    find_peer,
     first_incarnation,
     is_current,
     list_alive,
@@ -41,20 +34,26 @@
     ClaimResult,
     Hello,
     Message,
+    Notice,
     OwnerNotice,
     PeerState,
+    Ping,
+    PingAck,
+    PingRequest,
     Probe,
     ProbeReply,
+    RevisionNotice,
 )
 from ragwort_protocol.control import FetchRulesReply
-from ragwort_rules import build_matcher, list_services, parse_rules
 
 from ragwort_node._admin import build_admin
 from ragwort_node._caller import Caller
 from ragwort_node._claim_exchange import ClaimExchange
+from ragwort_node._configuration import ConfigurationPorts, ConfigurationTask
 from ragwort_node._control import Control, start_control
+from ragwort_node._control_client import fetch_rules
 from ragwort_node._directory import find_link_address, list_places, make_profile
-from ragwort_node._entry import EntryLimits, RulesInForce, build_entry
+from ragwort_node._entry import EntryLimits, build_entry
 from ragwort_node._gate import Gate
 from ragwort_node._gossip import (
     Gossip,
@@ -71,17 +70,17 @@
     withdraw,
 )
 from ragwort_node._http import start_http
-from ragwort_node._key_leases import KeyLeases
 from ragwort_node._keyed_call import KeyedCalls
 from ragwort_node._link import Link
 from ragwort_node._metrics import Counters, flush_metrics
 from ragwort_node._once import KeyClaims
-from ragwort_node._owner import KeyOwner
+from ragwort_node._owner import LEASE_MARGIN_MS, LEASE_TTL_MS, KeyOwner
 from ragwort_node._owner_news import OwnerNews
 from ragwort_node._peers import PeerCalls
 from ragwort_node._pool import LinkPool
 from ragwort_node._prober import Prober
 from ragwort_node._range_owner import OwnerClocks, OwnerLimits
+from ragwort_node._rules import RulesKeeper
 from ragwort_node._server import ServerClient
 from ragwort_node._services import Services
 from ragwort_node._settings import Exporter, Settings
@@ -90,7 +89,6 @@
 
 log = logging.getLogger(__name__)
 
-RULES_INTERVAL_S = 0.5
 LOAD_INTERVAL_S = 1.0
 LEAVING_NOTICE_S = 1.0
 """How long a stop waits for its notice to spread before it stops to accept callers."""
@@ -118,8 +116,9 @@
         self._random = random.Random()
         self._counters = Counters()
         self._tasks: list[asyncio.Task[None]] = []
-        self._rules = RulesInForce()
-        self._document: RulesDocument | None = None
+        self._rules = RulesKeeper(
+            lambda revision: put_event(self._gossip, RevisionApplied(revision))
+        )
 
     async def start(self) -> None:
         """Start every part; the node takes calls when this returns."""
@@ -237,7 +236,7 @@
         self._key_owner = KeyOwner(
             self._id,
             self._store,
-            KeyLeases(self._store, self._id, owners, read_boot_clock),
+            LeaseClient(self._store, self._id, read_boot_clock, LEASE_TTL_MS, LEASE_MARGIN_MS),
             OwnerClocks(read_boot_clock, lambda: time.time_ns() // 1_000_000),
             OwnerLimits(writes_per_s=KEY_WRITES_PER_S / ranges),
             owners,
@@ -290,7 +289,7 @@
     async def _start_entry(self) -> Any:
         limits = self._settings.limits
         entry = build_entry(
-            self._rules,
+            self._rules.in_force,
             self._keyed.run_call,
             EntryLimits(limits.header_bytes, limits.body_bytes),
             self._counters,
@@ -320,6 +319,18 @@
         self._gossip = Gossip(
             membership, self._pool.send, self._clock, self._random, self._take_changes
         )
+        self._configuration = ConfigurationTask(
+            membership.own,
+            self._store,
+            ConfigurationPorts(
+                accept=self._rules.accept,
+                publish=self._rules.publish,
+                send_notice=self._send_notice,
+                fetch_document=self._fetch_rules,
+                list_peers=lambda: list_alive(membership),
+            ),
+            self._random,
+        )
         self._status = StatusSources(
             membership,
             self._gate,
@@ -340,7 +351,7 @@
         self._spawn(self._report_load())
         self._spawn(self._owner_news.run(self._store))
         self._spawn(self._keep_ranges())
-        self._spawn(self._follow_rules())
+        self._spawn(self._configuration.run())
         self._spawn(
             flush_metrics(
                 self._counters, statsd.host, statsd.port, statsd.prefix, statsd.interval_ms
@@ -369,27 +380,14 @@
             put_event(self._gossip, LoadChanged(max(0, report.limit - report.in_flight)))
             await asyncio.sleep(LOAD_INTERVAL_S)
 
-    async def _follow_rules(self) -> None:
-        while True:
-            stored = await self._store.get(RULES_PATH)
-            if stored.is_ok():
-                decode_document(stored.ok.data).map(self._accept_rules)
-            await asyncio.sleep(RULES_INTERVAL_S)
-
-    def _accept_rules(self, document: RulesDocument) -> bool:
-        """Put a rules document in force unless it is not newer or has mistakes."""
-        if self._document is not None and document.revision <= self._document.revision:
-            return False
-        parsed = parse_rules(document.text)
-        if parsed.mistakes:
-            self._counters.add("rules.broken")
-            return False
-        self._rules.find_treatment = build_matcher(parsed.rules)
-        self._rules.services = list_services(parsed.rules)
-        self._document = document
-        put_event(self._gossip, RevisionApplied(document.revision))
-        log.info("rules revision %d is in force", document.revision)
-        return True
+    async def _fetch_rules(self, node: NodeId, at_least: Revision) -> bytes | None:
+        peer = find_peer(self._gossip.membership, node)
+        if peer is None:
+            return None
+        return await fetch_rules(peer.profile.control_address, at_least, self._counters)
+
+    def _send_notice(self, node: NodeId, notice: RevisionNotice) -> None:
+        self._counters.add("watching.rules_bytes_out", self._pool.send(node, notice))
 
     def _receive_other(self, link: Link, message: Message) -> None:
         if link.peer is None:
@@ -409,21 +407,25 @@
                 self._claim_exchange.receive_result(message)
             case OwnerNotice():
                 self._owner_news.receive(message)
+            case RevisionNotice():
+                self._configuration.hear_notice(link.peer, message)
             case _:
+                if isinstance(message, Ping | PingAck | PingRequest | Notice):
+                    self._configuration.hear_revision(link.peer, Revision(message.revision))
                 put_event(self._gossip, PeerMessage(link.peer, message))
 
     def _is_ready(self) -> bool:
         knows_peers = is_current(self._gossip.membership, self._clock())
-        return self._rules.find_treatment is not None and knows_peers and not self._gate.leaving
+        return self._get_revision() > 0 and knows_peers and not self._gate.leaving
 
     def _get_revision(self) -> Revision:
-        return self._document.revision if self._document else Revision(0)
+        return self._rules.in_force.revision
 
     def _read_rules(self) -> FetchRulesReply:
-        if self._document is None:
+        current = self._configuration.current
+        if current is None:
             return FetchRulesReply(revision=0)
-        document = encode_document(self._document)
-        return FetchRulesReply(revision=self._document.revision, document=document)
+        return FetchRulesReply(revision=current.stamp.revision, document=current.data)
 
 
 def _stop_process_on_failure(task: asyncio.Task[None]) -> None:
--- /dev/null
+++ b/packages/node/src/ragwort_node/_control_client.py
@@ -0,0 +1,23 @@
+"""Asks a peer for its rules over gRPC."""
+
+import grpc
+from ragwort_common import Revision
+from ragwort_protocol.control import ControlStub, FetchRulesRequest
+
+from ragwort_node._metrics import Counters
+
+
+async def fetch_rules(address: str, at_least: Revision, counters: Counters) -> bytes | None:
+    """Return a peer's stored rules document, or None when it has none or can't be asked.
+
+    A new revision is fetched once by each node, so the channel is not kept.
+    """
+    async with grpc.aio.insecure_channel(address) as channel:
+        try:
+            reply = await ControlStub(channel).FetchRules(FetchRulesRequest(at_least=at_least))
+        except grpc.aio.AioRpcError:
+            return None
+    counters.add("watching.rules_bytes_in", len(reply.document))
+    if reply.revision < at_least:
+        return None
+    return reply.document
--- a/packages/node/src/ragwort_node/_entry.py
+++ b/packages/node/src/ragwort_node/_entry.py
@@ -8,10 +8,10 @@
 
 from ragwort_common import Outcome, Reason, ServiceName
 from ragwort_protocol import Refusal, Response
-from ragwort_rules import Treatment
 
 from ragwort_node._caller import Call
 from ragwort_node._metrics import Counters
+from ragwort_node._rules import RulesInForce
 from ragwort_node._server import HOP_BY_HOP
 from ragwort_node._tracing import Tracer
 
@@ -43,7 +43,6 @@
     {OUTCOME_HEADER, REASON_HEADER, DEADLINE_HEADER, DEPTH_HEADER, b"host", b"content-length"}
 )
 
-FindTreatment = Callable[[ServiceName, str, str], Treatment | None]
 RunCall = Callable[[Call], Awaitable[Response | Refusal]]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -65,14 +64,6 @@
     """The body is over its limit."""
 
 
-@dataclass(slots=True)
-class RulesInForce:
-    """The matcher of the rules in force; None before the first have come."""
-
-    find_treatment: FindTreatment | None = None
-    services: frozenset[ServiceName] = frozenset()
-
-
 def build_entry(
     rules: RulesInForce,
     run_call: RunCall,
--- a/packages/node/src/ragwort_node/_owner.py
+++ b/packages/node/src/ragwort_node/_owner.py
@@ -13,7 +13,6 @@
 from ragwort_protocol import ClaimReply, ClaimRequest, ClaimResult, ClaimVerdict, OwnerNotice
 
 from ragwort_node._range_owner import (
-    CLAIMS_PREFIX,
     JournalStore,
     OwnerClocks,
     OwnerLimits,
@@ -22,6 +21,9 @@
 
 log = logging.getLogger(__name__)
 
+LEASES_PREFIX = "leases/keys/"
+"""The leases stand apart from the journals, so that one short listing names all owners."""
+
 LEASE_TTL_MS = 60_000
 LEASE_MARGIN_MS = 2_000
 RENEW_EVERY_S = 15.0
@@ -224,4 +226,4 @@
 
 def format_lease_path(key_range: int) -> str:
     """Return where the lease of a key range is kept."""
-    return f"{CLAIMS_PREFIX}/{key_range:03d}/lease"
+    return f"{LEASES_PREFIX}{key_range:03d}"
--- a/packages/node/src/ragwort_node/_owner_news.py
+++ b/packages/node/src/ragwort_node/_owner_news.py
@@ -5,13 +5,14 @@
 import random
 from collections.abc import Callable
 
+from expression import Result
 from ragwort_common import Epoch, NodeId
-from ragwort_platform import ObjectStore
+from ragwort_platform import ObjectStore, StoreError, read_holder
 from ragwort_policy import EpochFence, OwnerMap
 from ragwort_protocol import Message, OwnerNotice
 
-from ragwort_node._key_leases import list_owners
 from ragwort_node._metrics import Counters
+from ragwort_node._owner import LEASES_PREFIX
 
 log = logging.getLogger(__name__)
 
@@ -80,3 +81,15 @@
         peers = self._list_peers()
         for peer in self._random.sample(peers, min(PUSH_FANOUT, len(peers))):
             self._counters.add("watching.owner_bytes_out", self._send(peer, notice))
+
+
+async def list_owners(store: ObjectStore) -> Result[list[OwnerNotice], StoreError]:
+    """Return the owner of each range as the platform's lease objects name it."""
+    listed = await store.list_objects(LEASES_PREFIX)
+    return listed.map(
+        lambda listing: [
+            OwnerNotice(int(item.path.removeprefix(LEASES_PREFIX)), holder.epoch, holder.holder)
+            for item in listing.items
+            if (holder := read_holder(item)) is not None
+        ]
+    )
--- a/tests/node/test_entry.py
+++ b/tests/node/test_entry.py
@@ -7,9 +7,10 @@
 from helper import wait_until
 from ragwort_common import Member, Outcome, Reason
 from ragwort_node._caller import refuse_call
-from ragwort_node._entry import EntryLimits, RulesInForce, build_entry
+from ragwort_node._entry import EntryLimits, build_entry
 from ragwort_node._http import start_http
 from ragwort_node._metrics import Counters
+from ragwort_node._rules import RulesInForce
 from ragwort_node._tracing import Tracer
 from ragwort_protocol import LoadReport, Response
 from ragwort_rules import build_matcher, list_services, parse_rules
