--- a/packages/control/src/ragwort_control/_explain.py
+++ b/packages/control/src/ragwort_control/_explain.py
@@ -2,6 +2,7 @@
 
 from dataclasses import asdict, dataclass
 from typing import Any
+from urllib.parse import unquote
 
 from absl import flags
 from expression import Error, Ok, Result
@@ -53,7 +54,8 @@
         return Error(blame_user(f"path '{target}' has no leading slash, expected one like /drums"))
     source = context.get_flag("rules") or CURRENT
     read = await _read_rules(context, source)
-    path = target.partition("?")[0]
+    # Nodes match the decoded path without its query.
+    path = unquote(target.partition("?")[0])
     return read.bind(lambda rules: _explain(source, rules, ServiceName(service), method, path))
 
 
--- a/packages/rules/src/ragwort_rules/_settings.py
+++ b/packages/rules/src/ragwort_rules/_settings.py
@@ -9,7 +9,7 @@
 from ragwort_rules._model import Mistake, Priority, Settings
 
 MAX_DEADLINE_MS = 3_600_000
-MAX_RETRIES = 5
+MAX_RETRIES = 2
 MAX_HEDGE_PERCENT = 10.0
 MAX_SHARE = 100
 MAX_LIMIT = 10_000
--- a/tests/control/test_main.py
+++ b/tests/control/test_main.py
@@ -118,6 +118,7 @@
     operator.run("apply", operator.write(ONE))
     assert operator.run("explain", "drums", "GET", "/a") == 0
     assert "GET /a meets line 1 of current" in operator.out
+    assert operator.run("explain", "drums", "GET", "/%61?b=%2F") == 0
     assert operator.run("explain", "drums", "GET", "/b") == 1
     assert "no rule of current is for GET /b" in operator.err
     assert operator.run("explain", "trucks", "GET", "/b") == 1
--- a/tests/rules/test_parser.py
+++ b/tests/rules/test_parser.py
@@ -35,7 +35,7 @@
         ("drums GET /a deadline=1h  # hanbit: x", "deadline '1h'", "800ms or 2s"),
         ("drums GET /a deadline=0ms  # hanbit: x", "deadline '0ms'", "800ms or 2s"),
         ("drums GET /a deadline=9999s  # hanbit: x", "deadline '9999s'", "at most 3600s"),
-        ("drums GET /a idempotent retries=9  # hanbit: x", "retries '9'", "0 to 5"),
+        ("drums GET /a idempotent retries=9  # hanbit: x", "retries '9'", "0 to 2"),
         ("drums GET /a idempotent hedge=11%  # hanbit: x", "hedge '11%'", "at most 10%"),
         ("drums GET /a share=0  # hanbit: x", "share '0'", "1 to 100"),
         ("drums GET /a limit=x  # hanbit: x", "limit 'x'", "1 to 10000"),
