--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -1,6 +1,7 @@
 """An event loop in virtual time, and a platform in memory with round trips and faults."""
 
 import asyncio
+import selectors
 from collections import deque
 from collections.abc import Coroutine
 from dataclasses import dataclass
@@ -24,7 +25,11 @@
     """Jumps to the next timer instead of waiting for it."""
 
     def __init__(self) -> None:
-        super().__init__()
+        selector = selectors.SelectSelector()
+        super().__init__(selector)
+        select = selector.select
+        # Nothing may wait in real time, not even for a timer that has been cancelled.
+        selector.select = lambda timeout=None: select(0)
         self._virtual_s = 1_000.0
 
     def time(self) -> float:
--- a/packages/node/src/ragwort_node/_once.py
+++ b/packages/node/src/ragwort_node/_once.py
@@ -146,7 +146,11 @@
         """
         attempt = self._make_attempt()
         asked: list[NodeId] = []
-        reply = await self._claim(call, attempt, asked)
+        try:
+            reply = await self._claim(call, attempt, asked)
+        except asyncio.CancelledError:
+            self._give_up(call, attempt, asked)
+            raise
         if reply is None:
             self._give_up(call, attempt, asked)
             return OnceResult(False, Outcome.NOT_RUN, Reason.NO_OWNER, NO_OWNER_RETRY_MS)
--- a/packages/policy/src/ragwort_policy/_claim.py
+++ b/packages/policy/src/ragwort_policy/_claim.py
@@ -307,9 +307,14 @@
         record.answer = answer
         self._answered.append(key_hash)
         self._answers_bytes += _count_bytes(answer)
-        while self._answers_bytes > self._limits.answers_bytes:
+        while self._has_many_answers():
             self._drop_answer(self._answered.popleft())
 
+    def _has_many_answers(self) -> bool:
+        # The queue also holds keys that the table has forgotten, so its length needs a limit too.
+        limits = self._limits
+        return self._answers_bytes > limits.answers_bytes or len(self._answered) > limits.max_keys
+
     def _drop_answer(self, key_hash: bytes) -> None:
         record = self._records.get(key_hash)
         if record is not None and record.answer is not None:
--- a/tests/node/test_once.py
+++ b/tests/node/test_once.py
@@ -133,3 +133,17 @@
     result = owners.call(budget_s=0.5)
     assert (result.outcome, owners.runs) == (Outcome.NOT_RUN, [])
     assert owners.results == [("a", "not-run", None)]
+
+
+def test_a_caller_that_leaves_during_the_claim_gives_the_key_back():
+    owners = Owners("silence")
+
+    async def main():
+        call = KeyedCall(b"k" * 16, b"f" * 16, 3, 0, read_clock() + 10)
+        task = asyncio.create_task(owners.claimer.run_once(call, owners.run))
+        await asyncio.sleep(0.5)
+        task.cancel()
+        await asyncio.wait([task])
+
+    run_virtual(main())
+    assert (owners.results, owners.runs) == ([("a", "not-run", None)], [])
