--- a/bench/once.py
+++ b/bench/once.py
@@ -11,7 +11,8 @@
 import tracemalloc
 
 from ragwort_common import Epoch
-from ragwort_node._range_owner import OwnerClocks, OwnerLimits, RangeKeeper
+from ragwort_node._owner_limits import OwnerClocks, OwnerLimits
+from ragwort_node._range_owner import RangeKeeper
 from ragwort_policy import (
     KEY_RANGES,
     ClaimLimits,
--- a/packages/node/src/ragwort_node/_owner.py
+++ b/packages/node/src/ragwort_node/_owner.py
@@ -12,13 +12,9 @@
 from ragwort_policy import KEY_RANGES, NOBODY, OwnerMap, choose_owner, count_excess
 from ragwort_protocol import ClaimReply, ClaimRequest, ClaimResult, ClaimVerdict, OwnerNotice
 
-from ragwort_node._range_owner import (
-    CLAIMS_PREFIX,
-    JournalStore,
-    OwnerClocks,
-    OwnerLimits,
-    RangeKeeper,
-)
+from ragwort_node._journal_store import JournalStore, format_lease_path
+from ragwort_node._owner_limits import OwnerClocks, OwnerLimits
+from ragwort_node._range_owner import RangeKeeper
 
 log = logging.getLogger(__name__)
 
@@ -220,8 +216,3 @@
     def _forget(self, held: _Held) -> None:
         held.task.cancel()
         self._held.pop(held.key_range, None)
-
-
-def format_lease_path(key_range: int) -> str:
-    """Return where the lease of a key range is kept."""
-    return f"{CLAIMS_PREFIX}/{key_range:03d}/lease"
--- a/packages/node/src/ragwort_node/_range_owner.py
+++ b/packages/node/src/ragwort_node/_range_owner.py
@@ -8,99 +8,44 @@
 import asyncio
 import logging
 from collections import Counter
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
-from typing import Protocol
 
-from expression import Result
 from ragwort_common import Epoch
-from ragwort_platform import ErrorKind, Listing, Stored, StoreError
+from ragwort_platform import ErrorKind
 from ragwort_policy import (
     ClaimDecision,
-    ClaimLimits,
     ClaimTable,
     CloseSegment,
     Journal,
-    JournalHead,
-    JournalLimits,
     LoadSegments,
     Need,
     Phase,
     ReadHead,
-    Segment,
     Step,
     WriteHead,
-    decode_head,
-    encode_head,
+    WritePace,
     split_marks,
 )
 from ragwort_protocol import ClaimReply, ClaimRequest, ClaimResult, ClaimVerdict
 
+from ragwort_node._journal_store import (
+    JournalStore,
+    Malformed,
+    close_segment,
+    delete_segment,
+    load_segments,
+    read_head,
+    write_head,
+)
+from ragwort_node._owner_limits import OwnerClocks, OwnerLimits
+
 log = logging.getLogger(__name__)
 
-CLAIMS_PREFIX = "claims"
 RESOLVED_BY_READING = (ErrorKind.UNCERTAIN, ErrorKind.CONFLICT)
 RETRY_PAUSE_S = 0.25
-TOKEN_PAUSE_S = 0.001
+TURN_PAUSE_S = 0.001
 OPENING_RETRY_MS = 1_000
 
 
-class JournalStore(Protocol):
-    """The calls that the journal makes to the platform; ``ObjectStore`` has them."""
-
-    async def get(self, path: str) -> Result[Stored, StoreError]:
-        """Return the object at a path."""
-
-    async def create(self, path: str, data: bytes) -> Result[Stored, StoreError]:
-        """Write an object where there is none yet."""
-
-    async def update(
-        self, path: str, data: bytes, expected_version: int
-    ) -> Result[Stored, StoreError]:
-        """Replace an object if it still has the expected version."""
-
-    async def delete(self, path: str, expected_version: int) -> Result[None, StoreError]:
-        """Remove an object if it still has the expected version."""
-
-    async def list_objects(self, prefix: str) -> Result[Listing, StoreError]:
-        """Return all objects whose path starts with a prefix."""
-
-
-@dataclass(frozen=True, slots=True)
-class OwnerClocks:
-    """The clocks of an owner.
-
-    Attributes
-    ----------
-    now
-        Monotonic seconds that also count while the host is suspended.
-    wall_ms
-        Wall time in milliseconds of Unix time.
-    sleep
-        Waits for some seconds.
-    """
-
-    now: Callable[[], float]
-    wall_ms: Callable[[], int]
-    sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
-
-
-@dataclass(frozen=True, slots=True)
-class OwnerLimits:
-    """The limits of each key range that a node owns.
-
-    Attributes
-    ----------
-    writes_per_s, writes_burst
-        Pace of journal writes of one range; the fleet's budget divided by the ranges.
-    """
-
-    claims: ClaimLimits = field(default_factory=ClaimLimits)
-    journal: JournalLimits = field(default_factory=JournalLimits)
-    writes_per_s: float = 100 / 64
-    writes_burst: float = 4.0
-
-
 class RangeKeeper:
     """The state of one owned key range; ``run`` is the task that writes its journal.
 
@@ -132,8 +77,7 @@
         self._limits = limits
         self._changed = asyncio.Event()
         self._wake = asyncio.Event()
-        self._tokens = limits.writes_burst
-        self._filled_s = clocks.now()
+        self._pace = WritePace(limits.writes_per_s, limits.writes_burst, clocks.now())
         self._failing = False
 
     def extend_lease(self, until_s: float) -> None:
@@ -145,12 +89,12 @@
     async def answer_claim(self, claim: ClaimRequest) -> ClaimReply:
         """Decide a claim, if need be after the journal's next write."""
         deadline_s = self._clocks.now() + claim.budget_ms / 1_000
-        decision = self._decide(claim, deadline_s)
+        decision = self._decide(claim)
         while decision.need is not Need.NONE and self._can_write_by(deadline_s):
             self._want(claim, decision.need)
             if not await self._wait_change(deadline_s):
                 break
-            decision = self._decide(claim, deadline_s)
+            decision = self._decide(claim)
         self.counts[decision.verdict] += 1
         return ClaimReply(
             claim.attempt, decision.verdict, self.epoch, decision.retry_after_ms, decision.answer
@@ -168,7 +112,7 @@
                 self._wake.clear()
                 await self._wake.wait()
                 continue
-            await self._take_token()
+            await self._wait_turn()
             await self._make_step()
         log.warning("range %d: epoch %d is over", self.key_range, self.epoch)
         self._notify()
@@ -192,18 +136,16 @@
         for segment in self.journal.take_expired(self._clocks.wall_ms()):
             if self.table is not None:
                 self.table.drop_marks(split_marks(segment.head.marks))
-            found = await self._store.get(self._path_segment(segment.version))
-            if found.is_ok():
-                await self._store.delete(found.ok.path, found.ok.version)
+            await delete_segment(self._store, self.key_range, segment)
 
-    def _decide(self, claim: ClaimRequest, deadline_s: float) -> ClaimDecision:
+    def _decide(self, claim: ClaimRequest) -> ClaimDecision:
         now = self._clocks.now()
         if self.table is None or self.journal.phase is Phase.LOST:
             return ClaimDecision(ClaimVerdict.NO_LEASE, OPENING_RETRY_MS)
         wall_ms = self._clocks.wall_ms()
         decision = self.table.decide(claim, now, wall_ms)
-        if decision.verdict is ClaimVerdict.GRANTED and claim.minted_ms:
-            self.journal.want_horizon(claim.minted_ms, wall_ms)
+        granted = decision.verdict is ClaimVerdict.GRANTED
+        if granted and claim.minted_ms and self.journal.want_horizon(claim.minted_ms, wall_ms):
             self._wake.set()
         return decision
 
@@ -213,9 +155,7 @@
             return False
         if self.journal.waiting >= self._limits.journal.segment_marks:
             return False
-        missing = max(0.0, 1 - self._tokens)
-        turn_s = self._filled_s + missing / self._limits.writes_per_s
-        return max(self._clocks.now(), turn_s) < deadline_s
+        return max(self._clocks.now(), self._pace.find_turn()) < deadline_s
 
     def _want(self, claim: ClaimRequest, need: Need) -> None:
         if need is Need.MARK:
@@ -238,18 +178,9 @@
         self._changed = asyncio.Event()
         changed.set()
 
-    async def _take_token(self) -> None:
-        limits = self._limits
-        while True:
-            now = self._clocks.now()
-            earned = (now - self._filled_s) * limits.writes_per_s
-            self._tokens = min(limits.writes_burst, self._tokens + earned)
-            self._filled_s = now
-            if self._tokens >= 1:
-                self._tokens -= 1
-                return
-            pause_s = (1 - self._tokens) / limits.writes_per_s
-            await self._clocks.sleep(max(TOKEN_PAUSE_S, pause_s))
+    async def _wait_turn(self) -> None:
+        while not self._pace.take_turn(now := self._clocks.now()):
+            await self._clocks.sleep(max(TURN_PAUSE_S, self._pace.find_turn() - now))
 
     async def _make_step(self) -> None:
         # The step is asked for again here, so that the write takes all claims that have come in
@@ -272,50 +203,35 @@
                 return await self._load_segments()
 
     async def _read_head(self) -> bool:
-        found = await self._store.get(self._path_head())
-        if found.is_error():
-            if found.error.kind is not ErrorKind.NOT_FOUND:
-                return False
-            self._admit(self.journal.take_head(None, None))
-            return True
-        head = decode_head(found.ok.data)
-        if head is None:
-            log.error("range %d: the head of the journal is malformed", self.key_range)
+        found = await read_head(self._store, self.key_range)
+        if found is None:
+            return False
+        if isinstance(found, Malformed):
             self.journal.phase = Phase.LOST
             return True
-        self._admit(self.journal.take_head(found.ok.version, head))
+        self._admit(self.journal.take_head(found.version, found.head))
         return True
 
     async def _write_head(self, step: WriteHead) -> bool:
         self.writes += 1
-        data = encode_head(step.head)
-        if step.version is None:
-            written = await self._store.create(self._path_head(), data)
-        else:
-            written = await self._store.update(self._path_head(), data, step.version)
+        written = await write_head(self._store, self.key_range, step)
         version = written.ok.version if written.is_ok() else None
         self._admit(self.journal.take_write(step, version))
         return written.is_ok() or written.error.kind in RESOLVED_BY_READING
 
     async def _close_segment(self, step: CloseSegment) -> bool:
-        path = self._path_segment(step.version)
-        made = await self._store.create(path, encode_head(step.head))
-        # The name says which version is copied, so a copy that exists already is the same one.
-        done = made.is_ok() or made.error.kind is ErrorKind.CONFLICT
+        done = await close_segment(self._store, self.key_range, step)
         self.journal.take_close(step, done)
         return done
 
     async def _load_segments(self) -> bool:
-        listing = await self._store.list_objects(self._path_segments())
-        if listing.is_error():
+        segments = await load_segments(self._store, self.key_range)
+        if segments is None:
             return False
-        segments = [_read_segment(stored) for stored in listing.ok.items]
-        known = [segment for segment in segments if segment is not None]
-        if len(known) < len(segments):
-            log.error("range %d: a segment of the journal is malformed", self.key_range)
+        if isinstance(segments, Malformed):
             self.journal.phase = Phase.LOST
             return True
-        self.journal.take_segments(known)
+        self.journal.take_segments(segments)
         self._open_table()
         return True
 
@@ -344,20 +260,3 @@
         for key_hash in key_hashes:
             self.table.admit_durable(key_hash, now)
         self._notify()
-
-    def _path_head(self) -> str:
-        return f"{CLAIMS_PREFIX}/{self.key_range:03d}/head"
-
-    def _path_segments(self) -> str:
-        return f"{CLAIMS_PREFIX}/{self.key_range:03d}/segments/"
-
-    def _path_segment(self, version: int) -> str:
-        return f"{self._path_segments()}{version:020d}"
-
-
-def _read_segment(stored: Stored) -> Segment | None:
-    head: JournalHead | None = decode_head(stored.data)
-    name = stored.path.rpartition("/")[2]
-    if head is None or not name.isdigit():
-        return None
-    return Segment(int(name), head)
--- a/packages/policy/src/ragwort_policy/__init__.py
+++ b/packages/policy/src/ragwort_policy/__init__.py
@@ -39,7 +39,7 @@
     record_sent,
     update_servers,
 )
-from ragwort_policy._claim import ClaimDecision, ClaimLimits, ClaimTable, KeyState, Need
+from ragwort_policy._claim import ClaimTable
 from ragwort_policy._fence import EpochFence
 from ragwort_policy._gossip_state import (
     GossipCounters,
@@ -56,21 +56,16 @@
     record_latency,
     take_hedge,
 )
-from ragwort_policy._journal import (
-    CloseSegment,
-    Journal,
+from ragwort_policy._journal import Journal, JournalLimits, Phase
+from ragwort_policy._journal_head import (
     JournalHead,
-    JournalLimits,
-    LoadSegments,
-    Phase,
-    ReadHead,
     Segment,
-    Step,
-    WriteHead,
     decode_head,
     encode_head,
     split_marks,
 )
+from ragwort_policy._journal_step import CloseSegment, LoadSegments, ReadHead, Step, WriteHead
+from ragwort_policy._key_record import ClaimDecision, ClaimLimits, KeyState, Need
 from ragwort_policy._keyrange import (
     KEY_RANGES,
     MAX_KEY_BYTES,
@@ -113,6 +108,7 @@
     take_retry,
 )
 from ragwort_policy._table import Change
+from ragwort_policy._write_pace import WritePace
 
 __all__ = [
     "Arrival",
@@ -160,6 +156,7 @@
     "Shed",
     "Verdict",
     "WriteHead",
+    "WritePace",
     "add_announced",
     "announce_leaving",
     "announce_left",
--- a/packages/policy/src/ragwort_policy/_claim.py
+++ b/packages/policy/src/ragwort_policy/_claim.py
@@ -8,94 +8,25 @@
 
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
-from enum import Enum
 
 from ragwort_common import Epoch, Outcome
 from ragwort_protocol import Answer, ClaimRequest, ClaimResult, ClaimVerdict
 
-MARK_BYTES = 8
+from ragwort_policy._key_record import (
+    ClaimDecision,
+    ClaimLimits,
+    KeyRecord,
+    KeyState,
+    Need,
+    count_bytes,
+    read_mark,
+)
+
 RUNNING_RETRY_MS = 1_000
 BUSY_RETRY_MS = 2_000
 NO_LEASE_RETRY_MS = 5_000
 RECORDS_CHECKED_PER_CLAIM = 2
 
-
-@dataclass(frozen=True, slots=True)
-class ClaimLimits:
-    """How much a table holds, and for how long.
-
-    Attributes
-    ----------
-    max_keys
-        Keys held with their state.
-    max_marks
-        Keys without a time that are held for ``retention_s``.
-    answers_bytes, answer_bytes
-        Bytes of all answers held, and of a single one.
-    hold_s
-        Age below which no key is given up to make room; new ones are refused instead.
-    keep_s
-        Age at which a key's state and answer are dropped.
-    retention_s
-        Age up to which a key without a time is not granted again.
-    margin_s
-        Time after a call's deadline at which a claim without a result counts as unknown.
-    future_ms
-        How far ahead of the owner's clock a key's time may lie.
-    """
-
-    max_keys: int = 50_000
-    max_marks: int = 100_000
-    answers_bytes: int = 8 << 20
-    answer_bytes: int = 16 << 10
-    hold_s: float = 60.0
-    keep_s: float = 3_600.0
-    retention_s: float = 86_400.0
-    margin_s: float = 5.0
-    future_ms: int = 10_000
-
-
-class KeyState(Enum):
-    """What is known of a key's call."""
-
-    FREE = "free"
-    RUNNING = "running"
-    DONE = "done"
-    UNKNOWN = "unknown"
-
-
-class Need(Enum):
-    """What has to be durable in the journal before a claim can be granted."""
-
-    NONE = "none"
-    MARK = "mark"
-    HORIZON = "horizon"
-
-
-@dataclass(slots=True)
-class KeyRecord:
-    """The state of one key, and the attempt that holds it while it runs."""
-
-    added_s: float
-    minted_ms: int
-    state: KeyState = KeyState.FREE
-    attempt: bytes = b""
-    fingerprint: bytes = b""
-    expires_s: float = 0.0
-    answer: Answer | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class ClaimDecision:
-    """What to reply to a claim; with a need, what to wait for before it is decided again."""
-
-    verdict: ClaimVerdict
-    retry_after_ms: int = 0
-    answer: Answer | None = None
-    need: Need = Need.NONE
-
-
 _GRANTED = ClaimDecision(ClaimVerdict.GRANTED)
 _UNPROVEN = ClaimDecision(ClaimVerdict.UNPROVEN)
 _MISMATCH = ClaimDecision(ClaimVerdict.MISMATCH)
@@ -107,14 +38,6 @@
 _NEED_HORIZON = ClaimDecision(ClaimVerdict.BUSY, BUSY_RETRY_MS, need=Need.HORIZON)
 
 
-def read_mark(key_hash: bytes) -> bytes:
-    """Return the part of a key's hash that the journal keeps.
-
-    Two keys with the same mark only cost an honest ``UNPROVEN``.
-    """
-    return key_hash[:MARK_BYTES]
-
-
 class ClaimTable:
     """Holds the keys of one range in one epoch; it takes over the set of earlier marks.
 
@@ -290,7 +213,7 @@
         key_hash = self._order.popleft()
         record = self._records.pop(key_hash)
         if record.answer is not None:
-            self._answers_bytes -= _count_bytes(record.answer)
+            self._answers_bytes -= count_bytes(record.answer)
         self._remember_granted(key_hash, record, now)
 
     def _remember_granted(self, key_hash: bytes, record: KeyRecord, now: float) -> None:
@@ -302,11 +225,11 @@
             self._earlier.add(read_mark(key_hash))
 
     def _keep_answer(self, key_hash: bytes, record: KeyRecord, answer: Answer | None) -> None:
-        if answer is None or _count_bytes(answer) > self._limits.answer_bytes:
+        if answer is None or count_bytes(answer) > self._limits.answer_bytes:
             return
         record.answer = answer
         self._answered.append(key_hash)
-        self._answers_bytes += _count_bytes(answer)
+        self._answers_bytes += count_bytes(answer)
         while self._has_many_answers():
             self._drop_answer(self._answered.popleft())
 
@@ -318,10 +241,5 @@
     def _drop_answer(self, key_hash: bytes) -> None:
         record = self._records.get(key_hash)
         if record is not None and record.answer is not None:
-            self._answers_bytes -= _count_bytes(record.answer)
+            self._answers_bytes -= count_bytes(record.answer)
             record.answer = None
-
-
-def _count_bytes(answer: Answer) -> int:
-    fields = sum(len(name) + len(value) for name, value in answer.headers)
-    return len(answer.body) + fields
--- a/packages/policy/src/ragwort_policy/_journal.py
+++ b/packages/policy/src/ragwort_policy/_journal.py
@@ -13,14 +13,12 @@
 
 from dataclasses import dataclass, replace
 from enum import Enum
-from struct import Struct
 
 from ragwort_common import Epoch
 
-from ragwort_policy._claim import MARK_BYTES, read_mark
-
-FORMAT = 1
-HEADER = Struct(">BQQQQ")
+from ragwort_policy._journal_head import JournalHead, Segment, split_marks
+from ragwort_policy._journal_step import CloseSegment, LoadSegments, ReadHead, Step, WriteHead
+from ragwort_policy._key_record import MARK_BYTES, read_mark
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,68 +43,6 @@
     retention_ms: int = 86_400_000
 
 
-@dataclass(frozen=True, slots=True)
-class JournalHead:
-    """What the head object or a closed segment holds.
-
-    Attributes
-    ----------
-    epoch
-        The only epoch that may write the head.
-    floor_ms
-        Horizon that the epoch found when it sealed the head.
-    horizon_ms
-        No key minted later was granted in this epoch or before.
-    written_ms
-        Wall time at which the last mark was added.
-    marks
-        Marks of granted keys, one after the other.
-    """
-
-    epoch: Epoch
-    floor_ms: int
-    horizon_ms: int
-    written_ms: int
-    marks: bytes = b""
-
-
-@dataclass(frozen=True, slots=True)
-class ReadHead:
-    """Read the head; the reply goes to ``take_head``."""
-
-
-@dataclass(frozen=True, slots=True)
-class WriteHead:
-    """Write the head if it still has this version (create it when None) for ``take_write``."""
-
-    version: int | None
-    head: JournalHead
-
-
-@dataclass(frozen=True, slots=True)
-class CloseSegment:
-    """Create the copy of the head of this version; the reply goes to ``take_close``."""
-
-    version: int
-    head: JournalHead
-
-
-@dataclass(frozen=True, slots=True)
-class LoadSegments:
-    """Read all closed segments of the range; the reply goes to ``take_segments``."""
-
-
-Step = ReadHead | WriteHead | CloseSegment | LoadSegments
-
-
-@dataclass(frozen=True, slots=True)
-class Segment:
-    """A closed segment and the version of the head that it copies."""
-
-    version: int
-    head: JournalHead
-
-
 class Phase(Enum):
     """Where the owner stands with its journal."""
 
@@ -140,6 +76,7 @@
         self.earlier: set[bytes] = set()
         self._version: int | None = None
         self._limits = limits
+        self._is_seal_sent = False
         self._loaded = False
         self._segments: list[Segment] = []
         self._closed_version: int | None = None
@@ -160,12 +97,19 @@
         """Have a key's mark written; it stays wanted even when its claim has timed out."""
         self._wanted.setdefault(read_mark(key_hash), key_hash)
 
-    def want_horizon(self, minted_ms: int, wall_ms: int) -> None:
-        """Have the horizon written when a key is minted past it or little time is left."""
+    def want_horizon(self, minted_ms: int, wall_ms: int) -> bool:
+        """Have the horizon written when a key is minted past it or little time is left.
+
+        Returns
+        -------
+        bool
+            Whether it is to be written.
+        """
         horizon_ms = self.head.horizon_ms if self.head else 0
         if minted_ms > horizon_ms or horizon_ms < wall_ms + self._limits.renew_ms:
             wanted_ms = max(minted_ms, wall_ms + self._limits.horizon_ms)
             self._wanted_horizon_ms = max(self._wanted_horizon_ms, wanted_ms)
+        return self._wanted_horizon_ms > 0
 
     def next_step(self, wall_ms: int) -> Step | None:
         """Return what to do next, or None when there is nothing to write."""
@@ -185,7 +129,8 @@
         sealed = known is not None and known.epoch == self.epoch
         found = head.epoch if head is not None else Epoch(0)
         self.seen_epoch = max(self.seen_epoch, found)
-        if found > self.epoch or (sealed and found < self.epoch):
+        foreign = found == self.epoch and not self._is_seal_sent
+        if found > self.epoch or foreign or (sealed and found < self.epoch):
             # Another owner has sealed the head, or the platform came back with an older copy.
             self.phase = Phase.LOST
             return []
@@ -206,6 +151,7 @@
         list of bytes
             The hashes of the keys whose marks are now durable.
         """
+        self._is_seal_sent = True
         if version is None:
             self.phase = Phase.READ
             return []
@@ -312,24 +258,3 @@
         if head.written_ms < wall_ms - self._limits.retention_ms:
             return replace(head, marks=b"")
         return head
-
-
-def split_marks(marks: bytes) -> set[bytes]:
-    """Return the single marks of a head or segment."""
-    return {marks[at : at + MARK_BYTES] for at in range(0, len(marks), MARK_BYTES)}
-
-
-def encode_head(head: JournalHead) -> bytes:
-    """Return the bytes that the platform keeps."""
-    times = (head.floor_ms, head.horizon_ms, head.written_ms)
-    return HEADER.pack(FORMAT, head.epoch, *times) + head.marks
-
-
-def decode_head(data: bytes) -> JournalHead | None:
-    """Read what the platform kept, None when it is malformed."""
-    if len(data) < HEADER.size or (len(data) - HEADER.size) % MARK_BYTES:
-        return None
-    form, epoch, floor_ms, horizon_ms, written_ms = HEADER.unpack_from(data)
-    if form != FORMAT:
-        return None
-    return JournalHead(Epoch(epoch), floor_ms, horizon_ms, written_ms, data[HEADER.size :])
--- a/tests/node/test_owner.py
+++ b/tests/node/test_owner.py
@@ -4,7 +4,7 @@
 from helper import wait_until
 from ragwort_common import Epoch, NodeId
 from ragwort_node._owner import LEASE_MARGIN_MS, LEASE_TTL_MS, KeyOwner
-from ragwort_node._range_owner import OwnerClocks, OwnerLimits
+from ragwort_node._owner_limits import OwnerClocks, OwnerLimits
 from ragwort_platform import CallBudget, LeaseClient, ObjectStore, read_boot_clock
 from ragwort_policy import JournalHead, OwnerMap, encode_head
 from ragwort_protocol import Answer, ClaimRequest, ClaimResult, ClaimVerdict
@@ -231,15 +231,16 @@
     run(scenario, "a")
 
 
-def test_an_epoch_below_the_head_of_the_journal_grants_nothing_and_is_passed_over():
+@pytest.mark.parametrize("epoch", [1, 40])
+def test_an_epoch_not_above_the_head_of_the_journal_grants_nothing_and_is_passed_over(epoch):
     async def scenario(fleet):
-        head = JournalHead(Epoch(40), 0, read_wall_ms(), 0)
+        head = JournalHead(Epoch(epoch), 0, read_wall_ms(), 0)
         await fleet.store.create("claims/000/head", encode_head(head))
         await fleet.tick()
         assert (await fleet.claim("a", "k", read_wall_ms())).verdict is ClaimVerdict.NO_LEASE
         await fleet.tick()
         reply = await fleet.claim("a", "k", read_wall_ms())
-        assert (reply.verdict, reply.epoch) == (ClaimVerdict.GRANTED, 41)
+        assert (reply.verdict, reply.epoch) == (ClaimVerdict.GRANTED, epoch + 1)
 
     run(scenario, "a")
 
