Let the gate refuse calls while its server fails every one

The gate sees them all: after five in a row it refuses as not run and lets one trial through at a time.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -18,6 +18,7 @@
     make_report,
     shed_waiting,
     start_leaving,
+    start_waiting,
 )
 from ragwort_protocol import LoadReport
 
@@ -177,6 +178,8 @@
 
     def _tick(self) -> None:
         self._refuse_waiting()
+        if self.held:
+            self._start(start_waiting(self.gate, self.heap.now))
         self.heap.call_later(EXPIRE_EVERY_S, self._tick)
 
     def _sample_report(self) -> None:
--- a/packages/policy/src/ragwort_policy/_admission.py
+++ b/packages/policy/src/ragwort_policy/_admission.py
@@ -11,6 +11,14 @@
 from ragwort_common import CallId, Member, Reason
 from ragwort_protocol import LoadReport
 
+from ragwort_policy._breaker import (
+    Breaker,
+    allow_run,
+    get_trial_delay_ms,
+    is_open,
+    is_trial_due,
+    record_end,
+)
 from ragwort_policy._fairness import (
     FairQueue,
     add_waiting,
@@ -117,6 +125,7 @@
     lapsed: list[CallId] = field(default_factory=list)
     turns: int = 0
     leaving: bool = False
+    breaker: Breaker = field(default_factory=Breaker)
 
 
 def make_gate(limits: GateLimits, now: float) -> GateState:
@@ -135,6 +144,8 @@
         return Decision(Verdict.REFUSED, Reason.LEAVING)
     if call.deadline <= now:
         return Decision(Verdict.REFUSED, Reason.DEADLINE)
+    if not allow_run(state.breaker, now, len(state.running)):
+        return Decision(Verdict.REFUSED, Reason.SHED, get_trial_delay_ms(state.breaker, now))
     service_s = _measure(state, now)
     limit = get_limit(state.limit, now)
     if _has_room(state, call.batch, limit):
@@ -154,6 +165,7 @@
 ) -> list[CallId]:
     """Take in the end of a running call and return the queued calls that start now."""
     _stop(state, now, call_id, counts=not failed)
+    record_end(state.breaker, now, failed)
     if not failed:
         learn_no_load(state.limit, estimate_time(state.service, now))
     return start_waiting(state, now)
@@ -191,13 +203,16 @@
 def shed_waiting(state: GateState, now: float) -> Shed | None:
     """Take out the interactive calls that the server has become too slow to start in time.
 
-    These are the newest ones beyond what it can start within the queue's bound. Asked while
-    calls wait, it lets them try another server instead of waiting for the slow one's end.
+    These are the newest ones beyond what it can start within the queue's bound, or all of them
+    while the server fails every call. Asked while calls wait, it lets them try another server
+    instead of waiting for the slow one's end.
     """
     if not state.interactive.size:
         return None
     start_every_s = _measure(state, now) / get_limit(state.limit, now)
     allowed = int(state.limits.queue_wait_ms / 1e3 * SHED_FACTOR / start_every_s)
+    if is_open(state.breaker):
+        allowed = 0
     excess = state.interactive.size - allowed
     if excess <= 0:
         return None
@@ -220,7 +235,7 @@
     started: list[CallId] = []
     _measure(state, now)
     limit = get_limit(state.limit, now)
-    while True:
+    while allow_run(state.breaker, now, len(state.running)):
         call = _take_next(state, limit)
         if call is None:
             return started
@@ -230,6 +245,7 @@
             continue
         _start(state, call, now)
         started.append(call.call_id)
+    return started
 
 
 def make_report(state: GateState, now: float) -> LoadReport:
@@ -240,7 +256,7 @@
         limit=get_limit(state.limit, now),
         queued=state.interactive.size,
         service_time_us=int(service_s * 1e6),
-        accepting=not state.leaving,
+        accepting=not state.leaving and is_trial_due(state.breaker, now),
         warm=get_warmth(state.limit, now),
     )
 
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -16,6 +16,7 @@
     shed_waiting,
     start_leaving,
 )
+from ragwort_policy._breaker import is_open
 
 LIMITS = GateLimits(slots=4, expected_ms=20.0, queue_wait_ms=40.0, batch_queue_calls=5)
 MEMBERS = ("first", "second")
@@ -71,6 +72,7 @@
             self._start(call.call_id)
         elif decision.verdict is Verdict.QUEUED:
             assert self.running, "a call waits at an idle gate"
+            assert not is_open(self.gate.breaker)
             self.waiting.add(call.call_id)
         else:
             assert decision.reason is not Reason.NONE
@@ -194,3 +196,25 @@
 def test_a_fresh_server_takes_its_full_limit_only_after_warming_up():
     gate = make_gate(GateLimits(slots=8, warm_ms=1000.0), 0.0)
     assert [make_report(gate, now).limit for now in (0.0, 0.5, 1.0)] == [2, 5, 8]
+
+
+def test_a_server_that_fails_every_call_is_tried_by_one_call_at_a_time():
+    gate = make_gate(LIMITS, 0.0)
+    for number in range(5):
+        _fill(gate, 1, first=number)
+        finish(gate, 0.001, number, 0.001, True)
+    refused = _fill(gate, 1, 0.01, first=10)[0]
+    assert (refused.verdict, refused.reason) == (Verdict.REFUSED, Reason.SHED)
+    assert refused.retry_after_ms > 30 and not make_report(gate, 0.01).accepting
+    assert make_report(gate, 0.06).accepting
+    verdicts = [decision.verdict for decision in _fill(gate, 3, 0.06, first=20)]
+    assert verdicts == [Verdict.RUN, Verdict.REFUSED, Verdict.REFUSED]
+    finish(gate, 0.07, 20, 0.01, False)
+    assert [d.verdict for d in _fill(gate, 3, 0.07, first=30)] == [Verdict.RUN] * 3
+
+
+def test_failures_between_answers_do_not_stop_a_server():
+    gate = make_gate(LIMITS, 0.0)
+    for number in range(40):
+        assert _fill(gate, 1, 0.01, first=number)[0].verdict is Verdict.RUN
+        finish(gate, 0.01, number, 0.001, number % 5 > 0)
