--- a/packages/node/src/ragwort_node/_composition.py
+++ b/packages/node/src/ragwort_node/_composition.py
@@ -75,11 +75,11 @@
 from ragwort_node._metrics import Counters, flush_metrics
 from ragwort_node._once import KeyClaims
 from ragwort_node._owner import LEASE_MARGIN_MS, LEASE_TTL_MS, KeyOwner
+from ragwort_node._owner_limits import OwnerClocks, OwnerLimits
 from ragwort_node._owner_news import OwnerNews
 from ragwort_node._peers import PeerCalls
 from ragwort_node._pool import LinkPool
 from ragwort_node._prober import Prober
-from ragwort_node._range_owner import OwnerClocks, OwnerLimits
 from ragwort_node._rules import RulesKeeper
 from ragwort_node._server import ServerClient
 from ragwort_node._services import Services
--- a/packages/node/src/ragwort_node/_journal_store.py
+++ b/packages/node/src/ragwort_node/_journal_store.py
@@ -18,6 +18,8 @@
 log = logging.getLogger(__name__)
 
 CLAIMS_PREFIX = "claims"
+LEASES_PREFIX = "leases/keys/"
+"""The leases stand apart from the journals, so that one short listing names all owners."""
 
 
 class JournalStore(Protocol):
@@ -110,7 +112,7 @@
 
 def format_lease_path(key_range: int) -> str:
     """Return where the lease of a key range is kept."""
-    return f"{CLAIMS_PREFIX}/{key_range:03d}/lease"
+    return f"{LEASES_PREFIX}{key_range:03d}"
 
 
 def _path_head(key_range: int) -> str:
--- a/packages/node/src/ragwort_node/_owner.py
+++ b/packages/node/src/ragwort_node/_owner.py
@@ -12,24 +12,12 @@
 from ragwort_policy import KEY_RANGES, NOBODY, OwnerMap, choose_owner, count_excess
 from ragwort_protocol import ClaimReply, ClaimRequest, ClaimResult, ClaimVerdict, OwnerNotice
 
-<<<<<<< HEAD
-from ragwort_node._range_owner import (
-    JournalStore,
-    OwnerClocks,
-    OwnerLimits,
-    RangeKeeper,
-)
-=======
 from ragwort_node._journal_store import JournalStore, format_lease_path
 from ragwort_node._owner_limits import OwnerClocks, OwnerLimits
 from ragwort_node._range_owner import RangeKeeper
->>>>>>> once
 
 log = logging.getLogger(__name__)
 
-LEASES_PREFIX = "leases/keys/"
-"""The leases stand apart from the journals, so that one short listing names all owners."""
-
 LEASE_TTL_MS = 60_000
 LEASE_MARGIN_MS = 2_000
 RENEW_EVERY_S = 15.0
@@ -228,11 +216,3 @@
     def _forget(self, held: _Held) -> None:
         held.task.cancel()
         self._held.pop(held.key_range, None)
-<<<<<<< HEAD
-
-
-def format_lease_path(key_range: int) -> str:
-    """Return where the lease of a key range is kept."""
-    return f"{LEASES_PREFIX}{key_range:03d}"
-=======
->>>>>>> once
--- a/packages/node/src/ragwort_node/_owner_news.py
+++ b/packages/node/src/ragwort_node/_owner_news.py
@@ -11,8 +11,8 @@
 from ragwort_policy import EpochFence, OwnerMap
 from ragwort_protocol import Message, OwnerNotice
 
+from ragwort_node._journal_store import LEASES_PREFIX
 from ragwort_node._metrics import Counters
-from ragwort_node._owner import LEASES_PREFIX
 
 log = logging.getLogger(__name__)
 
