Tell an operator with an outdated expected version what changed since it, and by whom

Cause: the refusal showed the difference between the current rules and the operator's file, in which another operator's change cannot be told from one's own. It now shows the difference between the expected revision, from the history, and the current one, as when the race is lost later.

--- a/packages/control/src/ragwort_control/_apply.py
+++ b/packages/control/src/ragwort_control/_apply.py
@@ -32,6 +32,7 @@
     get_platform,
     name_document,
     read_current,
+    read_past,
 )
 from ragwort_control._store import Store
 
@@ -82,7 +83,7 @@
     current = read.ok
     if current is not None and current.document.text == text:
         return Ok(_report_same(current.document))
-    expected = _check_expected(context.get_flag("expect-version"), current, text)
+    expected = await _check_expected(store, context.get_flag("expect-version"), current, text)
     if expected is not None:
         return Error(expected)
     document = _build_document(current, context.get_flag("above"), author, text)
@@ -94,7 +95,9 @@
     return _report_replacement(replacement, current, document, rules)
 
 
-def _check_expected(expected: int | None, current: Current | None, text: bytes) -> Failure | None:
+async def _check_expected(
+    store: Store, expected: int | None, current: Current | None, text: bytes
+) -> Failure | None:
     """Return why the file may not replace the current revision; None when it may.
 
     Without an expected version, a file that was edited before another operator's change would
@@ -105,17 +108,34 @@
         return None
     if current is None:
         return fail(f"the platform holds no rules yet, --expect-version said {expected}")
-    name = name_document(current.document)
-    advice = f"once you have read what would change, apply with --expect-version={found}"
-    diff = compare_texts(current.document.text, text, f"revision {found}", "your file")
     if expected is None:
-        return blame_user(f"{name} is current and --expect-version is missing; {advice}", *diff)
-    return fail(
-        f"nothing was applied: {name} is current, --expect-version said {expected}; {advice}",
-        *diff,
+        return _ask_for_version(current.document, text)
+    base = await read_past(store, expected)
+    base_text = base.ok.text if base.is_ok() and base.ok else None
+    reason = f"{name_document(current.document)} is current, --expect-version said {expected}"
+    return _tell_change(reason, expected, base_text, current.document)
+
+
+def _ask_for_version(current: RulesDocument, text: bytes) -> Failure:
+    flag = f"--expect-version={current.revision}"
+    return blame_user(
+        f"{name_document(current)} is current, expected {flag} once you have read what changes:",
+        *compare_texts(current.text, text, f"revision {current.revision}", "your file"),
     )
 
 
+def _tell_change(reason: str, base: int, base_text: bytes | None, rival: RulesDocument) -> Failure:
+    """Return the failure that tells an operator what another one changed meanwhile."""
+    advice = f"take that over into your file, then apply with --expect-version={rival.revision}"
+    if base_text is None:
+        return fail(f"nothing was applied: {reason}", advice)
+    names = (f"revision {base}", f"revision {rival.revision}")
+    diff = compare_texts(base_text, rival.text, *names)
+    between = rival.revision - base - 1
+    also = f", after others that 'history' lists since revision {base}" if between > 0 else ""
+    return fail(f"nothing was applied: {reason}{also}; what changed:", *diff, advice)
+
+
 def _build_document(current: Current | None, above: int, author: str, text: bytes) -> RulesDocument:
     latest = max(current.document.revision if current else 0, above)
     return RulesDocument(
@@ -184,12 +204,7 @@
         )
     base = current.document.revision if current else 0
     base_text = current.document.text if current else b""
-    names = (f"revision {base}", f"revision {rival.revision}")
-    return fail(
-        f"nothing was applied: {name_document(rival)} came first; it changed:",
-        *compare_texts(base_text, rival.text, *names),
-        f"take that over into your file, then apply with --expect-version={rival.revision}",
-    )
+    return _tell_change(f"{name_document(rival)} came first", base, base_text, rival)
 
 
 def _report_unknown(replacement: Replacement, document: RulesDocument) -> Failure:
--- a/tests/control/test_main.py
+++ b/tests/control/test_main.py
@@ -150,21 +150,28 @@
     assert "revision 41 replaces revision 2" in operator.out
 
 
-@pytest.mark.parametrize(
-    ("flags", "status", "message"),
-    [
-        ([], 2, "revision 2 by lee at today is current and --expect-version is missing"),
-        (["--expect-version=1"], 1, "revision 2 by lee at today is current, --expect-version said"),
-    ],
-)
-def test_apply_refuses_to_replace_what_the_operator_has_not_read(operator, flags, status, message):
+def test_apply_refuses_to_replace_what_the_operator_has_not_read(operator):
     operator.put_rival()
-    assert operator.run("apply", operator.write(ONE), *flags) == status
-    assert message in operator.err
+    assert operator.run("apply", operator.write(ONE)) == 2
+    assert "revision 2 by lee at today is current, expected --expect-version=2" in operator.err
     assert f"-{TWO.splitlines()[1]}" in operator.err
+    assert operator.run("apply", operator.write(ONE), "--expect-version=1") == 1
+    assert "nothing was applied: revision 2 by lee at today is current, --exp" in operator.err
     assert len(operator.store.accepted) == 1
 
 
+def test_a_wrong_expected_version_tells_what_changed_since_then(operator):
+    operator.run("apply", operator.write(ONE))
+    operator.run("apply", operator.write(THREE), "--expect-version=1")
+    operator.run("apply", operator.write(TWO), "--expect-version=2")
+    assert operator.run("apply", operator.write(ONE + "# mine\n"), "--expect-version=1") == 1
+    assert "revision 3 by kim" in operator.err
+    assert "after others that 'history' lists since revision 1; what changed:" in operator.err
+    assert f"+{TWO.splitlines()[1]}" in operator.err
+    assert "# mine" not in operator.err
+    assert len(operator.store.accepted) == 3
+
+
 def test_the_operator_who_comes_second_is_told_what_changed_and_by_whom(operator):
     operator.run("apply", operator.write(ONE))
     operator.store.before_write = operator.put_rival
@@ -216,3 +223,26 @@
 
     asyncio.run(scenario())
     assert "revision 1 is the first" in operator.capsys.readouterr().out
+
+
+def test_of_operators_who_apply_at_once_over_http_one_wins_and_the_others_are_told(operator):
+    files = [operator.write(f"{ONE}# {n}\n", f"{n}.rules") for n in range(5)]
+
+    async def scenario():
+        async with PlatformStandIn() as platform:
+
+            async def apply(name, *flags):
+                words = ["apply", name, f"--platform={platform.url}", "--author=kim", *flags]
+                return await asyncio.to_thread(run_command, words, open_platform, go_on)
+
+            assert await apply(files[0]) == 0
+            operator.capsys.readouterr()
+            statuses = await asyncio.gather(
+                *(apply(name, "--expect-version=1") for name in files[1:])
+            )
+            assert sorted(statuses) == [0, 1, 1, 1]
+            return statuses.index(0) + 1, platform.table.objects[RULES_PATH].data
+
+    winner, data = asyncio.run(scenario())
+    assert f"# {winner}" in data.decode()
+    assert operator.capsys.readouterr().err.count("nothing was applied: revision 2 by kim") == 3
