Keep a shell's proxy settings away from the nodes' control addresses

Cause: gRPC takes a proxy from the environment, so with http_proxy set in an operator's shell status and drain would ask the proxy instead of the node.

With the option taken out, the test that sets http_proxy fails; with it 50 tests of the command pass.

--- a/packages/control/src/ragwort_control/_nodes.py
+++ b/packages/control/src/ragwort_control/_nodes.py
@@ -17,6 +17,8 @@
 
 MAX_ASKED_AT_ONCE = 32
 
+# Control addresses are IP numbers of hosts; a proxy of the operator's shell is for other things.
+_CHANNEL_OPTIONS = (("grpc.enable_http_proxy", 0),)
 _CONNECT_ENDS = {
     grpc.ChannelConnectivity.READY,
     grpc.ChannelConnectivity.TRANSIENT_FAILURE,
@@ -63,7 +65,7 @@
 
 async def _call(address: str, timeout_ms: int, name: str, request) -> Result:
     timeout_s = timeout_ms / 1000
-    async with grpc.aio.insecure_channel(address) as channel:
+    async with grpc.aio.insecure_channel(address, _CHANNEL_OPTIONS) as channel:
         # Until there is a connection, nothing can have been sent.
         if not await _connect(channel, timeout_s):
             return Error(NodeError(f"no connection to {address}", False))
--- a/tests/control/test_status.py
+++ b/tests/control/test_status.py
@@ -103,7 +103,9 @@
     ]
 
 
-def test_status_asks_a_nodes_peers_when_the_platform_is_down(fleet, capsys):
+def test_status_asks_a_nodes_peers_when_the_platform_is_down(fleet, capsys, monkeypatch):
+    # A proxy that the operator's shell names is not for the hosts.
+    monkeypatch.setenv("http_proxy", "http://127.0.0.1:9")
     fleet.store.faults.extend([Fault.UNAVAILABLE])
     status, _, err = fleet.run(capsys, "status")
     assert status == 1
