Revert the frequent comparison of tables after a start; list the peers twice

Cause: test_leaving_is_known_in_both_regions_at_once_and_can_be_taken_back failed: two nodes still held a peer for leaving 5 s after it had resumed. Comparing tables once a second for 10 s after a start or a change of the node's own state spent the budget that the news needed. Tried: the same only after a start, by the time of the start; that failed this test and another one.

Ruled out: a fault in the news itself (with the frequent comparison off, all 24 tests of membership pass).

--- a/packages/node/src/ragwort_node/_gossip.py
+++ b/packages/node/src/ragwort_node/_gossip.py
@@ -187,6 +187,9 @@
     await asyncio.sleep(START_SPREAD_S * gossip.random.random())
     await _retry_until_done(gossip, lambda: _announce(gossip, store))
     await _retry_until_done(gossip, lambda: _list_peers(gossip, store))
+    # Nodes that start together list the platform before all of them have announced themselves.
+    await asyncio.sleep(2 * START_SPREAD_S)
+    await _retry_until_done(gossip, lambda: _list_peers(gossip, store))
     removed: set[tuple[NodeId, int]] = set()
     while True:
         await asyncio.sleep(ORPHAN_PERIOD_S * (0.5 + gossip.random.random()))
--- a/packages/policy/src/ragwort_policy/_gossip_state.py
+++ b/packages/policy/src/ragwort_policy/_gossip_state.py
@@ -73,9 +73,6 @@
         Most bytes of news on one message.
     repair_period_s, repair_bytes
         Time between two exchanges of digests, and most bytes of one of their messages.
-    settling_s, settling_repair_period_s
-        How long after a start or a change of its own state a node compares its table more often,
-        and the time between two such exchanges.
     reconnect_period_s
         Time between two tries to reach a peer that counts as dead.
     pause_s
@@ -102,8 +99,6 @@
     news_bytes: int = 1400
     repair_period_s: float = 10.0
     repair_bytes: int = 2000
-    settling_s: float = 10.0
-    settling_repair_period_s: float = 1.0
     reconnect_period_s: float = 10.0
     pause_s: float = 2.5
     isolation_targets: int = 5
--- a/packages/policy/src/ragwort_policy/_repair.py
+++ b/packages/policy/src/ragwort_policy/_repair.py
@@ -34,7 +34,7 @@
     """Send a digest to a random peer now and then, and to one that counts as dead."""
     settings = membership.settings
     if now >= membership.next_repair_at:
-        period = _get_repair_period_s(membership, now)
+        period = settings.repair_period_s if membership.is_refreshed else settings.probe_period_s
         membership.next_repair_at = now + period * (0.5 + random.random())
         neighbours = list_neighbours(membership)
         if neighbours:
@@ -47,20 +47,6 @@
             send_digest(membership, now, random.choice(dead).node_id, sends)
 
 
-def _get_repair_period_s(membership: Membership, now: float) -> float:
-    """Return the time to the next exchange.
-
-    Nodes that start together list the platform before all have announced themselves, so each
-    compares its table often until that has settled.
-    """
-    settings = membership.settings
-    if not membership.is_refreshed:
-        return settings.probe_period_s
-    if now - membership.own.changed_at < settings.settling_s:
-        return settings.settling_repair_period_s
-    return settings.repair_period_s
-
-
 def send_digest(membership: Membership, now: float, to: NodeId, sends: list[Send]) -> None:
     """Start an exchange with a peer.
 
