Ask peers before the first rules come into force on a node that starts

Cause: a node restarted while the platform has an older copy took that copy for a moment, although its host had had the newer rules in force.

--- a/packages/node/src/ragwort_node/_configuration.py
+++ b/packages/node/src/ragwort_node/_configuration.py
@@ -7,7 +7,6 @@
 import logging
 import random
 from collections import Counter
-from dataclasses import dataclass
 
 from ragwort_common import NodeId, Revision
 from ragwort_platform import RULES_PATH, ObjectStore, decode_document
@@ -29,43 +28,26 @@
 )
 from ragwort_protocol import RevisionNotice
 
+from ragwort_node._first_rules import fetch_newer
+from ragwort_node._rules_messages import (
+    FetchEnded,
+    PeersAsked,
+    PlatformRead,
+    RepeatDue,
+    RevisionHeard,
+    RulesMessage,
+)
 from ragwort_node._rules_ports import (
     ConfigurationEvent,
     ConfigurationPorts,
     ConfigurationSettings,
     CurrentRules,
 )
-from ragwort_node._rules_watch import PlatformRead, watch_rules
+from ragwort_node._rules_watch import watch_rules
 
 log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class _RevisionHeard:
-    """A peer told that it has a revision in force."""
-
-    peer: NodeId
-    stamp: Stamp
-
-
-@dataclass(frozen=True, slots=True)
-class _FetchEnded:
-    """A peer sent its document, or couldn't."""
-
-    peer: NodeId
-    data: bytes | None
-
-
-@dataclass(frozen=True, slots=True)
-class _RepeatDue:
-    """It is time to tell peers again of a revision."""
-
-    stamp: Stamp
-
-
-_Message = _RevisionHeard | _FetchEnded | _RepeatDue | PlatformRead
-
-
 class ConfigurationTask:
     """Owns the rules in force; ``run`` is the task, the other methods may be called any time.
 
@@ -93,20 +75,21 @@
         self._rng = rng
         self._settings = settings
         self._state = RevisionState()
-        self._inbox: asyncio.Queue[_Message] = asyncio.Queue()
+        self._inbox: asyncio.Queue[RulesMessage] = asyncio.Queue()
         self._fetching = False
         self._older_version: int | None = None
+        self._first: list[CurrentRules] | None = []
         self._forks: set[Stamp] = set()
 
     def hear_notice(self, peer: NodeId, notice: RevisionNotice) -> None:
         """Take in a peer's notice of a revision."""
         stamp = Stamp(Revision(notice.revision), notice.digest)
-        self._inbox.put_nowait(_RevisionHeard(peer, stamp))
+        self._inbox.put_nowait(RevisionHeard(peer, stamp))
 
     def hear_revision(self, peer: NodeId, revision: Revision) -> None:
         """Take in the revision number on a peer's gossip."""
         if revision > self._state.in_force.revision:
-            self._inbox.put_nowait(_RevisionHeard(peer, Stamp(revision, UNKNOWN_DIGEST)))
+            self._inbox.put_nowait(RevisionHeard(peer, Stamp(revision, UNKNOWN_DIGEST)))
 
     async def run(self) -> None:
         """Handle messages and watch the platform until cancelled."""
@@ -123,38 +106,40 @@
                 self._handle(await self._inbox.get(), group)
 
     def _is_chosen(self) -> bool:
-        # A node without rules asks the platform itself, since its peers may know no more.
-        if self.current is None:
+        # A node that has found no rules asks the platform itself: its peers may know no more.
+        if self.current is None and not self._first:
             return True
         peers = self._ports.list_peers()
         return is_watcher(self._own, peers, self._settings.watchers_per_domain)
 
-    def _handle(self, message: _Message, group: asyncio.TaskGroup) -> None:
+    def _handle(self, message: RulesMessage, group: asyncio.TaskGroup) -> None:
         match message:
-            case _RevisionHeard(peer, stamp):
+            case RevisionHeard(peer, stamp):
                 self._note_standing(note_source(self._state, peer, stamp), stamp)
-            case _FetchEnded(peer, data):
+            case FetchEnded(peer, data):
                 self._fetching = False
-                self._take_fetched(peer, data)
-            case _RepeatDue(stamp):
+                self._take_fetched(peer, data, group)
+            case PeersAsked(newer):
+                self._take_first(newer, group)
+            case RepeatDue(stamp):
                 if self._state.in_force == stamp:
                     self._send_notices(stamp, crosses_regions=False)
             case PlatformRead(data, version):
                 self._take_read(data, version, group)
         self._start_fetch(group)
 
-    def _take_fetched(self, peer: NodeId, data: bytes | None) -> None:
+    def _take_fetched(self, peer: NodeId, data: bytes | None, group: asyncio.TaskGroup) -> None:
         drop_source(self._state, peer)
         if data is None:
             self.counts[ConfigurationEvent.FETCH_FAILED] += 1
             return
         self.counts[ConfigurationEvent.FETCHED] += 1
-        self._take_document(data, is_from_platform=False)
+        self._take_document(data, group, is_from_platform=False)
 
     def _take_read(self, data: bytes | None, version: int, group: asyncio.TaskGroup) -> None:
         standing = Standing.OLDER
         if data is not None:
-            standing = self._take_document(data, is_from_platform=True)
+            standing = self._take_document(data, group, is_from_platform=True)
         if standing is not Standing.OLDER or self.current is None:
             self._older_version = None
             return
@@ -162,7 +147,9 @@
         self._older_version = version
         group.create_task(self._write_back(version))
 
-    def _take_document(self, data: bytes, is_from_platform: bool) -> Standing | None:
+    def _take_document(
+        self, data: bytes, group: asyncio.TaskGroup, is_from_platform: bool
+    ) -> Standing | None:
         """Bring a document into force if it is newer and sound; None when it is malformed."""
         decoded = decode_document(data)
         if decoded.is_error():
@@ -174,9 +161,28 @@
         standing = judge_revision(self._state, stamp)
         self._note_standing(standing, stamp)
         if standing is Standing.NEWER:
-            self._try_document(CurrentRules(stamp, document, data), is_from_platform)
+            rules = CurrentRules(stamp, document, data)
+            if self._first is None:
+                self._try_document(rules, is_from_platform)
+            else:
+                self._hold_first(self._first, rules, group)
         return standing
 
+    def _hold_first(
+        self, first: list[CurrentRules], rules: CurrentRules, group: asyncio.TaskGroup
+    ) -> None:
+        first.append(rules)
+        if len(first) == 1:
+            group.create_task(self._ask_peers(rules.stamp.revision))
+
+    def _take_first(self, newer: list[bytes], group: asyncio.TaskGroup) -> None:
+        for data in newer:
+            self._take_document(data, group, is_from_platform=False)
+        held, self._first = self._first or [], None
+        for rules in sorted(held, key=lambda rules: rules.stamp, reverse=True):
+            if judge_revision(self._state, rules.stamp) is Standing.NEWER:
+                self._try_document(rules, is_from_platform=False)
+
     def _try_document(self, rules: CurrentRules, is_from_platform: bool) -> None:
         if not self._ports.accept(rules.document):
             refuse_revision(self._state, rules.stamp)
@@ -190,7 +196,7 @@
         self._ports.publish(rules.document)
         self._send_notices(rules.stamp, is_from_platform)
         delay_s = self._settings.notice_repeat_ms / 1000
-        repeat = _RepeatDue(rules.stamp)
+        repeat = RepeatDue(rules.stamp)
         asyncio.get_running_loop().call_later(delay_s, self._inbox.put_nowait, repeat)
 
     def _send_notices(self, stamp: Stamp, crosses_regions: bool) -> None:
@@ -222,14 +228,28 @@
         peer, stamp = source
         group.create_task(self._fetch(peer, stamp.revision))
 
+    async def _ask_peers(self, revision: Revision) -> None:
+        newer = await fetch_newer(
+            self._own.node_id,
+            revision,
+            self._ports.list_peers,
+            self._fetch_in_time,
+            self._rng,
+            self._settings.settle_ms / 1000,
+        )
+        self._inbox.put_nowait(PeersAsked(newer))
+
     async def _fetch(self, peer: NodeId, at_least: Revision) -> None:
-        data = None
+        data = await self._fetch_in_time(peer, at_least)
+        self._inbox.put_nowait(FetchEnded(peer, data))
+
+    async def _fetch_in_time(self, peer: NodeId, at_least: Revision) -> bytes | None:
         try:
             async with asyncio.timeout(self._settings.fetch_timeout_ms / 1000):
-                data = await self._ports.fetch_document(peer, at_least)
+                return await self._ports.fetch_document(peer, at_least)
         except TimeoutError:
             log.debug("peer %s sent no rules in time", peer)
-        self._inbox.put_nowait(_FetchEnded(peer, data))
+            return None
 
     async def _write_back(self, version: int) -> None:
         """Give the platform the rules in force again, after it came back with an older copy."""
--- a/packages/node/src/ragwort_node/_rules_ports.py
+++ b/packages/node/src/ragwort_node/_rules_ports.py
@@ -41,6 +41,9 @@
         failing without being known to.
     fetch_timeout_ms
         How long a peer may take to send a document, before another one is asked.
+    settle_ms
+        How long a node that has just started waits for peers to ask, before it brings the first
+        rules into force.
     write_back_ms
         How long the platform must show older rules before a watcher writes the newer ones back.
     watch
@@ -51,6 +54,7 @@
     notice_fanout: int = NOTICE_FANOUT
     notice_repeat_ms: float = 500
     fetch_timeout_ms: float = 1_500
+    settle_ms: float = 500
     write_back_ms: float = 2_000
     watch: WatchSettings = WatchSettings()
 
--- a/packages/node/src/ragwort_node/_rules_watch.py
+++ b/packages/node/src/ragwort_node/_rules_watch.py
@@ -9,6 +9,8 @@
 from expression import Error, Ok, Result
 from ragwort_platform import RULES_PATH, ObjectStore, StoreError
 
+from ragwort_node._rules_messages import PlatformRead
+
 log = logging.getLogger(__name__)
 
 
@@ -39,17 +41,6 @@
     last_retry_ms: float = 10_000
 
 
-@dataclass(frozen=True, slots=True)
-class PlatformRead:
-    """What the platform holds as the current rules.
-
-    ``data`` is None and ``version`` zero when it holds none.
-    """
-
-    data: bytes | None
-    version: int
-
-
 async def watch_rules(
     store: ObjectStore,
     is_chosen: Callable[[], bool],
