--- a/packages/platform/src/ragwort_platform/_lease.py
+++ b/packages/platform/src/ragwort_platform/_lease.py
@@ -2,8 +2,8 @@
 
 No wall clocks are compared. A holder counts its deadline on its own monotonic clock from before
 its request was sent. Another node takes over only after it saw the same version for the whole
-time to live on its own clock, or after a release. This is safe while the clocks' rates differ by
-less than the margin's share of the time to live, halved.
+time to live on its own clock, or after a release. This is safe while the rates of two clocks
+differ by a factor below ``ttl / (ttl - margin)``.
 """
 
 import json
--- a/packages/platform/src/ragwort_platform/_reply.py
+++ b/packages/platform/src/ragwort_platform/_reply.py
@@ -46,7 +46,7 @@
         reply = json.loads(body)
         items = tuple(_read_stored(item) for item in reply["items"])
         return Ok(Listing(items, _read_int(reply, "version")))
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, RecursionError) as error:
         return Error(StoreError(ErrorKind.INVALID, f"malformed listing: {error!r}"))
 
 
@@ -56,7 +56,7 @@
         reply = json.loads(body)
         items = tuple(_read_change(item) for item in reply["items"])
         return Ok(Changes(items, _read_int(reply, "version")))
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, RecursionError) as error:
         return Error(StoreError(ErrorKind.INVALID, f"malformed changes: {error!r}"))
 
 
--- a/packages/platform/src/ragwort_platform/_store.py
+++ b/packages/platform/src/ragwort_platform/_store.py
@@ -2,10 +2,11 @@
 
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from types import TracebackType
-from typing import Self
+from typing import Self, TypeVar
 from urllib.parse import quote, urlencode
 
 import aiohttp
@@ -27,6 +28,8 @@
 DEFAULT_CALLS_PER_S = 5.0
 DEFAULT_BURST_CALLS = 20.0
 
+_Parsed = TypeVar("_Parsed")
+
 
 class CallKind(Enum):
     """The kinds of calls that are counted and budgeted."""
@@ -117,7 +120,8 @@
     async def get(self, path: str) -> Result[Stored, StoreError]:
         """Return the object at a path."""
         call = _Call(CallKind.GET, "GET", _object_path(path), {}, self._timeout_s)
-        return (await self._send(call)).bind(lambda reply: _read_object(path, reply))
+        reply = await self._send(call)
+        return self._parse(reply, lambda reply: _read_object(path, reply))
 
     async def create(self, path: str, data: bytes) -> Result[Stored, StoreError]:
         """Write an object where there is none yet."""
@@ -140,7 +144,7 @@
         """Return all objects whose path starts with a prefix."""
         query = urlencode({"prefix": prefix})
         call = _Call(CallKind.LIST, "GET", f"/objects?{query}", {}, self._timeout_s)
-        return (await self._send(call)).bind(lambda reply: read_listing(reply.body))
+        return self._parse(await self._send(call), lambda reply: read_listing(reply.body))
 
     async def watch(
         self, prefix: str, after_version: int, wait_ms: int
@@ -149,7 +153,7 @@
         query = urlencode({"prefix": prefix, "after": after_version, "wait_ms": wait_ms})
         timeout_s = self._timeout_s + wait_ms / 1000
         call = _Call(CallKind.WATCH, "GET", f"/objects?{query}", {}, timeout_s)
-        return (await self._send(call)).bind(lambda reply: read_changes(reply.body))
+        return self._parse(await self._send(call), lambda reply: read_changes(reply.body))
 
     async def _write(
         self, kind: CallKind, path: str, headers: dict[str, str], data: bytes
@@ -199,6 +203,18 @@
         failure = read_failure(response.status, call.is_write)
         return self._fail(failure.kind, failure.message)
 
+    def _parse(
+        self,
+        reply: Result[_Reply, StoreError],
+        read: Callable[[_Reply], Result[_Parsed, StoreError]],
+    ) -> Result[_Parsed, StoreError]:
+        if reply.is_error():
+            return Error(reply.error)
+        parsed = read(reply.ok)
+        if parsed.is_error():
+            self.errors[parsed.error.kind] += 1
+        return parsed
+
     def _fail(self, kind: ErrorKind, message: str) -> Result:
         self.errors[kind] += 1
         return Error(StoreError(kind, message))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,7 @@
 from contextlib import asynccontextmanager
 
 import aiohttp
+import pytest
 from helper import wait_until
 from ragwort_platform import CallBudget, CallKind, ErrorKind, ObjectStore
 from ragwort_standins.platform import PlatformStandIn
@@ -134,6 +135,48 @@
     asyncio.run(run())
 
 
+def make_reply(body, tag=b'"1"', length=None):
+    size = len(body) if length is None else length
+    return b"HTTP/1.1 200 OK\r\nETag: %b\r\nContent-Length: %d\r\n\r\n%b" % (tag, size, body)
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"",
+        b"\xff\xfe garbage\r\n\r\n",
+        b"HTTP/1.1 999 Odd\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n" + b"X: y\r\n" * 9000,
+        b"HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n",
+        make_reply(b"[]", length=99),
+        make_reply(b"[" * 9999, tag=b"odd"),
+        make_reply(b'{"version": true, "items": []}', tag=b'"-1"'),
+        make_reply(b'{"version": 1, "items": [{"path": 3}]}', tag=b""),
+        make_reply(b'{"version": 1, "items": [{"path": "", "version": 1, "data": "?"}]}', tag=b"1"),
+    ],
+)
+def test_a_malformed_reply_is_an_error_value(reply):
+    async def send_reply(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(reply)
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(send_reply, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with server, ObjectStore(f"http://127.0.0.1:{port}", 1000) as store:
+            reads = store.get("a"), store.list_objects(""), store.watch("", 0, 1)
+            for read in reads:
+                kind = (await read).error.kind
+                assert kind in (ErrorKind.UNAVAILABLE, ErrorKind.INVALID)
+            writes = store.create("a", b""), store.update("a", b"", 1)
+            for write in writes:
+                assert (await write).error.kind is ErrorKind.UNCERTAIN
+            assert sum(store.errors.values()) == 5
+
+    asyncio.run(run())
+
+
 def test_a_refused_connect_has_no_effect():
     async def run():
         async with ObjectStore("http://127.0.0.1:1", 1000) as store:
