Let a region that leaves as a whole still have bridges, and spread load notices

Cause, by 500 examples of the state machine as a trial: when all nodes of a region were leaving, it had no bridge, and the other side took it as cut off. Leaving peers now speak for a region where there are no others.

Load notices of nodes that started together came at the same moment, every 2 s, and took the bridge's budget: at 720 nodes one region's report shrank from 33 services to 3.

--- a/packages/policy/src/ragwort_policy/_bridge.py
+++ b/packages/policy/src/ragwort_policy/_bridge.py
@@ -42,7 +42,8 @@
     bridging = membership.bridging
     _mark_regions(membership, now)
     if now >= bridging.next_load_at:
-        bridging.next_load_at = now + _load_period_s(membership)
+        # Nodes that started together would else fill the bridge's budget in one moment.
+        bridging.next_load_at = now + _load_period_s(membership) * (0.5 + random.random())
         _send_load(membership, now, sends)
     if not is_bridge(membership):
         bridging.loads.clear()
--- a/packages/policy/src/ragwort_policy/_table.py
+++ b/packages/policy/src/ragwort_policy/_table.py
@@ -11,6 +11,8 @@
 
 BRIDGES_PER_REGION = 2
 
+_SPEAKING_STATES = frozenset({PeerState.ALIVE, PeerState.LEAVING})
+
 
 @dataclass(slots=True)
 class Change:
@@ -151,21 +153,26 @@
 
 
 def elect_bridges(peers: Iterable[Peer]) -> list[NodeId]:
-    """Return the highest-ranked alive peers, no two of them of the same failure domain.
+    """Return the peers that speak for a region, no two of them of the same failure domain.
 
-    Two domains keep the region connected when one of them is lost.
+    Two domains keep the region connected when one of them is lost. Peers that are leaving speak
+    for it only where there are no others.
     """
     best: dict[FailureDomain, Peer] = {}
     for peer in peers:
-        if peer.state is not PeerState.ALIVE:
+        if peer.state not in _SPEAKING_STATES:
             continue
         held = best.get(peer.failure_domain)
-        if held is None or peer.rank > held.rank:
+        if held is None or _bridge_order(peer) > _bridge_order(held):
             best[peer.failure_domain] = peer
-    ranked = sorted(best.values(), key=lambda peer: peer.rank, reverse=True)
+    ranked = sorted(best.values(), key=_bridge_order, reverse=True)
     return [peer.node_id for peer in ranked[:BRIDGES_PER_REGION]]
 
 
+def _bridge_order(peer: Peer) -> tuple[bool, int]:
+    return (peer.state is PeerState.ALIVE, peer.rank)
+
+
 def _add_peer(table: PeerTable, news: News, now: float) -> Change | None:
     # The death of a peer that was never known here tells nothing; taking it in would also keep it
     # alive between nodes for ever, each learning it anew after the other has forgotten it.
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -283,3 +283,21 @@
         held = {name for name, peer in node.table.peers.items() if peer.is_gone}
         assert held == lost
         assert node.counters.refutations == 0
+
+
+def test_a_region_whose_nodes_all_leave_is_still_spoken_for(fleet):
+    for name in NORTE:
+        fleet.send(name, announce_leaving(fleet.nodes[name], fleet.now, fleet.random))
+    fleet.run(20)
+    for name in ALL:
+        assert fleet.nodes[name].table.unreachable == set()
+    assert all(states_of(fleet, name) == {PeerState.LEAVING} for name in NORTE)
+
+
+def test_a_report_carries_as_many_services_as_the_budget_allows_in_turn():
+    fleet = make_fleet(200, services=50)
+    fleet.run(14)
+    node = fleet.nodes[ALL[0]]
+    services = {profile.service for profile in fleet.profiles.values()}
+    assert all(list_region_loads(node, ServiceName(name), fleet.now) for name in services)
+    assert all(peers.table.unreachable == set() for peers in fleet.nodes.values())
