Relay the first bridge's report also when it has no load to tell

Cause: in a region whose nodes all leave there is no usable server, so its report was empty and was not passed on; the other region's nodes then took it as cut off.

--- a/packages/policy/src/ragwort_policy/_bridge.py
+++ b/packages/policy/src/ragwort_policy/_bridge.py
@@ -88,7 +88,7 @@
     if is_rejoin and not report.root:
         send_digest(membership, now, sender, sends)
     is_known = view.origin == report.origin and report.version <= view.version
-    if is_known or not report.loads:
+    if is_known or not report.is_first:
         return
     view.origin = report.origin
     view.version = report.version
@@ -171,7 +171,9 @@
         room = fit_bytes(membership, now, to, Traffic.SUMMARY, _NEWS_BYTES + _LOADS_BYTES)
         loads = _sum_loads(membership, min(_LOADS_BYTES, room // 2)) if is_first else []
         news = take_news(bridging.queue, 1, room // 2)
-        report = RegionReport(own.region, own.node_id, bridging.version, "", revision, loads, news)
+        report = RegionReport(
+            own.region, own.node_id, bridging.version, "", revision, is_first, loads, news
+        )
         emit(membership, sends, now, to, report, Traffic.SUMMARY)
 
 
@@ -217,6 +219,7 @@
         report.version,
         report.root or own,
         report.revision,
+        True,
         report.loads,
         [],
     )
--- a/packages/protocol/src/ragwort_protocol/_gossip.py
+++ b/packages/protocol/src/ragwort_protocol/_gossip.py
@@ -137,8 +137,10 @@
         Node of the reading region that started to relay the report; empty on the paid link.
     revision
         Highest rules revision known to the origin.
+    is_first
+        True on the report of the region's first bridge, which is passed on to all nodes.
     loads
-        Load of each service in the region; only the region's first bridge fills it.
+        Load of services in the region; only the first bridge fills it.
     news
         News of the region's peers; empty when the report is relayed.
     """
@@ -148,6 +150,7 @@
     version: int
     root: str
     revision: int
+    is_first: bool
     loads: list[ServiceLoad]
     news: list[News]
 
