Work the lists of peers out less often, and always start repairs alike

Cause: each suspicion made a node rebuild its lists of peers.

Only changes that alter a list now mark the lists as old; whether a node is a bridge is worked out once a tick; pushes choose targets only when there is something to push.

A digest is always sent from the repair class. As an answer it could spend, by itself, what the exchange that follows needs, so that a starting node with few bytes never came up to date (600 examples of the state machine, as a trial).

--- a/packages/policy/src/ragwort_policy/_bridge.py
+++ b/packages/policy/src/ragwort_policy/_bridge.py
@@ -18,7 +18,6 @@
     Send,
     emit,
     fit_bytes,
-    is_bridge,
     take_in,
 )
 from ragwort_policy._peer import Peer
@@ -45,7 +44,9 @@
         # Nodes that started together would else fill the bridge's budget in one moment.
         bridging.next_load_at = now + _load_period_s(membership) * (0.5 + random.random())
         _send_load(membership, now, sends)
-    if not is_bridge(membership):
+    own = membership.own
+    bridging.is_bridge = own.node_id in list_bridges(membership.table, own.region)
+    if not bridging.is_bridge:
         bridging.loads.clear()
         return
     _push_far(membership, now, random, sends)
--- a/packages/policy/src/ragwort_policy/_budget.py
+++ b/packages/policy/src/ragwort_policy/_budget.py
@@ -22,7 +22,7 @@
     ANSWER = 0.05
     PROBE = 0.2
     SUMMARY = 0.3
-    REPAIR = 0.5
+    REPAIR = 0.4
 
 
 @dataclass(slots=True)
--- a/packages/policy/src/ragwort_policy/_dissemination.py
+++ b/packages/policy/src/ragwort_policy/_dissemination.py
@@ -62,6 +62,11 @@
     return chosen
 
 
+def has_unsent(queue: NewsQueue) -> bool:
+    """Return whether there is urgent news that no message has carried yet."""
+    return any(item.is_urgent and not item.sent for item in queue.items.values())
+
+
 def take_unsent(queue: NewsQueue, limit_bytes: float) -> list[News]:
     """Return the urgent news that no message has carried yet, to be pushed at once."""
     chosen = []
--- a/packages/policy/src/ragwort_policy/_gossip_state.py
+++ b/packages/policy/src/ragwort_policy/_gossip_state.py
@@ -20,7 +20,7 @@
 from ragwort_policy._table import (
     Change,
     PeerTable,
-    list_bridges,
+    estimate_size,
     list_region,
     merge_news,
     set_state,
@@ -175,8 +175,12 @@
 
 @dataclass(slots=True)
 class Bridging:
-    """State of the exchange between regions; the loads are filled on bridges only."""
+    """State of the exchange between regions; queue and loads are filled on bridges only.
 
+    ``is_bridge`` is worked out once a tick.
+    """
+
+    is_bridge: bool = False
     next_load_at: float = 0.0
     next_report_at: float = 0.0
     next_repair_at: float = 0.0
@@ -329,7 +333,7 @@
     """Queue news for the own region, and on a bridge for the other regions too."""
     add_news(membership.queue, news)
     is_far_news = news.state in _FAR_STATES and peer.region == membership.own.region
-    if is_far_news and is_bridge(membership):
+    if is_far_news and membership.bridging.is_bridge:
         add_news(membership.bridging.queue, news)
 
 
@@ -357,15 +361,10 @@
 def suspicion_timeout_s(membership: Membership) -> float:
     """Return how long a suspected peer has to refute; it grows with the region's size."""
     settings = membership.settings
-    size = len(list_region(membership.table, membership.own.region))
+    size = estimate_size(membership.table, membership.own.region)
     return settings.suspicion_factor * max(2.0, log10(size + 1)) * settings.probe_period_s
 
 
-def is_bridge(membership: Membership) -> bool:
-    """Return whether this node speaks for its region."""
-    return membership.own.node_id in list_bridges(membership.table, membership.own.region)
-
-
 def list_neighbours(membership: Membership) -> list[Peer]:
     """Return the peers of the own region that are not gone, without this node."""
     peers = list_region(membership.table, membership.own.region)
--- a/packages/policy/src/ragwort_policy/_membership.py
+++ b/packages/policy/src/ragwort_policy/_membership.py
@@ -31,7 +31,7 @@
     take_ack,
     tick_detector,
 )
-from ragwort_policy._dissemination import take_unsent
+from ragwort_policy._dissemination import has_unsent, take_unsent
 from ragwort_policy._gossip_state import (
     NEWS_RESERVE,
     Membership,
@@ -302,6 +302,8 @@
 def _push_urgent(
     membership: Membership, now: float, random: RandomSource, sends: list[Send]
 ) -> None:
+    if not has_unsent(membership.queue):
+        return
     targets = _pick_push_targets(membership, random)
     # What the budget cannot carry to all of them now waits for a later tick.
     own = membership.own
--- a/packages/policy/src/ragwort_policy/_repair.py
+++ b/packages/policy/src/ragwort_policy/_repair.py
@@ -48,13 +48,9 @@
 
 
 def send_digest(membership: Membership, now: float, to: NodeId, sends: list[Send]) -> None:
-    """Start an exchange with a peer.
-
-    A node that has yet to be brought up to date needs the exchange more than it needs probes.
-    """
-    traffic = Traffic.REPAIR if membership.is_refreshed else Traffic.ANSWER
+    """Start an exchange with a peer, if there is room for what follows as well."""
     digest = Digest(pack_digest(membership.table.digest))
-    emit(membership, sends, now, to, digest, traffic)
+    emit(membership, sends, now, to, digest, Traffic.REPAIR)
 
 
 def answer_digest(
--- a/packages/policy/src/ragwort_policy/_table.py
+++ b/packages/policy/src/ragwort_policy/_table.py
@@ -70,6 +70,7 @@
     set_state(table, peer, Incarnation(news.incarnation), news.state, now)
     if news.profile is not None:
         peer.profile = news.profile
+        table.version += 1
         peer.profile_generation = generation_of(news.incarnation)
     return Change(peer, before)
 
@@ -79,13 +80,19 @@
 ) -> None:
     """Give a peer a new incarnation and state."""
     toggle_entry(table.digest, peer.rank, peer.incarnation, peer.state)
+    was_usable = peer.is_usable
+    was_gone = peer.is_gone
     peer.incarnation = incarnation
     peer.state = state
     peer.changed_at = now
     peer.suspect_until = float("inf")
     table.suspects.discard(peer.node_id)
     toggle_entry(table.digest, peer.rank, incarnation, state)
-    table.version += 1
+    if was_usable != peer.is_usable or was_gone != peer.is_gone:
+        table.version += 1
+    else:
+        # Suspicions come in great numbers and alter no list but, at most, that of the bridges.
+        _recheck_bridges(table, peer)
 
 
 def start_suspicion(table: PeerTable, peer: Peer, until: float) -> None:
@@ -138,6 +145,11 @@
     return table._by_region.get(region, [])
 
 
+def estimate_size(table: PeerTable, region: Region) -> int:
+    """Return how many peers a region had when the lists were last worked out."""
+    return len(table._by_region.get(region, ()))
+
+
 def list_regions(table: PeerTable) -> list[Region]:
     """Return the regions in which there are peers that are not gone."""
     _refresh_lists(table)
@@ -173,6 +185,12 @@
     return (peer.state is PeerState.ALIVE, peer.rank)
 
 
+def _recheck_bridges(table: PeerTable, peer: Peer) -> None:
+    bridges = table._bridges.get(peer.region, ())
+    if peer.state is not PeerState.SUSPECT or peer.node_id in bridges:
+        table._bridges.pop(peer.region, None)
+
+
 def _add_peer(table: PeerTable, news: News, now: float) -> Change | None:
     # The death of a peer that was never known here tells nothing; taking it in would also keep it
     # alive between nodes for ever, each learning it anew after the other has forgotten it.
