--- a/tests/policy/test_once.py
+++ b/tests/policy/test_once.py
@@ -15,6 +15,7 @@
 write_fate = st.sampled_from(["ok", "ok", "lost", "reply-lost", "late"])
 run_fate = st.sampled_from(["answered", "broken", "refused", "died"])
 skew = st.sampled_from([None, None, -20_000, 0, 0, 5_000, 9_000, 40_000])
+reported = st.sampled_from(["", "once", "twice"])
 
 
 class OnceMachine(RuleBasedStateMachine):
@@ -37,19 +38,22 @@
         self.keys.append((f"key {len(self.keys)}", minted_ms))
         return self.keys[-1]
 
-    @rule(seen_by=seen_by, skew_ms=skew, fate=run_fate, write=write_fate, report=st.booleans())
-    def call_new(self, seen_by, skew_ms, fate, write, report):
-        self.world.call(self.find_owner(seen_by), *self.make_key(skew_ms), 0, fate, write)
-        if report:
-            self.world.deliver_report()
+    @rule(skew_ms=skew, count=st.integers(1, 4), fate=run_fate, write=write_fate, report=reported)
+    def call_new(self, skew_ms, count, fate, write, report):
+        for _ in range(count):
+            self.world.call(self.find_owner(None), *self.make_key(skew_ms), 0, fate, write)
+            if report:
+                self.world.deliver_report(again=report == "twice")
+            self.world.now += 1.5
+            self.world.renew(self.find_owner(None))
 
     @precondition(lambda self: self.keys)
-    @rule(seen_by=seen_by, number=index, fate=run_fate, report=st.booleans())
+    @rule(seen_by=seen_by, number=index, fate=run_fate, report=reported)
     def call_again(self, seen_by, number, fate, report):
         key = self.keys[-1 - number % len(self.keys)]
         self.world.call(self.find_owner(seen_by), *key, 1, fate)
         if report:
-            self.world.deliver_report()
+            self.world.deliver_report(again=report == "twice")
 
     @rule(seen_by=seen_by, skew_ms=skew)
     def claim_new(self, seen_by, skew_ms):
@@ -116,7 +120,7 @@
             self.world.now += 61
         self.world.open(self.world.owners[owner])
 
-    @rule(down=st.sampled_from([False, False, True]))
+    @rule(down=st.sampled_from([False, False, False, True]))
     def switch_platform(self, down):
         self.world.platform.down = down
 
