--- a/packages/node/src/ragwort_node/_composition.py
+++ b/packages/node/src/ragwort_node/_composition.py
@@ -6,38 +6,54 @@
 import random
 import signal
 import time
+import uuid
 from collections.abc import Coroutine
 from typing import Any
 
 from opentelemetry.sdk.resources import Resource
 from ragwort_common import FailureDomain, NodeId, Region, Revision
-from ragwort_platform import (
-    RULES_PATH,
-    ObjectStore,
-    RulesDocument,
-    decode_document,
-    encode_document,
-)
+from ragwort_platform import CallBudget, LeaseClient, ObjectStore, read_boot_clock
 from ragwort_policy import (
     Change,
     ChoiceSettings,
+    EpochFence,
     GateLimits,
     MembershipSettings,
+    OwnerMap,
     create_membership,
+    find_peer,
     first_incarnation,
     is_current,
+    list_alive,
     make_budget,
     make_probe_budget,
 )
-from ragwort_protocol import Hello, Message, PeerState, Probe, ProbeReply
+from ragwort_protocol import (
+    ClaimReply,
+    ClaimRequest,
+    ClaimResult,
+    Hello,
+    Message,
+    Notice,
+    OwnerNotice,
+    PeerState,
+    Ping,
+    PingAck,
+    PingRequest,
+    Probe,
+    ProbeReply,
+    RevisionNotice,
+)
 from ragwort_protocol.control import FetchRulesReply
-from ragwort_rules import build_matcher, list_services, parse_rules
 
 from ragwort_node._admin import build_admin
 from ragwort_node._caller import Caller
+from ragwort_node._claim_exchange import ClaimExchange
+from ragwort_node._configuration import ConfigurationPorts, ConfigurationTask
 from ragwort_node._control import Control, start_control
+from ragwort_node._control_client import fetch_rules
 from ragwort_node._directory import find_link_address, list_places, make_profile
-from ragwort_node._entry import EntryLimits, RulesInForce, build_entry
+from ragwort_node._entry import EntryLimits, build_entry
 from ragwort_node._gate import Gate
 from ragwort_node._gossip import (
     Gossip,
@@ -54,11 +70,17 @@
     withdraw,
 )
 from ragwort_node._http import start_http
+from ragwort_node._keyed_call import KeyedCalls
 from ragwort_node._link import Link
 from ragwort_node._metrics import Counters, flush_metrics
+from ragwort_node._once import KeyClaims
+from ragwort_node._owner import LEASE_MARGIN_MS, LEASE_TTL_MS, KeyOwner
+from ragwort_node._owner_limits import OwnerClocks, OwnerLimits
+from ragwort_node._owner_news import OwnerNews
 from ragwort_node._peers import PeerCalls
 from ragwort_node._pool import LinkPool
 from ragwort_node._prober import Prober
+from ragwort_node._rules import RulesKeeper
 from ragwort_node._server import ServerClient
 from ragwort_node._services import Services
 from ragwort_node._settings import Exporter, Settings
@@ -67,12 +89,15 @@
 
 log = logging.getLogger(__name__)
 
-RULES_INTERVAL_S = 0.5
 LOAD_INTERVAL_S = 1.0
 LEAVING_NOTICE_S = 1.0
 """How long a stop waits for its notice to spread before it stops to accept callers."""
 
 ADMIN_GRACE_MS = 1000
+KEY_TICK_S = 5.0
+KEY_WRITES_PER_S = 100.0
+"""Writes a second to the platform that the journals of all key ranges may take together."""
+
 MEMBERSHIP_SHARE = 0.6
 """Part of the bytes of watching that membership may spend; probes may spend the rest."""
 
@@ -91,14 +116,16 @@
         self._random = random.Random()
         self._counters = Counters()
         self._tasks: list[asyncio.Task[None]] = []
-        self._rules = RulesInForce()
-        self._document: RulesDocument | None = None
+        self._rules = RulesKeeper(
+            lambda revision: put_event(self._gossip, RevisionApplied(revision))
+        )
 
     async def start(self) -> None:
         """Start every part; the node takes calls when this returns."""
         settings = self._settings
         addresses = settings.addresses
         self._build_path()
+        self._build_keys()
         link_port = await self._pool.listen(*_split(addresses.link))
         self._entry = await self._start_entry()
         control = Control(
@@ -126,6 +153,7 @@
                 await asyncio.sleep(LEAVING_NOTICE_S)
                 await self._entry.stop()
                 await self._gate.wait_idle()
+                await self._key_owner.stop()
                 await change_state(self._gossip, PeerState.LEFT)
         for task in self._tasks:
             task.cancel()
@@ -156,13 +184,24 @@
         node, limits = settings.node, settings.limits
         counters, clock = self._counters, self._clock
         self._incarnation = first_incarnation(time.time_ns() // 1_000_000)
-        self._store = ObjectStore(settings.platform.url, settings.platform.timeout_ms)
+        calls_per_s = settings.platform.calls_per_s
+        self._store = ObjectStore(
+            settings.platform.url,
+            settings.platform.timeout_ms,
+            CallBudget(calls_per_s, 2 * calls_per_s, clock),
+        )
         self._server = ServerClient(
             settings.server.address, settings.server.connections, limits.answer_bytes
         )
         self._tracer = Tracer(settings.tracing.sample_ratio, self._random, counters)
+        self._fence = EpochFence()
         self._gate = Gate(
-            self._server, GateLimits(settings.server.slots), counters, clock, self._tracer
+            self._server,
+            GateLimits(settings.server.slots),
+            counters,
+            clock,
+            self._tracer,
+            self._fence,
         )
         self._pool = LinkPool(
             Hello(self._id, self._incarnation),
@@ -187,6 +226,53 @@
             self._random,
         )
 
+    def _build_keys(self) -> None:
+        """Build what runs calls with idempotency keys at most once."""
+        owners = OwnerMap()
+        ranges = self._settings.node.key_ranges
+        self._owner_news = OwnerNews(
+            owners, self._fence, self._list_others, self._pool.send, self._counters, self._random
+        )
+        self._key_owner = KeyOwner(
+            self._id,
+            self._store,
+            LeaseClient(self._store, self._id, read_boot_clock, LEASE_TTL_MS, LEASE_MARGIN_MS),
+            OwnerClocks(read_boot_clock, lambda: time.time_ns() // 1_000_000),
+            OwnerLimits(writes_per_s=KEY_WRITES_PER_S / ranges),
+            owners,
+            self._list_owner_nodes,
+            self._owner_news.announce,
+            ranges,
+        )
+        self._claim_exchange = ClaimExchange(self._id, self._key_owner, self._pool, self._counters)
+        claims = KeyClaims(
+            owners,
+            lambda: uuid.uuid4().bytes,
+            self._claim_exchange.send_claim,
+            self._claim_exchange.send_result,
+            self._clock,
+        )
+        self._keyed = KeyedCalls(
+            claims, self._caller.run_call, ranges, self._owner_news.want_list, self._counters
+        )
+
+    def _list_others(self) -> list[NodeId]:
+        own = self._id
+        alive = list_alive(self._gossip.membership)
+        return [peer.node_id for peer in alive if peer.node_id != own]
+
+    def _list_owner_nodes(self) -> list[NodeId]:
+        """Return the nodes that may own key ranges, those near the platform first."""
+        alive = list_alive(self._gossip.membership)
+        near = [peer for peer in alive if peer.region == self._settings.platform.region]
+        return [peer.node_id for peer in near or alive]
+
+    async def _keep_ranges(self) -> None:
+        while True:
+            if is_current(self._gossip.membership, self._clock()):
+                await self._key_owner.tick()
+            await asyncio.sleep(KEY_TICK_S)
+
     def _make_prober(self) -> Prober:
         watching = self._settings.watching
         now = self._clock()
@@ -203,8 +289,8 @@
     async def _start_entry(self) -> Any:
         limits = self._settings.limits
         entry = build_entry(
-            self._rules,
-            self._caller.run_call,
+            self._rules.in_force,
+            self._keyed.run_call,
             EntryLimits(limits.header_bytes, limits.body_bytes),
             self._counters,
             self._clock,
@@ -233,6 +319,18 @@
         self._gossip = Gossip(
             membership, self._pool.send, self._clock, self._random, self._take_changes
         )
+        self._configuration = ConfigurationTask(
+            membership.own,
+            self._store,
+            ConfigurationPorts(
+                accept=self._rules.accept,
+                publish=self._rules.publish,
+                send_notice=self._send_notice,
+                fetch_document=self._fetch_rules,
+                list_peers=lambda: list_alive(membership),
+            ),
+            self._random,
+        )
         self._status = StatusSources(
             membership,
             self._gate,
@@ -251,7 +349,9 @@
         if settings.node.seeds:
             self._spawn(run_seeds(self._gossip, settings.node.seeds, self._pool.meet))
         self._spawn(self._report_load())
-        self._spawn(self._follow_rules())
+        self._spawn(self._owner_news.run(self._store))
+        self._spawn(self._keep_ranges())
+        self._spawn(self._configuration.run())
         self._spawn(
             flush_metrics(
                 self._counters, statsd.host, statsd.port, statsd.prefix, statsd.interval_ms
@@ -280,27 +380,14 @@
             put_event(self._gossip, LoadChanged(max(0, report.limit - report.in_flight)))
             await asyncio.sleep(LOAD_INTERVAL_S)
 
-    async def _follow_rules(self) -> None:
-        while True:
-            stored = await self._store.get(RULES_PATH)
-            if stored.is_ok():
-                decode_document(stored.ok.data).map(self._accept_rules)
-            await asyncio.sleep(RULES_INTERVAL_S)
-
-    def _accept_rules(self, document: RulesDocument) -> bool:
-        """Put a rules document in force unless it is not newer or has mistakes."""
-        if self._document is not None and document.revision <= self._document.revision:
-            return False
-        parsed = parse_rules(document.text)
-        if parsed.mistakes:
-            self._counters.add("rules.broken")
-            return False
-        self._rules.find_treatment = build_matcher(parsed.rules)
-        self._rules.services = list_services(parsed.rules)
-        self._document = document
-        put_event(self._gossip, RevisionApplied(document.revision))
-        log.info("rules revision %d is in force", document.revision)
-        return True
+    async def _fetch_rules(self, node: NodeId, at_least: Revision) -> bytes | None:
+        peer = find_peer(self._gossip.membership, node)
+        if peer is None:
+            return None
+        return await fetch_rules(peer.profile.control_address, at_least, self._counters)
+
+    def _send_notice(self, node: NodeId, notice: RevisionNotice) -> None:
+        self._counters.add("watching.rules_bytes_out", self._pool.send(node, notice))
 
     def _receive_other(self, link: Link, message: Message) -> None:
         if link.peer is None:
@@ -312,21 +399,33 @@
                 self._counters.add("watching.probe_bytes_out", sent)
             case ProbeReply():
                 self._prober.receive(link.peer, message)
+            case ClaimRequest():
+                self._claim_exchange.receive_claim(link, message)
+            case ClaimReply():
+                self._claim_exchange.receive_reply(message)
+            case ClaimResult():
+                self._claim_exchange.receive_result(message)
+            case OwnerNotice():
+                self._owner_news.receive(message)
+            case RevisionNotice():
+                self._configuration.hear_notice(link.peer, message)
             case _:
+                if isinstance(message, Ping | PingAck | PingRequest | Notice):
+                    self._configuration.hear_revision(link.peer, Revision(message.revision))
                 put_event(self._gossip, PeerMessage(link.peer, message))
 
     def _is_ready(self) -> bool:
         knows_peers = is_current(self._gossip.membership, self._clock())
-        return self._rules.find_treatment is not None and knows_peers and not self._gate.leaving
+        return self._get_revision() > 0 and knows_peers and not self._gate.leaving
 
     def _get_revision(self) -> Revision:
-        return self._document.revision if self._document else Revision(0)
+        return self._rules.in_force.revision
 
     def _read_rules(self) -> FetchRulesReply:
-        if self._document is None:
+        current = self._configuration.current
+        if current is None:
             return FetchRulesReply(revision=0)
-        document = encode_document(self._document)
-        return FetchRulesReply(revision=self._document.revision, document=document)
+        return FetchRulesReply(revision=current.stamp.revision, document=current.data)
 
 
 def _stop_process_on_failure(task: asyncio.Task[None]) -> None:
--- a/packages/policy/src/ragwort_policy/_choice.py
+++ b/packages/policy/src/ragwort_policy/_choice.py
@@ -32,6 +32,7 @@
     get_error_cost,
     is_error,
     is_paused,
+    is_trial_due,
     record_error,
     record_success,
     start_trial,
@@ -39,6 +40,9 @@
 
 USUAL_MEMORY = 0.05
 SERVICE_NOISE = 1.5
+TIE_PART = 0.1
+RECENT_PART = 0.1
+CROSSING_BAND_S = 0.020
 MOST_DELAY = 3.0
 """Longest delay that counts when reports are judged, in usual service times."""
 FAR_FULL_DOUBLINGS = 4
@@ -110,6 +114,7 @@
     full_until: float = -1e9
     refusals_in_row: int = 0
     sent_since: int = 0
+    last_call: int = -1000
     sent: dict[CallId, Sent] = field(default_factory=dict)
     trust: Trust = field(default_factory=Trust)
 
@@ -128,6 +133,7 @@
     usual_far_load: float = 0.5
     usual_service_s: float = 0.0
     crossing: bool = False
+    calls: int = 0
     faith: Faith = field(default_factory=Faith)
 
 
@@ -166,7 +172,7 @@
     if near is None or _is_crossing_worth_a_look(state, near.cost_s):
         open_far = [view for view in state.far if _has_room(state, view, now)]
         far = _compare(state, open_far, now, random, exclude)
-    best = _weigh_crossing(state, near, far)
+    best = _weigh_crossing(state, near, far, random)
     if best is None:
         best = _pick_paused(state, now, exclude)
     return best.view.place.node if best else None
@@ -177,6 +183,8 @@
     view = state.servers.get(node)
     if view is None:
         return
+    state.calls += 1
+    view.last_call = state.calls
     start_trial(view.trust)
     view.sent[call_id] = Sent(now, _foretell(state, view, now))
     view.sent_since += 1
@@ -222,7 +230,7 @@
     end_call(view.latency, now, counts=outcome is Outcome.ANSWERED)
     if is_error(outcome, reason):
         certain = reason is Reason.CONNECT_FAILED
-        record_error(view.trust, now, jitter, certain)
+        record_error(view.trust, now, state.calls, jitter, certain)
     elif outcome is Outcome.ANSWERED:
         record_success(view.trust)
         view.refusals_in_row = 0
@@ -255,23 +263,21 @@
     cost_s = max(cost_s, _estimate_from_own_calls(view, now))
     if now < view.full_until:
         cost_s += settings.other_region_ms / 1e3
-    return cost_s * get_error_cost(view.trust)
+    return cost_s * get_error_cost(view.trust, now)
 
 
-def _get_weight(state: ChoiceState, view: ServerView, now: float) -> float:
+def _get_freshness(state: ChoiceState, view: ServerView, now: float) -> float:
     age_s = max(0.0, now - view.reported_at)
-    return exp(-age_s * 1e3 / state.settings.report_life_ms) * get_faith(state.faith)
+    return exp(-age_s * 1e3 / state.settings.report_life_ms)
 
 
 def _foretell(state: ChoiceState, view: ServerView, now: float) -> float:
     # The aged report's deviation from the usual, before it is weighed by the faith in it.
-    age_s = max(0.0, now - view.reported_at)
-    weight = exp(-age_s * 1e3 / state.settings.report_life_ms)
     load = view.load / view.limit - state.usual_load
     service = view.service_s / state.usual_service_s - 1.0
     if abs(service) < SERVICE_NOISE - 1.0:
         service = 0.0
-    return weight * min(MOST_DELAY, load + service)
+    return _get_freshness(state, view, now) * min(MOST_DELAY, load + service)
 
 
 def _learn_from(
@@ -292,8 +298,12 @@
 def _estimate_load(state: ChoiceState, view: ServerView, now: float) -> float:
     is_far = view.distance is Distance.OTHER_REGION
     usual = (state.usual_far_load if is_far else state.usual_load) * view.limit
-    load = usual + (view.load - usual) * _get_weight(state, view, now) + view.sent_since
-    return max(load, float(len(view.sent)))
+    fresh = _get_freshness(state, view, now)
+    own = len(view.sent)
+    # Calls that the report didn't count, but for those that have ended.
+    uncounted = min(view.sent_since, own)
+    load = usual + (view.load - usual) * get_faith(state.faith) * fresh + uncounted
+    return max(load, float(own))
 
 
 def _estimate_service(state: ChoiceState, view: ServerView, now: float) -> float:
@@ -308,7 +318,8 @@
     else:
         return usual_s
     # What a slow server said long ago is no reason to pass it over: it may have recovered.
-    return usual_s * (1.0 + (ratio - 1.0) * _get_weight(state, view, now))
+    weight = _get_freshness(state, view, now) * get_faith(state.faith)
+    return usual_s * (1.0 + (ratio - 1.0) * weight)
 
 
 def _estimate_from_own_calls(view: ServerView, now: float) -> float:
@@ -367,10 +378,10 @@
     compared = state.settings.compared
     if count > compared:
         drawn = _draw(views, compared, random)
-        best = _find_best(state, drawn, now, exclude)
+        best = _find_best(state, drawn, now, random, exclude)
         if best is not None:
             return best
-    return _find_best(state, views, now, exclude)
+    return _find_best(state, views, now, random, exclude)
 
 
 def _draw(views: list[ServerView], wanted: int, random: RandomSource) -> list[ServerView]:
@@ -384,15 +395,31 @@
 
 
 def _find_best(
-    state: ChoiceState, views: list[ServerView], now: float, exclude: Collection[NodeId]
+    state: ChoiceState,
+    views: list[ServerView],
+    now: float,
+    random: RandomSource,
+    exclude: Collection[NodeId],
 ) -> Candidate | None:
     best: Candidate | None = None
+    best_rank = 0.0
+    spread = len(state.near) + 1.0
     for view in views:
-        if not view.accepting or view.place.node in exclude or is_paused(view.trust, now):
+        if (
+            not view.accepting
+            or view.place.node in exclude
+            or is_paused(view.trust, now, state.calls)
+        ):
             continue
+        if is_trial_due(view.trust, now, state.calls):
+            return Candidate(view, 0.0)
         cost_s = estimate_cost(state, view, now)
-        if best is None or cost_s < best.cost_s:
-            best = Candidate(view, cost_s)
+        # Differences too small to matter are left to chance, so that entries spread.
+        # Among equals the servers take turns.
+        recent = max(0.0, 1.0 - (state.calls - view.last_call) / spread)
+        rank = cost_s * (1.0 + TIE_PART * random.random() + RECENT_PART * recent)
+        if best is None or rank < best_rank:
+            best, best_rank = Candidate(view, cost_s), rank
     return best
 
 
@@ -401,7 +428,7 @@
 
 
 def _weigh_crossing(
-    state: ChoiceState, near: Candidate | None, far: Candidate | None
+    state: ChoiceState, near: Candidate | None, far: Candidate | None, random: RandomSource
 ) -> Candidate | None:
     if near is None or far is None:
         return near or far
@@ -409,8 +436,11 @@
     margin_s = state.settings.crossing_margin_ms / 1e3
     if state.crossing:
         margin_s = -margin_s
-    state.crossing = far.cost_s + margin_s < near.cost_s
-    return far if state.crossing else near
+    gain_s = near.cost_s - far.cost_s - margin_s
+    state.crossing = gain_s > 0.0
+    # The more is gained, the more calls cross: news of the far region comes late, and if all
+    # crossed at the first gain, both regions would be too full in turns.
+    return far if gain_s > CROSSING_BAND_S * random.random() else near
 
 
 def _pick_paused(state: ChoiceState, now: float, exclude: Collection[NodeId]) -> Candidate | None:
--- a/packages/policy/src/ragwort_policy/_membership.py
+++ b/packages/policy/src/ragwort_policy/_membership.py
@@ -4,9 +4,7 @@
 on links; their bytes have been charged to the budgets already.
 """
 
-from dataclasses import dataclass
-
-from ragwort_common import Incarnation, NodeId, Region, Revision, ServiceName
+from ragwort_common import Incarnation, NodeId, Revision, ServiceName
 from ragwort_protocol import (
     Digest,
     LoadNotice,
@@ -20,7 +18,6 @@
     Profile,
     Records,
     RegionReport,
-    ServiceLoad,
     Summary,
     encode_frame,
 )
@@ -36,9 +33,11 @@
 )
 from ragwort_policy._dissemination import take_unsent
 from ragwort_policy._gossip_state import (
+    NEWS_RESERVE,
     Membership,
     MembershipSettings,
     RandomSource,
+    RegionLoad,
     Send,
     emit,
     list_neighbours,
@@ -66,19 +65,10 @@
 )
 
 _HOUSEKEEPING_PERIOD_S = 60.0
-_PUSH_BYTES = 2000
+_PUSH_BYTES = 800
 _FRAME_BYTES = 32
 
 
-@dataclass(frozen=True, slots=True)
-class RegionLoad:
-    """The last load report of another region, and how old it is."""
-
-    region: Region
-    load: ServiceLoad
-    age_s: float
-
-
 def create_membership(
     settings: MembershipSettings,
     node_id: NodeId,
@@ -167,7 +157,7 @@
             _take_gossip(membership, now, sender, message.revision, message.news)
             take_ack(membership, now, sender, message, sends)
         case PingRequest():
-            _take_gossip(membership, now, sender, message.revision, message.news)
+            _take_gossip(membership, now, sender, message.revision, [])
             relay_ping(membership, now, sender, message, sends)
         case Notice():
             _take_gossip(membership, now, sender, message.revision, message.news)
@@ -259,12 +249,14 @@
 
 
 def list_region_loads(membership: Membership, service: ServiceName, now: float) -> list[RegionLoad]:
-    """Return what other regions last reported of a service."""
+    """Return what other regions have lately reported of a service."""
     found = []
     for region, view in membership.bridging.regions.items():
-        load = view.loads.get(service)
-        if load is not None and region not in membership.table.unreachable:
-            found.append(RegionLoad(region, load, now - view.heard_at))
+        known = view.loads.get(service)
+        if known is None or region in membership.table.unreachable:
+            continue
+        if now - known.heard_at < membership.settings.cut_after_s:
+            found.append(known)
     return found
 
 
@@ -312,11 +304,14 @@
 ) -> None:
     targets = _pick_push_targets(membership, random)
     # What the budget cannot carry to all of them now waits for a later tick.
-    room = measure_tokens_bytes(membership.budget, now) / (len(targets) + BRIDGES_PER_REGION)
-    news = take_unsent(membership.queue, min(_PUSH_BYTES, room - _FRAME_BYTES))
+    own = membership.own
+    is_own_news = own.node_id in membership.queue.items
+    reserve = 0.0 if is_own_news else NEWS_RESERVE * membership.budget.burst_bytes
+    room = measure_tokens_bytes(membership.budget, now) - reserve
+    limit_bytes = room / (len(targets) + BRIDGES_PER_REGION) - _FRAME_BYTES
+    news = take_unsent(membership.queue, min(_PUSH_BYTES, limit_bytes))
     if not news:
         return
-    own = membership.own
     if any(item.node_id == own.node_id for item in news):
         # A bridge takes it to the other regions without waiting for the epidemic to reach it.
         bridges = list_bridges(membership.table, own.region)
--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -38,6 +38,7 @@
 )
 from ragwort_protocol._load import LoadReport, Probe, ProbeReply
 from ragwort_protocol._message import Message, replace_fields
+from ragwort_protocol._revision import RevisionNotice
 
 __all__ = [
     "Answer",
@@ -72,6 +73,7 @@
     "RegionReport",
     "Request",
     "Response",
+    "RevisionNotice",
     "ServiceLoad",
     "Summary",
     "encode_frame",
