--- a/packages/policy/src/ragwort_policy/_bridge.py
+++ b/packages/policy/src/ragwort_policy/_bridge.py
@@ -18,7 +18,6 @@
     Send,
     emit,
     fit_bytes,
-    is_bridge,
     take_in,
 )
 from ragwort_policy._peer import Peer
@@ -42,9 +41,12 @@
     bridging = membership.bridging
     _mark_regions(membership, now)
     if now >= bridging.next_load_at:
-        bridging.next_load_at = now + _load_period_s(membership)
+        # Nodes that started together would else fill the bridge's budget in one moment.
+        bridging.next_load_at = now + _load_period_s(membership) * (0.5 + random.random())
         _send_load(membership, now, sends)
-    if not is_bridge(membership):
+    own = membership.own
+    bridging.is_bridge = own.node_id in list_bridges(membership.table, own.region)
+    if not bridging.is_bridge:
         bridging.loads.clear()
         return
     _push_far(membership, now, random, sends)
@@ -87,7 +89,7 @@
     if is_rejoin and not report.root:
         send_digest(membership, now, sender, sends)
     is_known = view.origin == report.origin and report.version <= view.version
-    if is_known or not report.loads:
+    if is_known or not report.is_first:
         return
     view.origin = report.origin
     view.version = report.version
@@ -170,7 +172,9 @@
         room = fit_bytes(membership, now, to, Traffic.SUMMARY, _NEWS_BYTES + _LOADS_BYTES)
         loads = _sum_loads(membership, min(_LOADS_BYTES, room // 2)) if is_first else []
         news = take_news(bridging.queue, 1, room // 2)
-        report = RegionReport(own.region, own.node_id, bridging.version, "", revision, loads, news)
+        report = RegionReport(
+            own.region, own.node_id, bridging.version, "", revision, is_first, loads, news
+        )
         emit(membership, sends, now, to, report, Traffic.SUMMARY)
 
 
@@ -216,6 +220,7 @@
         report.version,
         report.root or own,
         report.revision,
+        True,
         report.loads,
         [],
     )
--- a/packages/policy/src/ragwort_policy/_gossip_state.py
+++ b/packages/policy/src/ragwort_policy/_gossip_state.py
@@ -20,7 +20,7 @@
 from ragwort_policy._table import (
     Change,
     PeerTable,
-    list_bridges,
+    estimate_size,
     list_region,
     merge_news,
     set_state,
@@ -73,9 +73,6 @@
         Most bytes of news on one message.
     repair_period_s, repair_bytes
         Time between two exchanges of digests, and most bytes of one of their messages.
-    settling_s, settling_repair_period_s
-        How long after a start or a change of its own state a node compares its table more often,
-        and the time between two such exchanges.
     reconnect_period_s
         Time between two tries to reach a peer that counts as dead.
     pause_s
@@ -102,8 +99,6 @@
     news_bytes: int = 1400
     repair_period_s: float = 10.0
     repair_bytes: int = 2000
-    settling_s: float = 10.0
-    settling_repair_period_s: float = 1.0
     reconnect_period_s: float = 10.0
     pause_s: float = 2.5
     isolation_targets: int = 5
@@ -180,8 +175,12 @@
 
 @dataclass(slots=True)
 class Bridging:
-    """State of the exchange between regions; the loads are filled on bridges only."""
+    """State of the exchange between regions; queue and loads are filled on bridges only.
 
+    ``is_bridge`` is worked out once a tick.
+    """
+
+    is_bridge: bool = False
     next_load_at: float = 0.0
     next_report_at: float = 0.0
     next_repair_at: float = 0.0
@@ -334,7 +333,7 @@
     """Queue news for the own region, and on a bridge for the other regions too."""
     add_news(membership.queue, news)
     is_far_news = news.state in _FAR_STATES and peer.region == membership.own.region
-    if is_far_news and is_bridge(membership):
+    if is_far_news and membership.bridging.is_bridge:
         add_news(membership.bridging.queue, news)
 
 
@@ -362,15 +361,10 @@
 def suspicion_timeout_s(membership: Membership) -> float:
     """Return how long a suspected peer has to refute; it grows with the region's size."""
     settings = membership.settings
-    size = len(list_region(membership.table, membership.own.region))
+    size = estimate_size(membership.table, membership.own.region)
     return settings.suspicion_factor * max(2.0, log10(size + 1)) * settings.probe_period_s
 
 
-def is_bridge(membership: Membership) -> bool:
-    """Return whether this node speaks for its region."""
-    return membership.own.node_id in list_bridges(membership.table, membership.own.region)
-
-
 def list_neighbours(membership: Membership) -> list[Peer]:
     """Return the peers of the own region that are not gone, without this node."""
     peers = list_region(membership.table, membership.own.region)
