--- a/packages/control/src/ragwort_control/_apply.py
+++ b/packages/control/src/ragwort_control/_apply.py
@@ -23,13 +23,13 @@
 )
 from ragwort_control._file import check_text, read_rules
 from ragwort_control._flags import define_platform_flags
+from ragwort_control._platform import use_store
 from ragwort_control._replacement import Replacement, Verdict, replace_rules
 from ragwort_control._revision import (
     Current,
     RevisionRow,
     compare_texts,
     describe_document,
-    get_platform,
     name_document,
     read_current,
     read_past,
@@ -55,13 +55,12 @@
     if read.is_error():
         return Error(read.error)
     author = _get_author(context)
-    url = get_platform(context)
-    for wanted in (author, url):
-        if wanted.is_error():
-            return Error(wanted.error)
+    if author.is_error():
+        return Error(author.error)
     text, rules = read.ok
-    async with context.open_store(url.ok, context.get_flag("timeout-ms")) as store:
-        return await _apply_text(context, store, author.ok, text, rules)
+    return await use_store(
+        context, lambda store: _apply_text(context, store, author.ok, text, rules)
+    )
 
 
 def _get_author(context: Context) -> Result[str, Failure]:
--- a/packages/control/src/ragwort_control/_check.py
+++ b/packages/control/src/ragwort_control/_check.py
@@ -4,7 +4,7 @@
 
 from absl import flags
 from expression import Ok
-from ragwort_rules import list_rules, list_services
+from ragwort_rules import Rules, list_rules, list_services
 
 from ragwort_control._command import Command, Context, Outcome, Report
 from ragwort_control._file import read_rules
@@ -26,7 +26,7 @@
     return read.bind(lambda found: Ok(_report_file(name, found[1])))
 
 
-def _report_file(name: str, rules) -> Report:
+def _report_file(name: str, rules: Rules) -> Report:
     checked = CheckedFile(name, len(list_rules(rules)), sorted(list_services(rules)))
     services = ", ".join(checked.services)
     return Report(f"{name}: {checked.rules} rules for {services}; no mistakes", checked)
--- a/packages/control/src/ragwort_control/_diff.py
+++ b/packages/control/src/ragwort_control/_diff.py
@@ -7,9 +7,11 @@
 from ragwort_rules import Change, compare_rules, print_rule
 
 from ragwort_control._command import Command, Context, Failure, Outcome, Report
-from ragwort_control._file import check_text
+from ragwort_control._file import check_text, read_file
 from ragwort_control._flags import define_platform_flags
-from ragwort_control._revision import CURRENT, compare_texts, get_platform, read_text
+from ragwort_control._platform import use_store
+from ragwort_control._revision import CURRENT, compare_texts, is_file, read_text
+from ragwort_control._store import Store
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,21 +36,22 @@
 async def diff_texts(context: Context) -> Outcome:
     """Compare two texts of rules."""
     words = context.words if len(context.words) > 1 else (CURRENT, *context.words)
-    texts = await _read_texts(context, words)
+    if all(is_file(word) for word in words):
+        texts = read_file(words[0]).bind(
+            lambda old: read_file(words[1]).map(lambda new: [old, new])
+        )
+    else:
+        texts = await use_store(context, lambda store: _read_texts(store, words))
     return texts.bind(lambda found: _compare(words, found))
 
 
-async def _read_texts(context: Context, words: tuple[str, ...]) -> Result[list[bytes], Failure]:
-    url = get_platform(context)
-    if url.is_error():
-        return Error(url.error)
+async def _read_texts(store: Store, words: tuple[str, ...]) -> Result[list[bytes], Failure]:
     texts = []
-    async with context.open_store(url.ok, context.get_flag("timeout-ms")) as store:
-        for word in words:
-            text = await read_text(store, word)
-            if text.is_error():
-                return Error(text.error)
-            texts.append(text.ok)
+    for word in words:
+        text = await read_text(store, word)
+        if text.is_error():
+            return Error(text.error)
+        texts.append(text.ok)
     return Ok(texts)
 
 
--- a/packages/control/src/ragwort_control/_drain.py
+++ b/packages/control/src/ragwort_control/_drain.py
@@ -21,7 +21,8 @@
 from ragwort_control._file import read_file
 from ragwort_control._flags import define_platform_flags
 from ragwort_control._nodes import NodeError, is_address, set_drain
-from ragwort_control._revision import explain_error, get_platform
+from ragwort_control._platform import explain_error, use_store
+from ragwort_control._store import Store
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,11 +72,11 @@
 async def _find_address(context: Context, node: str) -> Result[str, Failure]:
     if is_address(node):
         return Ok(node)
-    url = get_platform(context)
-    if url.is_error():
-        return Error(url.error)
-    async with context.open_store(url.ok, context.get_flag("timeout-ms")) as store:
-        found = await store.get(f"{NODES_PREFIX}{node}")
+    return await use_store(context, lambda store: _read_announced(store, node))
+
+
+async def _read_announced(store: Store, node: str) -> Result[str, Failure]:
+    found = await store.get(f"{NODES_PREFIX}{node}")
     if found.is_error():
         return Error(_explain_missing(node, found.error))
     return _read_address(node, found.ok)
--- a/packages/control/src/ragwort_control/_explain.py
+++ b/packages/control/src/ragwort_control/_explain.py
@@ -23,7 +23,8 @@
 from ragwort_control._command import Command, Context, Failure, Outcome, Report, blame_user, fail
 from ragwort_control._file import check_text, read_file
 from ragwort_control._flags import define_platform_flags
-from ragwort_control._revision import CURRENT, get_platform, read_text
+from ragwort_control._platform import use_store
+from ragwort_control._revision import CURRENT, read_text
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,11 +63,7 @@
 async def _read_rules(context: Context, source: str) -> Result[Rules, Failure]:
     if context.get_flag("rules"):
         return read_file(source).bind(lambda text: check_text(source, text))
-    url = get_platform(context)
-    if url.is_error():
-        return Error(url.error)
-    async with context.open_store(url.ok, context.get_flag("timeout-ms")) as store:
-        text = await read_text(store, CURRENT)
+    text = await use_store(context, lambda store: read_text(store, CURRENT))
     return text.bind(lambda found: check_text(CURRENT, found))
 
 
--- a/packages/control/src/ragwort_control/_history.py
+++ b/packages/control/src/ragwort_control/_history.py
@@ -9,10 +9,10 @@
 
 from ragwort_control._command import Command, Context, Failure, Outcome, Report
 from ragwort_control._flags import define_platform_flags
+from ragwort_control._platform import use_store
 from ragwort_control._revision import (
     RevisionRow,
     describe_document,
-    get_platform,
     read_current,
     read_past,
 )
@@ -32,11 +32,8 @@
 
 async def list_history(context: Context) -> Outcome:
     """List the current revision and those before it."""
-    url = get_platform(context)
-    if url.is_error():
-        return Error(url.error)
-    async with context.open_store(url.ok, context.get_flag("timeout-ms")) as store:
-        found = await _read_history(store, context.get_flag("count"))
+    count = context.get_flag("count")
+    found = await use_store(context, lambda store: _read_history(store, count))
     return found.bind(lambda rows: Ok(_report_rows(rows)))
 
 
--- /dev/null
+++ b/packages/control/src/ragwort_control/_platform.py
@@ -0,0 +1,40 @@
+"""Opens the platform's store for a command, and explains its errors."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from expression import Error, Ok, Result
+from ragwort_platform import StoreError
+
+from ragwort_control._command import Context, Failure, blame_user, fail
+from ragwort_control._flags import PLATFORM_VARIABLE
+from ragwort_control._store import Store
+
+Value = TypeVar("Value")
+
+
+async def use_store(
+    context: Context, work: Callable[[Store], Awaitable[Result[Value, Failure]]]
+) -> Result[Value, Failure]:
+    """Do some work with the platform's store, and close it."""
+    url = _get_url(context)
+    if url.is_error():
+        return Error(url.error)
+    async with context.open_store(url.ok, context.get_flag("timeout-ms")) as store:
+        return await work(store)
+
+
+def _get_url(context: Context) -> Result[str, Failure]:
+    """Return the URL of the platform that the command was given."""
+    url = context.get_flag("platform")
+    if url.startswith(("http://", "https://")):
+        return Ok(url)
+    found = f"the platform's URL '{url}'" if url else "the platform's URL"
+    wrong = "is not understood" if url else "is missing"
+    expected = f"expected --platform=http://HOST:PORT or {PLATFORM_VARIABLE}"
+    return Error(blame_user(f"{found} {wrong}, {expected}"))
+
+
+def explain_error(error: StoreError) -> Failure:
+    """Return the failure of a command that could not read from the platform."""
+    return fail(f"the platform could not be read ({error.kind.value}): {error.message}")
--- a/packages/control/src/ragwort_control/_revision.py
+++ b/packages/control/src/ragwort_control/_revision.py
@@ -10,14 +10,13 @@
     ErrorKind,
     RulesDocument,
     Stored,
-    StoreError,
     decode_document,
     history_path,
 )
 
-from ragwort_control._command import Context, Failure, blame_user, fail
+from ragwort_control._command import Failure, fail
 from ragwort_control._file import read_file
-from ragwort_control._flags import PLATFORM_VARIABLE
+from ragwort_control._platform import explain_error
 from ragwort_control._store import Store
 
 CURRENT = "current"
@@ -58,22 +57,6 @@
     return f"revision {document.revision} by {document.author} at {document.applied_at}"
 
 
-def get_platform(context: Context) -> Result[str, Failure]:
-    """Return the URL of the platform that the command was given."""
-    url = context.get_flag("platform")
-    if url.startswith(("http://", "https://")):
-        return Ok(url)
-    found = f"the platform's URL '{url}'" if url else "the platform's URL"
-    wrong = "is not understood" if url else "is missing"
-    expected = f"expected --platform=http://HOST:PORT or {PLATFORM_VARIABLE}"
-    return Error(blame_user(f"{found} {wrong}, {expected}"))
-
-
-def explain_error(error: StoreError) -> Failure:
-    """Return the failure of a command that could not read from the platform."""
-    return fail(f"the platform could not be read ({error.kind.value}): {error.message}")
-
-
 async def read_current(store: Store) -> Result[Current | None, Failure]:
     """Return the current rules, or None when the platform holds none yet."""
     found = await store.get(RULES_PATH)
@@ -111,12 +94,17 @@
     return Ok(decoded.ok)
 
 
+def is_file(word: str) -> bool:
+    """Tell whether a word names a file, and neither ``current`` nor a revision."""
+    return word != CURRENT and not (word.isascii() and word.isdigit())
+
+
 async def read_text(store: Store, word: str) -> Result[bytes, Failure]:
     """Return the rules that a word names: ``current``, a revision's number, or a file."""
     if word == CURRENT:
         current = await read_current(store)
         return current.bind(lambda found: _require_text(found and found.document, "current rules"))
-    if word.isascii() and word.isdigit():
+    if not is_file(word):
         past = await read_revision(store, int(word))
         return past.bind(lambda found: _require_text(found, f"revision {word}"))
     return read_file(word)
--- a/packages/control/src/ragwort_control/_show.py
+++ b/packages/control/src/ragwort_control/_show.py
@@ -8,10 +8,10 @@
 
 from ragwort_control._command import Command, Context, Failure, Outcome, Report, fail
 from ragwort_control._flags import define_platform_flags
+from ragwort_control._platform import use_store
 from ragwort_control._revision import (
     RevisionRow,
     describe_document,
-    get_platform,
     name_document,
     read_current,
     read_revision,
@@ -29,12 +29,8 @@
 
 async def show_revision(context: Context) -> Outcome:
     """Print the current rules, or an earlier revision."""
-    url = get_platform(context)
-    if url.is_error():
-        return Error(url.error)
     wanted = context.get_flag("revision")
-    async with context.open_store(url.ok, context.get_flag("timeout-ms")) as store:
-        found = await _read_wanted(store, wanted)
+    found = await use_store(context, lambda store: _read_wanted(store, wanted))
     return found.bind(lambda document: _report_document(document, wanted))
 
 
--- a/packages/control/src/ragwort_control/_status.py
+++ b/packages/control/src/ragwort_control/_status.py
@@ -1,6 +1,6 @@
 """``status``: tells which nodes there are, and which revision each has in force."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from absl import flags
@@ -21,7 +21,8 @@
 )
 from ragwort_control._flags import define_platform_flags
 from ragwort_control._nodes import NodeError, ask_all, ask_status, is_address
-from ragwort_control._revision import explain_error, get_platform, read_current
+from ragwort_control._platform import explain_error, use_store
+from ragwort_control._revision import read_current
 from ragwort_control._store import Store
 
 HEADINGS = ("node", "service", "domain", "control address", "revision", "state", "calls", "queued")
@@ -74,7 +75,8 @@
     """Ask every node for its status."""
     timeout_ms = context.get_flag("timeout-ms")
     node = context.get_flag("node")
-    fleet = await (_find_peers(node, timeout_ms) if node else _find_announced(context, timeout_ms))
+    find = _find_peers(node, timeout_ms) if node else use_store(context, _read_fleet)
+    fleet = await find
     if fleet.is_error():
         return Error(fleet.error)
     replies = await ask_all([node.control_address for node in fleet.ok.nodes], timeout_ms)
@@ -99,14 +101,6 @@
     return Ok(Fleet(None, _sort_nodes(known.values()), []))
 
 
-async def _find_announced(context: Context, timeout_ms: int) -> Result[Fleet, Failure]:
-    url = get_platform(context)
-    if url.is_error():
-        return Error(url.error)
-    async with context.open_store(url.ok, timeout_ms) as store:
-        return await _read_fleet(store)
-
-
 async def _read_fleet(store: Store) -> Result[Fleet, Failure]:
     current = await read_current(store)
     if current.is_error():
@@ -128,7 +122,7 @@
     return Ok(Fleet(revision, _sort_nodes(nodes), damaged))
 
 
-def _sort_nodes(nodes) -> list[KnownNode]:
+def _sort_nodes(nodes: Iterable[KnownNode]) -> list[KnownNode]:
     return sorted(nodes, key=lambda node: (node.service, node.node_id))
 
 
--- a/tests/control/test_main.py
+++ b/tests/control/test_main.py
@@ -102,6 +102,13 @@
     assert json.loads(operator.out)["rules"] == 11
 
 
+def test_two_files_are_compared_without_a_platform(operator, monkeypatch):
+    monkeypatch.delenv("RAGWORT_PLATFORM", raising=False)
+    files = [operator.write(ONE, "one.rules"), operator.write(TWO, "two.rules")]
+    assert operator.run_plain("diff", *files) == 0
+    assert operator.out.endswith("added: drums * /**\n")
+
+
 def test_explain_names_the_rule_and_why_earlier_ones_do_not_fit(operator):
     call = ["collections", "GET", "/stops?day=1"]
     assert operator.run_plain("explain", f"--rules={HANBIT}", *call, "--json") == 0
