--- a/bench/membership.py
+++ b/bench/membership.py
@@ -24,6 +24,7 @@
     create_membership,
     first_incarnation,
     join_peers,
+    list_alive,
     make_budget,
     receive_message,
     tick_membership,
@@ -50,6 +51,7 @@
 QUIET_S = 20.0
 MOST_WAIT_S = 90.0
 STEP_S = 0.25
+CUT_S = 3600.0
 GONE = (PeerState.DEAD, PeerState.LEFT)
 
 
@@ -137,13 +139,13 @@
 
 
 def _measure_death(fleet: Fleet, dead: set[NodeId], name: str) -> None:
-    before = sum(node.counters.deaths for node in fleet.nodes.values())
+    before = _count_deaths(fleet)
     meter = Meter(fleet)
     fleet.down |= dead
     _report_spread(fleet, name, dead, GONE)
     _report_storm(meter, name)
-    after = sum(node.counters.deaths for node in fleet.nodes.values())
-    report(f"{name}, deaths declared by their finders", after - before, "count")
+    declared = _count_deaths(fleet) - before
+    report(f"{name}, deaths declared by their finders", declared, "count")
 
 
 def _measure_return(fleet: Fleet, lost: set[NodeId], size: int) -> None:
@@ -204,6 +206,48 @@
     report(f"{name}, paid link in one second, most", max(meter.far.values()), "B")
 
 
+def measure_cut(size: int) -> None:
+    """Cut the regions from each other for an hour, with a death and a new node on each side."""
+    fleet = make_fleet(size, 3, REGIONS, seed=SEED)
+    fleet.run(WARM_S)
+    profiles = fleet.profiles
+    fleet.passes = lambda item: profiles[item.sender].region == profiles[item.to].region
+    fleet.run(60.0)
+    ids = list(fleet.nodes)
+    fleet.down |= {ids[0], ids[-1]}
+    for index, old in enumerate((ids[0], ids[-1])):
+        name = NodeId(f"host-{9000 + index}")
+        node = fleet.start(name, profiles[old])
+        fleet.run(1.0)
+        near = [peer for peer in ids[1:-1] if profiles[peer].region == profiles[old].region]
+        fleet.send(name, join_peers(node, fleet.now, fleet.random, near[:1]))
+    fleet.run(CUT_S)
+    up = {name for name in fleet.nodes if name not in fleet.down}
+    wrong = sum(
+        fleet.nodes[one].table.peers[two].is_gone
+        for one in up
+        for two in up
+        if two in fleet.nodes[one].table.peers
+    )
+    report(f"{size} cut for an hour, live nodes taken for dead", wrong, "count")
+    meter = Meter(fleet)
+    fleet.passes = lambda item: True
+    began = fleet.now
+    while fleet.now - began < MOST_WAIT_S and not _agree(fleet, up):
+        fleet.run(STEP_S)
+    report(f"{size} cut for an hour, joined again after", fleet.now - began, "s")
+    far = sum(meter.far.values())
+    report(f"{size} cut for an hour, paid link until joined", far, "B")
+
+
+def _count_deaths(fleet: Fleet) -> int:
+    return sum(node.counters.deaths for node in fleet.nodes.values())
+
+
+def _agree(fleet: Fleet, up: set[NodeId]) -> bool:
+    return all({peer.node_id for peer in list_alive(fleet.nodes[name])} == up for name in up)
+
+
 def measure_node(size: int) -> None:
     """Measure one node among ``size`` peers by messages made up for it."""
     random = Random(SEED)
@@ -300,6 +344,8 @@
     for size in chosen:
         if size <= 1000:
             measure_fleet(size, SERVICES if size > 100 else 3)
+        if size < 100:
+            measure_cut(size)
         measure_node(size)
 
 
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -22,6 +22,7 @@
     take_in,
     tick_membership,
 )
+from ragwort_policy._table import list_bridges
 from ragwort_protocol import News, Notice, PeerState, Ping
 
 from bench.fleet import DOMAINS, Fleet, make_fleet, make_profile
@@ -145,6 +146,7 @@
     fleet.pause(ALL[0])
     fleet.passes = lambda delivery: True
     fleet.run(60)
+    fleet.paused[ALL[0]].clear()
     fleet.wake(ALL[0])
     fleet.run(0.01)
     assert node.table.unreachable == set()
@@ -211,8 +213,6 @@
 
 
 def test_bridges_are_in_two_failure_domains_and_replaced_when_dead(fleet):
-    from ragwort_policy._table import list_bridges
-
     region = fleet.profiles[ALL[0]].region
     before = list_bridges(fleet.nodes[ALL[0]].table, region)
     assert len({fleet.profiles[name].failure_domain for name in before}) == 2
@@ -329,3 +329,16 @@
     fleet.passes = lambda delivery: True
     fleet.run(40)
     assert all(len(list_alive(fleet.nodes[name])) == 24 for name in ALL)
+
+
+def test_regions_whose_bridges_were_all_replaced_during_a_cut_find_each_other(fleet):
+    fleet.passes = lambda delivery: (delivery.sender in MESETA) == (delivery.to in MESETA)
+    for name in (ALL[0], NORTE[0]):
+        node = fleet.nodes[name]
+        fleet.down.update(list_bridges(node.table, node.own.region))
+    fleet.run(30)
+    fleet.passes = lambda delivery: True
+    fleet.run(40)
+    up = {name for name in ALL if name not in fleet.down}
+    assert len(up) == 20
+    assert all({peer.node_id for peer in list_alive(fleet.nodes[name])} == up for name in up)
