Prove on real processes that rules never go back; hedge by the rule's percent

Cause: no test showed a real node restarted while the platform had come back with an older copy. The scenario applies revision 2 with the operators' command, kills a node, restores the platform to revision 1 and starts the node again: it has revision 2 or none, never 1, and the platform gets revision 2 back. The percent of a rule's hedge only switched hedges on; it is now the share that such calls earn.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -182,7 +182,9 @@
         await asyncio.gather(*(_wait_ready(session, place, fleet) for place in fleet.places))
 
 
-async def apply_rules(fleet: Fleet, path: Path, author: str) -> None:
+async def apply_rules(
+    fleet: Fleet, path: Path, author: str, expect_version: int | None = None
+) -> None:
     """Apply a rules file with the operators' command.
 
     Raises
@@ -198,6 +200,7 @@
         str(path),
         f"--platform={fleet.platform_url}",
         f"--author={author}",
+        *([] if expect_version is None else [f"--expect-version={expect_version}"]),
         stdin=asyncio.subprocess.DEVNULL,
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
--- a/packages/node/src/ragwort_node/_caller.py
+++ b/packages/node/src/ragwort_node/_caller.py
@@ -173,7 +173,8 @@
         if reply.report is not NO_REPORT:
             record_report(state.choice, node, reply.report, now)
         if outcome is Outcome.ANSWERED:
-            record_latency(state.hedge, now - started)
+            allowed = call.treatment.hedge_percent / 100
+            record_latency(state.hedge, now - started, allowed)
         return reply
 
     async def _send(self, node: NodeId, call: Call) -> Response | Refusal:
--- a/packages/node/src/ragwort_node/_composition.py
+++ b/packages/node/src/ragwort_node/_composition.py
@@ -34,12 +34,8 @@
     ClaimResult,
     Hello,
     Message,
-    Notice,
     OwnerNotice,
     PeerState,
-    Ping,
-    PingAck,
-    PingRequest,
     Probe,
     ProbeReply,
     RevisionNotice,
@@ -327,7 +323,12 @@
             now,
         )
         self._gossip = Gossip(
-            membership, self._pool.send, self._clock, self._random, self._take_changes
+            membership,
+            self._pool.send,
+            self._clock,
+            self._random,
+            self._take_changes,
+            self._hear_revision,
         )
         # The node's own server is no change that gossip brings.
         self._update_service(membership.own.service)
@@ -384,6 +385,10 @@
         for service in {change.peer.service for change in changes}:
             self._update_service(service)
 
+    def _hear_revision(self, revision: Revision, holder: NodeId) -> None:
+        if holder:
+            self._configuration.hear_revision(holder, revision)
+
     def _update_service(self, service: ServiceName) -> None:
         places = list_places(self._gossip.membership, service)
         self._services.update(service, places, self._clock())
@@ -424,8 +429,6 @@
             case RevisionNotice():
                 self._configuration.hear_notice(link.peer, message)
             case _:
-                if isinstance(message, Ping | PingAck | PingRequest | Notice):
-                    self._configuration.hear_revision(link.peer, Revision(message.revision))
                 put_event(self._gossip, PeerMessage(link.peer, message))
 
     def _is_ready(self) -> bool:
--- a/packages/node/src/ragwort_node/_gossip.py
+++ b/packages/node/src/ragwort_node/_gossip.py
@@ -128,8 +128,8 @@
     """What the gossip task owns; other tasks read the membership and put events.
 
     ``on_revision`` is told each higher rules revision, with a peer that has it in force; the peer
-    is empty while no peer has stated that itself. ``unsent`` counts messages for which there was no link, ``dropped`` events for which the queue
-    had no room.
+    is empty while no peer has stated that itself. ``unsent`` counts messages for which there was
+    no link, ``dropped`` events for which the queue had no room.
     """
 
     membership: Membership
--- a/packages/policy/src/ragwort_policy/_hedge.py
+++ b/packages/policy/src/ragwort_policy/_hedge.py
@@ -31,9 +31,12 @@
     return HedgeState(expected_s * 3.0)
 
 
-def record_latency(state: HedgeState, latency_s: float) -> None:
-    """Move the quantile by the latency of an answered call and credit the budget."""
-    earn_attempts(state.budget)
+def record_latency(state: HedgeState, latency_s: float, part: float | None = None) -> None:
+    """Move the quantile by the latency of an answered call and credit the budget.
+
+    ``part`` is the share of such calls that may be hedged by their rule.
+    """
+    earn_attempts(state.budget, part)
     step_s = state.quantile_s * STEP_PART
     if latency_s > state.quantile_s:
         state.quantile_s += step_s * QUANTILE
--- a/packages/policy/src/ragwort_policy/_retry.py
+++ b/packages/policy/src/ragwort_policy/_retry.py
@@ -51,9 +51,10 @@
     number: int
 
 
-def earn_attempts(budget: AttemptBudget) -> None:
-    """Credit the budget for one new call."""
-    budget.tokens = min(budget.burst_calls, budget.tokens + budget.part)
+def earn_attempts(budget: AttemptBudget, part: float | None = None) -> None:
+    """Credit the budget for one new call, with the budget's own part or a given one."""
+    earned = budget.part if part is None else part
+    budget.tokens = min(budget.burst_calls, budget.tokens + earned)
 
 
 def spend_attempt(budget: AttemptBudget) -> bool:
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -9,9 +9,23 @@
 import aiohttp
 from helper import wait_until
 from ragwort_common import Revision
-from ragwort_platform import RULES_PATH, ObjectStore, RulesDocument, encode_document
+from ragwort_platform import (
+    RULES_PATH,
+    ObjectStore,
+    RulesDocument,
+    decode_document,
+    encode_document,
+)
 
-from bench.deployment import Plan, count_runs, order_server, run_fleet, start_node, wait_ready
+from bench.deployment import (
+    Plan,
+    apply_rules,
+    count_runs,
+    order_server,
+    run_fleet,
+    start_node,
+    wait_ready,
+)
 from bench.load import open_session
 
 PLAN = Plan(
@@ -186,3 +200,55 @@
         assert sum(runs.values()) == 1
 
     run_scenario(scenario)
+
+
+async def read_revisions(session, places):
+    """Return the revision that each node has in force; 0 for one that does not answer."""
+    revisions = []
+    for place in places:
+        try:
+            async with session.get(place.admin_url("/v1/state")) as response:
+                revisions.append((await response.json())["revision"])
+        except aiohttp.ClientError:
+            revisions.append(0)
+    return revisions
+
+
+async def wait_revision(session, places, wanted):
+    """Wait until all nodes have a revision in force, and return all that were seen before."""
+    seen = set()
+    while True:
+        revisions = await read_revisions(session, places)
+        seen.update(revisions)
+        if set(revisions) == {wanted}:
+            return seen
+        await asyncio.sleep(0.05)
+
+
+def test_rules_reach_every_node_and_an_older_platform_copy_never_comes_into_force():
+    async def act(fleet, session, action):
+        async with session.post(f"{fleet.platform_url}/control/{action}") as response:
+            assert response.status == 204
+
+    async def scenario(fleet, session):
+        await wait_revision(session, fleet.places, 1)
+        await act(fleet, session, "snapshot")
+        path = fleet.folder / "second.rules"
+        path.write_bytes(RULES + b"tracking * /** non-idempotent  # hanbit: the rest\n")
+        await apply_rules(fleet, path, "operator", expect_version=1)
+        assert await wait_revision(session, fleet.places, 2) <= {1, 2}
+        restarted = fleet.places[0]
+        restarted.process.kill()
+        await restarted.process.wait()
+        await act(fleet, session, "restore")
+        await start_node(fleet, restarted)
+        assert await wait_revision(session, [restarted], 2) <= {0, 2}
+        assert set(await read_revisions(session, fleet.places)) == {2}
+        async with ObjectStore(fleet.platform_url, 2000) as store:
+            while True:
+                stored = decode_document((await store.get(RULES_PATH)).ok.data).ok
+                if stored.revision == 2:
+                    break
+                await asyncio.sleep(0.1)
+
+    run_scenario(scenario)
