Send news of peers to other regions as soon as the budget allows

Cause: news for another region waited for the report that goes out every 2 s and had half of its room, about 7 new peers each. Bridges now send the queue at each tick, as far as the paid budget allows, and reports carry load only.

--- a/packages/policy/src/ragwort_policy/_bridge.py
+++ b/packages/policy/src/ragwort_policy/_bridge.py
@@ -6,7 +6,7 @@
 """
 
 from ragwort_common import NodeId, Region
-from ragwort_protocol import LoadNotice, Notice, RegionReport, ServiceLoad
+from ragwort_protocol import LoadNotice, News, Notice, RegionReport, ServiceLoad
 
 from ragwort_policy._budget import Traffic
 from ragwort_policy._dissemination import take_news, take_unsent
@@ -19,7 +19,6 @@
     emit,
     fit_bytes,
     note_revision,
-    take_in,
 )
 from ragwort_policy._peer import Peer
 from ragwort_policy._repair import send_digest
@@ -50,7 +49,7 @@
     if not bridging.is_bridge:
         bridging.loads.clear()
         return
-    _push_far(membership, now, random, sends)
+    _send_news(membership, now, random, sends)
     if now >= bridging.next_report_at:
         bridging.next_report_at = now + membership.settings.load_period_s
         _send_reports(membership, now, random, sends)
@@ -85,7 +84,6 @@
         view.reporter = sender
         view.reported_at = now
     set_reachable(membership.table, region, True)
-    take_in(membership, report.news, now)
     # All nodes of this region must not turn to the other one for the rules, over the paid link.
     note_revision(membership, report.revision, NodeId("") if report.root else sender)
     if is_rejoin and not report.root:
@@ -150,15 +148,35 @@
     return bridges[index % len(bridges)]
 
 
-def _push_far(membership: Membership, now: float, random: RandomSource, sends: list[Send]) -> None:
-    news = take_unsent(membership.bridging.queue, _NEWS_BYTES)
+def _send_news(membership: Membership, now: float, random: RandomSource, sends: list[Send]) -> None:
+    queue = membership.bridging.queue
+    # While all other regions are cut off the news waits; it is at most one piece for each peer.
+    regions = [
+        region
+        for region in _list_other_regions(membership)
+        if region not in membership.table.unreachable
+    ]
+    if not queue.items or not regions:
+        return
+    targets = [_pick_counterpart(membership, region, random) for region in regions]
+    _send_notice(membership, now, targets, take_unsent(queue, _NEWS_BYTES), Traffic.URGENT, sends)
+    room = min(fit_bytes(membership, now, to, Traffic.SUMMARY, _NEWS_BYTES) for to in targets)
+    _send_notice(membership, now, targets, take_news(queue, 1, room), Traffic.SUMMARY, sends)
+
+
+def _send_notice(
+    membership: Membership,
+    now: float,
+    targets: list[NodeId],
+    news: list[News],
+    traffic: Traffic,
+    sends: list[Send],
+) -> None:
     if not news:
         return
-    for region in _list_other_regions(membership):
-        if region not in membership.table.unreachable:
-            notice = Notice(membership.own.revision, news)
-            to = _pick_counterpart(membership, region, random)
-            emit(membership, sends, now, to, notice, Traffic.URGENT)
+    notice = Notice(membership.own.revision, news)
+    for to in targets:
+        emit(membership, sends, now, to, notice, traffic)
 
 
 def _send_reports(
@@ -170,11 +188,10 @@
     is_first = list_bridges(membership.table, own.region)[0] == own.node_id
     for region in _list_other_regions(membership):
         to = _pick_counterpart(membership, region, random)
-        room = fit_bytes(membership, now, to, Traffic.SUMMARY, _NEWS_BYTES + _LOADS_BYTES)
-        loads = _sum_loads(membership, min(_LOADS_BYTES, room // 2)) if is_first else []
-        news = take_news(bridging.queue, 1, room // 2)
+        room = fit_bytes(membership, now, to, Traffic.SUMMARY, _LOADS_BYTES)
+        loads = _sum_loads(membership, room) if is_first else []
         report = RegionReport(
-            own.region, own.node_id, bridging.version, "", own.revision, is_first, loads, news
+            own.region, own.node_id, bridging.version, "", own.revision, is_first, loads
         )
         emit(membership, sends, now, to, report, Traffic.SUMMARY)
 
@@ -217,7 +234,6 @@
         report.revision,
         True,
         report.loads,
-        [],
     )
     peers = list_region(membership.table, membership.own.region)
     for node_id in list_children(peers, own, relayed.root, report.version):
--- a/packages/policy/src/ragwort_policy/_gossip_state.py
+++ b/packages/policy/src/ragwort_policy/_gossip_state.py
@@ -96,7 +96,7 @@
     relays: int = 3
     suspicion_factor: float = 4.0
     push_fanout: int = 3
-    news_bytes: int = 1400
+    news_bytes: int = 2000
     repair_period_s: float = 10.0
     repair_bytes: int = 2000
     reconnect_period_s: float = 10.0
--- a/packages/protocol/src/ragwort_protocol/_gossip.py
+++ b/packages/protocol/src/ragwort_protocol/_gossip.py
@@ -125,7 +125,7 @@
 
 
 class RegionReport(Message, tag=28):
-    """What one region tells another: its load, its rules revision and news of its peers.
+    """What one region tells another: its load and its rules revision.
 
     Attributes
     ----------
@@ -141,8 +141,6 @@
         True on the report of the region's first bridge, which is passed on to all nodes.
     loads
         Load of services in the region; only the first bridge fills it.
-    news
-        News of the region's peers; empty when the report is relayed.
     """
 
     region: str
@@ -152,7 +150,6 @@
     revision: int
     is_first: bool
     loads: list[ServiceLoad]
-    news: list[News]
 
 
 _news_encoder = msgspec.msgpack.Encoder()
