Send the counts that parts keep by themselves to statsd; show rules, peers and budgets

An empty admin.token let in every change that carried an empty token, over HTTP and gRPC.

Ruled out: handing Counters to the pure policy (it takes no sinks) and one more task with its own interval (it could read between two flushes). flush_metrics calls a collect hook before it sends.

An empty token in the settings is now a mistake, and lets nothing through besides.

--- a/packages/node/src/ragwort_node/_admin.py
+++ b/packages/node/src/ragwort_node/_admin.py
@@ -1,6 +1,7 @@
 """The administration API: the node's state as JSON, health and readiness, and draining."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from starlette.applications import Starlette
@@ -10,33 +11,61 @@
 
 from ragwort_node._control import check_token
 
-ReadState = Callable[[], dict[str, Any]]
+NO_TOKEN_SET = "admin.token is not in this node's settings, so nothing may be changed here"
+TOKEN_WRONG = "the token is missing or wrong, expected 'Authorization: Bearer TOKEN'"
 
 
-def build_admin(
-    read_state: ReadState,
-    is_ready: Callable[[], bool],
-    set_drain: Callable[[bool], None],
-    token: str | None,
-) -> Starlette:
+@dataclass(frozen=True, slots=True)
+class AdminPorts:
+    """The functions by which the API reaches the rest of the node.
+
+    Attributes
+    ----------
+    read_state, read_peers
+        Return what the node knows as plain JSON values.
+    read_rules
+        Returns the rules in force as plain JSON values, or None before the first.
+    is_ready
+        Tells whether callers may send calls to this node.
+    set_drain
+        Starts or ends the draining of the local server.
+    """
+
+    read_state: Callable[[], dict[str, Any]]
+    read_rules: Callable[[], dict[str, Any] | None]
+    read_peers: Callable[[], list[dict[str, Any]]]
+    is_ready: Callable[[], bool]
+    set_drain: Callable[[bool], None]
+
+
+def build_admin(ports: AdminPorts, token: str | None) -> Starlette:
     """Return the application that serves operators on the node's own host."""
 
     async def show_health(request: Request) -> Response:
         return JSONResponse({"healthy": True})
 
     async def show_readiness(request: Request) -> Response:
-        ready = is_ready()
+        ready = ports.is_ready()
         return JSONResponse({"ready": ready}, status_code=200 if ready else 503)
 
     async def show_state(request: Request) -> Response:
-        return JSONResponse(read_state())
+        return JSONResponse(ports.read_state())
+
+    async def show_rules(request: Request) -> Response:
+        rules = ports.read_rules()
+        if rules is None:
+            return _refuse(503, "no rules are in force on this node yet")
+        return JSONResponse(rules)
+
+    async def show_peers(request: Request) -> Response:
+        return JSONResponse({"peers": ports.read_peers()})
 
     async def change_drain(request: Request) -> Response:
         scheme, _, given = request.headers.get("authorization", "").partition(" ")
         if scheme.lower() != "bearer" or not check_token(token, given):
-            return JSONResponse({"message": "the token is missing or wrong"}, status_code=403)
+            return _refuse(403, TOKEN_WRONG if token else NO_TOKEN_SET)
         draining = request.method == "PUT"
-        set_drain(draining)
+        ports.set_drain(draining)
         return JSONResponse({"draining": draining})
 
     return Starlette(
@@ -44,6 +73,12 @@
             Route("/healthz", show_health),
             Route("/readyz", show_readiness),
             Route("/v1/state", show_state),
+            Route("/v1/rules", show_rules),
+            Route("/v1/peers", show_peers),
             Route("/v1/drain", change_drain, methods=["PUT", "DELETE"]),
         ]
     )
+
+
+def _refuse(status: int, message: str) -> Response:
+    return JSONResponse({"message": message}, status_code=status)
--- a/packages/node/src/ragwort_node/_composition.py
+++ b/packages/node/src/ragwort_node/_composition.py
@@ -46,7 +46,7 @@
 )
 from ragwort_protocol.control import FetchRulesReply
 
-from ragwort_node._admin import build_admin
+from ragwort_node._admin import AdminPorts, build_admin
 from ragwort_node._caller import Caller
 from ragwort_node._claim_exchange import ClaimExchange
 from ragwort_node._configuration import ConfigurationPorts, ConfigurationTask
@@ -55,6 +55,7 @@
 from ragwort_node._directory import find_link_address, list_places, make_profile
 from ragwort_node._entry import EntryLimits, build_entry
 from ragwort_node._gate import Gate
+from ragwort_node._gauges import CountSources, collect_counts
 from ragwort_node._gossip import (
     Gossip,
     LinkLost,
@@ -84,7 +85,13 @@
 from ragwort_node._server import ServerClient
 from ragwort_node._services import Services
 from ragwort_node._settings import Exporter, Settings
-from ragwort_node._status import StatusSources, read_state, read_status
+from ragwort_node._status import (
+    StatusSources,
+    read_peers,
+    read_rules,
+    read_state,
+    read_status,
+)
 from ragwort_node._tracing import Tracer, export_spans, make_console_exporter
 
 log = logging.getLogger(__name__)
@@ -133,9 +140,14 @@
         )
         self._control, control_port = await start_control(addresses.control, control)
         self._build_membership(link_port, control_port)
-        admin = build_admin(
-            lambda: read_state(self._status), self._is_ready, self.set_drain, self._token
+        ports = AdminPorts(
+            lambda: read_state(self._status),
+            lambda: read_rules(self._status),
+            lambda: read_peers(self._status),
+            self._is_ready,
+            self.set_drain,
         )
+        admin = build_admin(ports, self._token)
         self._admin = await start_http(admin, addresses.admin, ADMIN_GRACE_MS)
         await self._store.__aenter__()
         self._start_tasks()
@@ -245,7 +257,7 @@
             ranges,
         )
         self._claim_exchange = ClaimExchange(self._id, self._key_owner, self._pool, self._counters)
-        claims = KeyClaims(
+        self._claims = KeyClaims(
             owners,
             lambda: uuid.uuid4().bytes,
             self._claim_exchange.send_claim,
@@ -253,7 +265,7 @@
             self._clock,
         )
         self._keyed = KeyedCalls(
-            claims, self._caller.run_call, ranges, self._owner_news.want_list, self._counters
+            self._claims, self._caller.run_call, ranges, self._owner_news.want_list, self._counters
         )
 
     def _list_others(self) -> list[NodeId]:
@@ -331,6 +343,15 @@
             ),
             self._random,
         )
+        sources = CountSources(
+            self._gossip,
+            self._gate,
+            self._pool,
+            self._store,
+            self._configuration.counts,
+            self._claims,
+            self._key_owner,
+        )
         self._status = StatusSources(
             membership,
             self._gate,
@@ -339,6 +360,10 @@
             self._clock,
             self._get_revision,
             self._is_ready,
+            lambda: self._configuration.current,
+            lambda: collect_counts(sources, self._counters),
+            self._services,
+            self._settings.limits,
         )
 
     def _start_tasks(self) -> None:
@@ -354,7 +379,12 @@
         self._spawn(self._configuration.run())
         self._spawn(
             flush_metrics(
-                self._counters, statsd.host, statsd.port, statsd.prefix, statsd.interval_ms
+                self._counters,
+                statsd.host,
+                statsd.port,
+                statsd.prefix,
+                statsd.interval_ms,
+                self._status.collect,
             )
         )
         if settings.tracing.exporter is Exporter.CONSOLE:
--- a/packages/node/src/ragwort_node/_control.py
+++ b/packages/node/src/ragwort_node/_control.py
@@ -59,7 +59,8 @@
 
 def check_token(expected: str | None, given: str) -> bool:
     """Tell whether a request may change something; without a token in the settings none may."""
-    return expected is not None and hmac.compare_digest(expected.encode(), given.encode())
+    # An empty token would let in every request that has none.
+    return bool(expected) and hmac.compare_digest(expected.encode(), given.encode())
 
 
 async def start_control(address: str, control: Control) -> tuple[grpc.aio.Server, int]:
--- a/packages/node/src/ragwort_node/_gate.py
+++ b/packages/node/src/ragwort_node/_gate.py
@@ -96,6 +96,10 @@
         """Return the present load."""
         return make_report(self._state, self._clock())
 
+    def list_present(self) -> tuple[list[Arrival], list[Arrival]]:
+        """Return the calls that run on the server and those that wait in the queue."""
+        return list(self._state.running.values()), list(self._state.waiting.values())
+
     async def run_call(self, request: Request) -> Response | Refusal:
         """Run one call on the local server if it is admitted, at once or after a wait."""
         with self._counted():
--- a/packages/node/src/ragwort_node/_metrics.py
+++ b/packages/node/src/ragwort_node/_metrics.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections import Counter
+from collections.abc import Callable
 
 import statsd
 
@@ -47,13 +48,22 @@
 
 
 async def flush_metrics(
-    counters: Counters, host: str, port: int, prefix: str, interval_ms: int
+    counters: Counters,
+    host: str,
+    port: int,
+    prefix: str,
+    interval_ms: int,
+    collect: Callable[[], None],
 ) -> None:
-    """Send what changed to statsd, once an interval, until cancelled."""
+    """Send what changed to statsd, once an interval, until cancelled.
+
+    ``collect`` is called before each send, to bring the counters up to date.
+    """
     client = statsd.StatsClient(host, port, prefix=prefix, maxudpsize=MAX_DATAGRAM_BYTES)
     sent: Counter[str] = Counter()
     while True:
         await asyncio.sleep(interval_ms / 1000)
+        collect()
         _flush(client, counters, sent)
 
 
--- a/packages/node/src/ragwort_node/_services.py
+++ b/packages/node/src/ragwort_node/_services.py
@@ -41,6 +41,10 @@
         """Return the state of a service, or None when no server of it was ever known."""
         return self._states.get(service)
 
+    def list_states(self) -> list[tuple[ServiceName, ServiceState]]:
+        """Return the state of every service that is known."""
+        return list(self._states.items())
+
     def find_by_node(self, node: NodeId) -> ServiceState | None:
         """Return the state of the service that a node's server provides."""
         return self._states.get(self._services_of.get(node))
--- a/packages/node/src/ragwort_node/_settings.py
+++ b/packages/node/src/ragwort_node/_settings.py
@@ -117,7 +117,7 @@
 class AdminSettings(_Section):
     """Who may change something through the administration API."""
 
-    token: str | None
+    token: Annotated[str, Field(min_length=1)] | None
 
 
 class Settings(_Section):
--- a/packages/node/src/ragwort_node/_status.py
+++ b/packages/node/src/ragwort_node/_status.py
@@ -5,18 +5,27 @@
 from typing import Any
 
 from ragwort_common import Revision
-from ragwort_policy import Membership, is_current
+from ragwort_policy import Arrival, Budget, Membership, is_current, measure_level
 from ragwort_protocol.control import GetStatusReply
 
 from ragwort_node._directory import describe_peer, list_peers
 from ragwort_node._gate import Gate
 from ragwort_node._metrics import Counters
 from ragwort_node._pool import LinkPool
+from ragwort_node._rules_ports import CurrentRules
+from ragwort_node._services import Services
+from ragwort_node._settings import LimitSettings
 
 
 @dataclass(frozen=True, slots=True)
 class StatusSources:
-    """The parts of a node that its status is read from."""
+    """The parts of a node that its status is read from.
+
+    Attributes
+    ----------
+    collect
+        Brings the counters up to date.
+    """
 
     membership: Membership
     gate: Gate
@@ -25,6 +34,10 @@
     clock: Callable[[], float]
     get_revision: Callable[[], Revision]
     is_ready: Callable[[], bool]
+    get_rules: Callable[[], CurrentRules | None]
+    collect: Callable[[], None]
+    services: Services
+    limits: LimitSettings
 
 
 def read_status(sources: StatusSources) -> GetStatusReply:
@@ -48,6 +61,7 @@
 
 def read_state(sources: StatusSources) -> dict[str, Any]:
     """Return the node's state, budgets and counters as plain JSON values."""
+    sources.collect()
     membership = sources.membership
     now = sources.clock()
     report = sources.gate.make_report()
@@ -67,9 +81,91 @@
             "queued": report.queued,
             "service_time_us": report.service_time_us,
         },
+        "members": _describe_members(sources.gate),
+        "limits": sources.limits.model_dump(),
+        "budgets": _describe_budgets(sources, now),
+        "configuration": _describe_configuration(sources.get_rules()),
         "peers": states,
         "view_is_current": is_current(membership, now),
         "watching": asdict(membership.counters),
         "links": sources.pool.count_links(),
         "counters": dict(sources.counters.totals),
     }
+
+
+def read_peers(sources: StatusSources) -> list[dict[str, Any]]:
+    """Return the table of peers as plain JSON values, this node included."""
+    return [
+        {
+            "node": peer.node_id,
+            "service": peer.service,
+            "region": peer.region,
+            "failure_domain": peer.failure_domain,
+            "state": peer.state.name.lower(),
+            "revision": peer.revision,
+            "incarnation": peer.incarnation,
+            "link_address": peer.profile.link_address,
+            "control_address": peer.profile.control_address,
+        }
+        for peer in list_peers(sources.membership)
+    ]
+
+
+def read_rules(sources: StatusSources) -> dict[str, Any] | None:
+    """Return the rules in force with their text, or None before the first."""
+    rules = sources.get_rules()
+    if rules is None:
+        return None
+    text = rules.document.text.decode("utf-8", "replace")
+    return _describe_configuration(rules) | {"text": text}
+
+
+def _describe_configuration(rules: CurrentRules | None) -> dict[str, Any]:
+    if rules is None:
+        return {"revision": 0}
+    document = rules.document
+    return {
+        "revision": rules.stamp.revision,
+        "author": document.author,
+        "applied_at": document.applied_at,
+    }
+
+
+def _describe_members(gate: Gate) -> dict[str, dict[str, int]]:
+    """Return for each member with calls at the gate its share and how many run and wait."""
+    running, waiting = gate.list_present()
+    members: dict[str, dict[str, int]] = {}
+    _count_members(members, running, "running")
+    _count_members(members, waiting, "waiting")
+    return members
+
+
+def _count_members(members: dict[str, dict[str, int]], calls: list[Arrival], state: str) -> None:
+    for call in calls:
+        entry = members.setdefault(call.member, {"share": 0, "running": 0, "waiting": 0})
+        entry["share"] = call.share
+        entry[state] += 1
+
+
+def _describe_budgets(sources: StatusSources, now: float) -> dict[str, Any]:
+    membership = sources.membership
+    return {
+        "node": _describe_budget(membership.budget, now),
+        "region": _describe_budget(membership.paid_budget, now),
+        "services": {
+            service: {
+                "retries_left": state.retries.tokens,
+                "hedges_left": state.hedge.budget.tokens,
+            }
+            for service, state in sources.services.list_states()
+        },
+    }
+
+
+def _describe_budget(budget: Budget, now: float) -> dict[str, Any]:
+    return {
+        "bytes_per_s": budget.rate_bytes_per_s,
+        "burst_bytes": budget.burst_bytes,
+        "level": measure_level(budget, now),
+        "refused": {traffic.name.lower(): count for traffic, count in budget.refused.items()},
+    }
