--- a/packages/node/src/ragwort_node/_services.py
+++ b/packages/node/src/ragwort_node/_services.py
@@ -43,6 +43,10 @@
         """Return the state of a service, or None when no server of it was ever known."""
         return self._states.get(service)
 
+    def list_states(self) -> list[tuple[ServiceName, ServiceState]]:
+        """Return the state of every service that is known."""
+        return list(self._states.items())
+
     def update(self, service: ServiceName, places: Iterable[ServerPlace], now: float) -> None:
         """Set a service's servers that may be chosen; what is known of those that stay is kept."""
         listed = list(places)
