--- /dev/null
+++ b/bench/costs.py
@@ -0,0 +1,272 @@
+"""Measures what one node's tables, decisions and frames cost at several sizes, in one process.
+
+Times are processor time of this process, the mean of many turns. The baseline of a slope is the
+smallest size of the same run.
+"""
+
+import random
+import socket
+import time
+import tracemalloc
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import statsd
+from ragwort_common import (
+    CallId,
+    Epoch,
+    FailureDomain,
+    Member,
+    NodeId,
+    Outcome,
+    Reason,
+    Region,
+    ServiceName,
+)
+from ragwort_node._metrics import MAX_DATAGRAM_BYTES, Counters, _flush
+from ragwort_node._services import Services
+from ragwort_policy import (
+    Arrival,
+    ChoiceSettings,
+    GateLimits,
+    OwnerMap,
+    ServerPlace,
+    Verdict,
+    arrive,
+    choose_server,
+    finish,
+    make_choice,
+    make_gate,
+    record_outcome,
+    record_report,
+    record_sent,
+    update_servers,
+)
+from ragwort_protocol import FrameReader, LoadReport, Request, Response, encode_frame
+
+from bench.report import print_result
+
+SEED = 11
+SERVICES = 81
+PEERS = (24, 720, 7200)
+SERVICE_SIZES = (4, 9, 100)
+SLOTS = (4, 13, 64)
+BODY_BYTES = (200, 2_000, 20_000)
+OWNER_RANGES = (16, 64, 256)
+FLUSHED_CALLS = (10, 100, 200)
+COUNTER_NAMES = 30
+FIRST_SERVICE = ServiceName("service-0")
+DOMAINS = tuple(
+    (Region(f"region-{number % 2}"), FailureDomain(f"domain-{number}")) for number in range(8)
+)
+REPORT = LoadReport(3, 8, 0, 2_000)
+HEADERS = [
+    (b"host", b"drum-tracking"),
+    (b"x-request-id", b"0193d5a0-7c1e-7cc3-98c4-dc0c0c07398f"),
+    (b"content-type", b"application/json"),
+    (b"traceparent", b"00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"),
+]
+
+
+@dataclass(slots=True)
+class Turns:
+    """How many turns a timing takes; the smoke test takes few."""
+
+    count: int = 20_000
+
+
+def report(name: str, value: float, unit: str, baseline: float | None = None) -> None:
+    """Print a figure with the seed of these measurements."""
+    print_result(f"capacity.{name}", value, unit, baseline, SEED)
+
+
+def time_turns(work: Callable[[int], object], turns: int) -> float:
+    """Return the mean processor time of a turn, in microseconds."""
+    began = time.process_time()
+    for number in range(turns):
+        work(number)
+    return (time.process_time() - began) / turns * 1e6
+
+
+def measure_bytes(build: Callable[[], object]) -> int:
+    """Return the bytes that Python holds for what a function builds."""
+    tracemalloc.start()
+    kept = build()
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return held
+
+
+def make_places(count: int) -> list[ServerPlace]:
+    """Return servers spread over all failure domains."""
+    places = []
+    for number in range(count):
+        region, domain = DOMAINS[number % len(DOMAINS)]
+        places.append(ServerPlace(NodeId(f"host-{number:04d}"), domain, region))
+    return places
+
+
+def measure_choice(turns: Turns) -> None:
+    """Print the cost of one attempt's decisions at several sizes of a service."""
+    first: float | None = None
+    for size in SERVICE_SIZES:
+        cost_us = time_turns(_make_choosing(size), turns.count)
+        first = first or cost_us
+        report(f"choice.{size}_servers", cost_us, "us/attempt", first)
+
+
+def _make_choosing(size: int) -> Callable[[int], None]:
+    region, domain = DOMAINS[0]
+    state = make_choice(ChoiceSettings(), domain, region)
+    update_servers(state, make_places(size), 0.0)
+    source = random.Random(SEED)
+
+    def run_attempt(number: int) -> None:
+        now = number * 0.01
+        node = choose_server(state, now, source)
+        call_id = CallId(number)
+        record_sent(state, node, call_id, now)
+        now += 0.002
+        record_outcome(state, node, call_id, Outcome.ANSWERED, Reason.NONE, now)
+        record_report(state, node, REPORT, now)
+
+    return run_attempt
+
+
+def measure_services(turns: Turns) -> None:
+    """Print the memory of the choice for all services, and the cost of an update of one."""
+    first_bytes: float | None = None
+    first_us: float | None = None
+    for peers in PEERS:
+        per_service = max(1, peers // SERVICES)
+        count = peers // per_service
+        held = measure_bytes(lambda n=count, size=per_service: _make_services(n, size))
+        services = _make_services(count, per_service)
+        places = make_places(per_service)
+        update_us = time_turns(
+            lambda number, s=services, p=places: s.update(FIRST_SERVICE, p, float(number)),
+            max(10, turns.count // 20),
+        )
+        first_bytes = first_bytes or held / peers
+        first_us = first_us or update_us
+        report(f"services.{peers}_peers.memory", held / peers, "bytes/server", first_bytes)
+        report(f"services.{peers}_peers.update", update_us, "us/update", first_us)
+
+
+def _make_services(count: int, per_service: int) -> Services:
+    region, domain = DOMAINS[0]
+    services = Services(domain, region, ChoiceSettings())
+    places = make_places(count * per_service)
+    for number in range(count):
+        own = places[number * per_service : (number + 1) * per_service]
+        services.update(ServiceName(f"service-{number}"), own, 0.0)
+    return services
+
+
+def measure_gate(turns: Turns) -> None:
+    """Print the cost of admitting and ending a call at several numbers of slots."""
+    first: float | None = None
+    for slots in SLOTS:
+        cost_us = time_turns(_make_admitting(slots), turns.count)
+        first = first or cost_us
+        report(f"gate.{slots}_slots", cost_us, "us/call", first)
+    held = measure_bytes(lambda: make_gate(GateLimits(13), 0.0))
+    report("gate.memory", held, "bytes")
+
+
+def _make_admitting(slots: int) -> Callable[[int], None]:
+    # Half of the slots are taken: each call ends when so many others have arrived after it.
+    running = slots // 2
+    gate = make_gate(GateLimits(slots, expected_ms=running * 1.0), 0.0)
+    member = Member("hanbit")
+
+    def run_call(number: int) -> None:
+        now = number * 0.001
+        arrival = Arrival(CallId(number), member, 1, False, now + 1.0)
+        if arrive(gate, now, arrival).verdict is not Verdict.RUN:
+            raise RuntimeError("the gate did not run a call while half of its slots were free")
+        if number >= running:
+            finish(gate, now, CallId(number - running), running * 0.001, False)
+
+    return run_call
+
+
+def measure_codec(turns: Turns) -> None:
+    """Print the cost of a call's two frames at several sizes of bodies, and what they add."""
+    first: float | None = None
+    for size in BODY_BYTES:
+        request = Request(7, "GET", b"/drums/17", HEADERS, b"x" * size, 1_500.0, member="hanbit")
+        response = Response(7, 200, HEADERS, b"x" * size, REPORT)
+        reader = FrameReader()
+
+        def exchange(_: int, messages=(request, response), reader=reader) -> None:
+            for message in messages:
+                reader.feed(encode_frame(message))
+
+        cost_us = time_turns(exchange, turns.count)
+        first = first or cost_us
+        report(f"codec.{size}_bytes", cost_us, "us/call", first)
+        framed = len(encode_frame(request)) + len(encode_frame(response))
+        carried = 2 * (size + sum(len(name) + len(value) for name, value in HEADERS))
+        report(f"codec.{size}_bytes.added", framed - carried, "bytes/call")
+
+
+def measure_owners(turns: Turns) -> None:
+    """Print the memory of the map of owners, and the cost of news of an owner."""
+    first: float | None = None
+    for ranges in OWNER_RANGES:
+        held = measure_bytes(lambda n=ranges: _make_owners(n)) / ranges
+        owners = _make_owners(ranges)
+        cost_us = time_turns(
+            lambda number, o=owners, n=ranges: o.learn(
+                number % n, NodeId("host-1"), Epoch(number + 2)
+            ),
+            turns.count,
+        )
+        first = first or held
+        report(f"owners.{ranges}_ranges.memory", held, "bytes/range", first)
+        report(f"owners.{ranges}_ranges.news", cost_us, "us/notice")
+
+
+def _make_owners(ranges: int) -> OwnerMap:
+    owners = OwnerMap()
+    for number in range(ranges):
+        owners.learn(number, NodeId(f"host-{number:04d}"), Epoch(1))
+    return owners
+
+
+def measure_flush(turns: Turns) -> None:
+    """Print the cost of one flush to statsd after several numbers of calls since the last."""
+    first: float | None = None
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sink:
+        sink.bind(("127.0.0.1", 0))
+        port = sink.getsockname()[1]
+        for calls in FLUSHED_CALLS:
+            client = statsd.StatsClient(
+                "127.0.0.1", port, prefix="ragwort", maxudpsize=MAX_DATAGRAM_BYTES
+            )
+            counters, sent = Counters(), Counter()
+
+            def run(_: int, counters=counters, sent=sent, client=client, calls=calls) -> None:
+                for name in range(COUNTER_NAMES):
+                    counters.add(f"entry.counter_{name}", calls)
+                for _ in range(calls):
+                    counters.add_timing("entry.call", 1.234)
+                _flush(client, counters, sent)
+
+            cost_us = time_turns(run, max(5, turns.count // 200))
+            client.close()
+            first = first or cost_us
+            report(f"statsd.{calls}_calls", cost_us, "us/flush", first)
+
+
+def measure_costs(turns: Turns) -> None:
+    """Run every measurement of this module."""
+    measure_choice(turns)
+    measure_services(turns)
+    measure_gate(turns)
+    measure_codec(turns)
+    measure_owners(turns)
+    measure_flush(turns)
--- /dev/null
+++ b/bench/links.py
@@ -0,0 +1,79 @@
+"""Measures what links cost: memory, and processor time of a call over one of many links.
+
+Both ends of each link are in this process, so a figure for one end is half of what is measured.
+Memory is the growth of the process's resident size; the kernel's buffers are not in it.
+"""
+
+import asyncio
+import time
+
+import psutil
+import uvloop
+from ragwort_common import NodeId
+from ragwort_node._link import Link
+from ragwort_node._metrics import Counters
+from ragwort_protocol import Hello, Message, Request, Response
+
+from bench.costs import HEADERS, REPORT, report
+
+LINKS = (10, 100, 700)
+CALLS = 7_000
+
+
+def _answer(link: Link, message: Message) -> None:
+    if isinstance(message, Request):
+        link.send(Response(message.call_id, 200, HEADERS, message.body, REPORT))
+
+
+def _ignore(link: Link) -> None:
+    """Take no notice of a link that opens or closes."""
+
+
+def _make_link() -> Link:
+    return Link(Hello(NodeId("host-0001"), 1), _answer, _ignore, _ignore, Counters())
+
+
+async def measure_links(sizes: tuple[int, ...] = LINKS, calls: int = CALLS) -> None:
+    """Open more and more links; print the memory of one end, and the cost of a call."""
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(_make_link, "127.0.0.1", 0)
+    address = server.sockets[0].getsockname()
+    process = psutil.Process()
+    links: list[Link] = []
+    await _exchange(await _open(address), calls // 10)
+    resident = process.memory_info().rss
+    first: float | None = None
+    for size in sizes:
+        links += [await _open(address) for _ in range(size - len(links))]
+        for link in links:
+            await _exchange(link, 1)
+        grown = (process.memory_info().rss - resident) / size / 2
+        report(f"links.{size}_links.memory", grown, "bytes/end")
+        began = time.process_time()
+        for number in range(calls):
+            await _exchange(links[number % size], 1)
+        cost_us = (time.process_time() - began) / calls * 1e6
+        first = first or cost_us
+        report(f"links.{size}_links.call", cost_us, "us/call, both ends", first)
+    for link in links:
+        link.close()
+    server.close()
+    await asyncio.sleep(0.1)
+
+
+async def _open(address: tuple[str, int]) -> Link:
+    loop = asyncio.get_running_loop()
+    _, link = await loop.create_connection(_make_link, *address)
+    await link.greeted
+    return link
+
+
+async def _exchange(link: Link, calls: int) -> None:
+    for _ in range(calls):
+        request = Request(link.take_call_id(), "GET", b"/drums/17", HEADERS, b"x" * 200, 1_500.0)
+        await link.start_call(request)
+
+
+def run_links() -> None:
+    """Measure links on the event loop that nodes use."""
+    uvloop.run(measure_links())
--- /dev/null
+++ b/tests/bench/test_costs.py
@@ -0,0 +1,14 @@
+import json
+
+import pytest
+
+from bench.costs import Turns, measure_choice, measure_codec, measure_flush, measure_gate
+
+
+@pytest.mark.parametrize("measure", [measure_choice, measure_codec, measure_flush, measure_gate])
+def test_each_figure_is_one_line_with_its_unit(measure, capsys):
+    measure(Turns(count=200))
+    lines = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+    assert len(lines) >= 3
+    assert all(line["name"].startswith("capacity.") and line["value"] > 0 for line in lines)
+    assert all(line["unit"] for line in lines)
