--- a/packages/policy/src/ragwort_policy/__init__.py
+++ b/packages/policy/src/ragwort_policy/__init__.py
@@ -36,15 +36,11 @@
     record_sent,
     update_servers,
 )
-from ragwort_policy._gossip_state import (
-    GossipCounters,
-    Membership,
-    MembershipSettings,
-    RandomSource,
-    RegionLoad,
-    Send,
+from ragwort_policy._gossip_exchange import (
     take_in,
 )
+from ragwort_policy._gossip_settings import MembershipSettings, RandomSource
+from ragwort_policy._gossip_state import GossipCounters, Membership, RegionLoad, Send
 from ragwort_policy._hedge import (
     HedgeState,
     get_hedge_delay,
@@ -58,17 +54,11 @@
     announce_left,
     announce_resumed,
     create_membership,
-    find_peer,
     join_peers,
-    list_alive,
-    list_orphans,
-    list_region_loads,
-    list_servers,
     note_link_lost,
     receive_message,
     set_load,
     set_revision,
-    take_changes,
     tick_membership,
 )
 from ragwort_policy._pause import (
@@ -78,6 +68,14 @@
     Peer,
     first_incarnation,
 )
+from ragwort_policy._peer_lists import (
+    find_peer,
+    list_alive,
+    list_orphans,
+    list_region_loads,
+    list_servers,
+    take_changes,
+)
 from ragwort_policy._probing import ProbeBudget, ProbeSettings, make_probe_budget, plan_probe
 from ragwort_policy._retry import (
     Attempt,
--- a/packages/policy/src/ragwort_policy/_bridge.py
+++ b/packages/policy/src/ragwort_policy/_bridge.py
@@ -10,16 +10,13 @@
 
 from ragwort_policy._budget import Traffic
 from ragwort_policy._dissemination import take_news, take_unsent
-from ragwort_policy._gossip_state import (
-    Membership,
-    RandomSource,
-    RegionLoad,
-    RegionView,
-    Send,
+from ragwort_policy._gossip_exchange import (
     emit,
     fit_bytes,
     note_revision,
 )
+from ragwort_policy._gossip_settings import RandomSource
+from ragwort_policy._gossip_state import Membership, RegionLoad, RegionView, Send
 from ragwort_policy._peer import Peer
 from ragwort_policy._repair import send_digest
 from ragwort_policy._table import list_bridges, list_region, list_regions, set_reachable
--- a/packages/policy/src/ragwort_policy/_detector.py
+++ b/packages/policy/src/ragwort_policy/_detector.py
@@ -4,11 +4,7 @@
 from ragwort_protocol import News, PeerState, Ping, PingAck, PingRequest
 
 from ragwort_policy._budget import Traffic, measure_level
-from ragwort_policy._gossip_state import (
-    Membership,
-    PendingPing,
-    RandomSource,
-    Send,
+from ragwort_policy._gossip_exchange import (
     emit,
     learn,
     list_neighbours,
@@ -16,6 +12,8 @@
     pick_news,
     suspicion_timeout_s,
 )
+from ragwort_policy._gossip_settings import RandomSource
+from ragwort_policy._gossip_state import Membership, PendingPing, Send
 from ragwort_policy._peer import Peer
 from ragwort_policy._table import end_suspicion, start_suspicion
 
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_gossip_exchange.py
@@ -0,0 +1,178 @@
+"""What the parts of membership do in common: send within the budgets, and take in news."""
+
+from math import log10
+
+from ragwort_common import NodeId, Revision
+from ragwort_protocol import Message, News, PeerState, Ping, encode_frame
+
+from ragwort_policy._budget import (
+    Budget,
+    Traffic,
+    measure_level,
+    measure_tokens_bytes,
+    try_spend,
+)
+from ragwort_policy._dissemination import add_news, take_news
+from ragwort_policy._gossip_state import Membership, Send
+from ragwort_policy._peer import Peer, describe_peer, generation_of, raise_incarnation
+from ragwort_policy._table import (
+    estimate_size,
+    list_region,
+    merge_news,
+    set_state,
+    start_suspicion,
+)
+
+NEWS_RESERVE = 0.4
+
+_FRAME_MARGIN_BYTES = 64
+_LEAST_NEWS_BYTES = 64
+_FAR_STATES = frozenset({PeerState.ALIVE, PeerState.LEAVING, PeerState.DEAD, PeerState.LEFT})
+
+
+def emit(
+    membership: Membership,
+    sends: list[Send],
+    now: float,
+    to: NodeId,
+    message: Message,
+    traffic: Traffic,
+) -> bool:
+    """Add a message to the sends if the budgets allow it, and return whether they did."""
+    size_bytes = len(encode_frame(message))
+    if not try_spend(_budgets_to(membership, to), now, traffic, size_bytes):
+        return False
+    membership.counters.sent_bytes += size_bytes
+    sends.append(Send(to, message, size_bytes, traffic))
+    return True
+
+
+def fit_bytes(
+    membership: Membership, now: float, to: NodeId, traffic: Traffic, wanted_bytes: int
+) -> int:
+    """Return how much a message to a peer may hold so that the budgets allow it now.
+
+    Long messages are cut to this, since one that is longer than a budget's burst would never go.
+    """
+    room = min(
+        measure_tokens_bytes(budget, now) - traffic.value * budget.burst_bytes
+        for budget in _budgets_to(membership, to)
+    )
+    return min(wanted_bytes, int(room) - _FRAME_MARGIN_BYTES)
+
+
+def pick_news(membership: Membership, now: float, to: NodeId, traffic: Traffic) -> list[News]:
+    """Return the news to ride on a message to a peer.
+
+    What is held against the receiver itself always rides along, so that it can refute it. The
+    rest shrinks with the budget's level.
+    """
+    news = _accuse(membership, to)
+    wanted_bytes = int(membership.settings.news_bytes * _share_for_news(membership, now))
+    room = fit_bytes(membership, now, to, traffic, wanted_bytes)
+    if room < _LEAST_NEWS_BYTES:
+        return news
+    news += take_news(membership.queue, len(membership.table.peers), room)
+    return news
+
+
+def _share_for_news(membership: Membership, now: float) -> float:
+    # News stops well before probes and answers do. If it took the room for answers, live nodes
+    # would be suspected, and the news of that would make matters worse.
+    level = measure_level(membership.budget, now)
+    return min(1.0, max(0.0, (level - NEWS_RESERVE) / NEWS_RESERVE))
+
+
+def make_ping(membership: Membership, now: float, to: NodeId, sequence: int) -> Ping:
+    """Return a probe for a peer, with news."""
+    news = pick_news(membership, now, to, Traffic.PROBE)
+    return Ping(sequence, membership.own.revision, news)
+
+
+def take_in(membership: Membership, news: list[News], now: float, passes_on: bool = True) -> None:
+    """Merge news from a peer, and queue for others what was new if it is to be passed on."""
+    for item in news:
+        if item.node_id == membership.own.node_id:
+            defend(membership, item, now)
+        else:
+            learn(membership, item, now, passes_on)
+
+
+def learn(membership: Membership, news: News, now: float, passes_on: bool = True) -> bool:
+    """Merge news of another peer; return whether it changed anything."""
+    change = merge_news(membership.table, news, now)
+    if change is None:
+        return False
+    membership.changes.append(change)
+    if passes_on:
+        spread(membership, change.peer, news)
+    if change.peer.state is PeerState.SUSPECT and change.peer.region == membership.own.region:
+        start_suspicion(membership.table, change.peer, now + suspicion_timeout_s(membership))
+    return True
+
+
+def spread(membership: Membership, peer: Peer, news: News) -> None:
+    """Queue news for the own region, and on a bridge for the other regions too."""
+    add_news(membership.queue, news)
+    is_far_news = news.state in _FAR_STATES and peer.region == membership.own.region
+    if is_far_news and membership.bridging.is_bridge:
+        add_news(membership.bridging.queue, news)
+
+
+def note_revision(membership: Membership, revision: int, holder: NodeId) -> None:
+    """Note a rules revision that a peer has in force, or that is only heard of."""
+    peer = membership.table.peers.get(holder)
+    if peer is not None and revision > peer.revision:
+        peer.revision = Revision(revision)
+    is_higher = revision > membership.highest_revision
+    if is_higher or (revision == membership.highest_revision and not membership.highest_holder):
+        membership.highest_revision = Revision(revision)
+        membership.highest_holder = holder
+
+
+def defend(membership: Membership, news: News, now: float) -> None:
+    """Refute news of this node itself that would take it out of use.
+
+    News older than what this node states is answered too: its sender has missed the refutation.
+    """
+    own = membership.own
+    if own.state is PeerState.LEFT:
+        return
+    is_newer_news = (news.incarnation, news.state.value) > (own.incarnation, own.state.value)
+    if not is_newer_news:
+        if news.state is not PeerState.ALIVE and news.incarnation < own.incarnation:
+            spread(membership, own, describe_peer(own, with_profile=False))
+        return
+    is_other_start = news.incarnation > own.incarnation
+    incarnation = raise_incarnation(own.incarnation, news.incarnation)
+    set_state(membership.table, own, incarnation, own.state, now)
+    own.profile_generation = generation_of(incarnation)
+    membership.counters.refutations += 1
+    spread(membership, own, describe_peer(own, with_profile=is_other_start))
+
+
+def suspicion_timeout_s(membership: Membership) -> float:
+    """Return how long a suspected peer has to refute; it grows with the region's size."""
+    settings = membership.settings
+    size = estimate_size(membership.table, membership.own.region)
+    return settings.suspicion_factor * max(2.0, log10(size + 1)) * settings.probe_period_s
+
+
+def list_neighbours(membership: Membership) -> list[Peer]:
+    """Return the peers of the own region that are not gone, without this node."""
+    peers = list_region(membership.table, membership.own.region)
+    return [peer for peer in peers if peer is not membership.own]
+
+
+def _budgets_to(membership: Membership, to: NodeId) -> list[Budget]:
+    peer = membership.table.peers.get(to)
+    if peer is not None and peer.region != membership.own.region:
+        return [membership.budget, membership.paid_budget]
+    return [membership.budget]
+
+
+def _accuse(membership: Membership, to: NodeId) -> list[News]:
+    peer = membership.table.peers.get(to)
+    if peer is None or peer.state in (PeerState.ALIVE, PeerState.LEAVING):
+        return []
+    return [describe_peer(peer, with_profile=False)]
--- a/packages/policy/src/ragwort_policy/_membership.py
+++ b/packages/policy/src/ragwort_policy/_membership.py
@@ -4,7 +4,7 @@
 on links; their bytes have been charged to the budgets already.
 """
 
-from ragwort_common import Incarnation, NodeId, Revision, ServiceName
+from ragwort_common import Incarnation, NodeId, Revision
 from ragwort_protocol import (
     Digest,
     LoadNotice,
@@ -32,20 +32,17 @@
     tick_detector,
 )
 from ragwort_policy._dissemination import has_unsent, take_unsent
-from ragwort_policy._gossip_state import (
+from ragwort_policy._gossip_exchange import (
     NEWS_RESERVE,
-    Membership,
-    MembershipSettings,
-    RandomSource,
-    RegionLoad,
-    Send,
     emit,
     list_neighbours,
     note_revision,
     spread,
     take_in,
 )
-from ragwort_policy._pause import is_current, note_activity
+from ragwort_policy._gossip_settings import MembershipSettings, RandomSource
+from ragwort_policy._gossip_state import Membership, Send
+from ragwort_policy._pause import note_activity
 from ragwort_policy._peer import Peer, describe_peer, generation_of, raise_incarnation, rank_of
 from ragwort_policy._repair import (
     answer_digest,
@@ -57,9 +54,7 @@
 )
 from ragwort_policy._table import (
     BRIDGES_PER_REGION,
-    Change,
     list_bridges,
-    list_service,
     merge_news,
     remove_peer,
     set_state,
@@ -219,73 +214,6 @@
     return sends
 
 
-def take_changes(membership: Membership) -> list[Change]:
-    """Return the changes of other peers since the last call."""
-    changes = membership.changes
-    membership.changes = []
-    return changes
-
-
-def find_peer(membership: Membership, node_id: NodeId) -> Peer | None:
-    """Return the record of a peer, also of one that is gone."""
-    return membership.table.peers.get(node_id)
-
-
-def list_servers(membership: Membership, service: ServiceName) -> list[Peer]:
-    """Return the peers that may be given calls of a service; the list must not be changed.
-
-    Suspects are among them, to be taken last. Peers of a region that is cut off are not.
-    """
-    return list_service(membership.table, service)
-
-
-def list_alive(membership: Membership) -> list[Peer]:
-    """Return all usable peers in reach, this node included."""
-    unreachable = membership.table.unreachable
-    return [
-        peer
-        for peer in membership.table.peers.values()
-        if peer.is_usable and peer.region not in unreachable
-    ]
-
-
-def list_region_loads(membership: Membership, service: ServiceName, now: float) -> list[RegionLoad]:
-    """Return what other regions have lately reported of a service."""
-    found = []
-    for region, view in membership.bridging.regions.items():
-        known = view.loads.get(service)
-        if known is None or region in membership.table.unreachable:
-            continue
-        if now - known.heard_at < membership.settings.cut_after_s:
-            found.append(known)
-    return found
-
-
-def list_orphans(membership: Membership, now: float) -> list[Peer]:
-    """Return the peers of the own region whose announcements this node is to remove.
-
-    For each of them one usable peer is the deputy, by rendezvous hash. A node whose view is not
-    current removes nothing.
-    """
-    if not is_current(membership, now):
-        return []
-    own = membership.own
-    deputies = [peer for peer in list_neighbours(membership) if peer.is_usable] + [own]
-    before = now - membership.settings.orphan_s
-    return [
-        peer
-        for peer in membership.table.peers.values()
-        if peer.is_gone
-        and peer.region == own.region
-        and peer.changed_at <= before
-        and _pick_deputy(peer, deputies) is own
-    ]
-
-
-def _pick_deputy(orphan: Peer, deputies: list[Peer]) -> Peer:
-    return max(deputies, key=lambda peer: rank_of(f"{orphan.node_id}/{peer.node_id}"))
-
-
 def _restate(
     membership: Membership, state: PeerState, now: float, random: RandomSource
 ) -> list[Send]:
--- a/packages/policy/src/ragwort_policy/_pause.py
+++ b/packages/policy/src/ragwort_policy/_pause.py
@@ -6,7 +6,10 @@
 """
 
 from ragwort_policy._detector import is_isolated
-from ragwort_policy._gossip_state import Membership, list_neighbours
+from ragwort_policy._gossip_exchange import (
+    list_neighbours,
+)
+from ragwort_policy._gossip_state import Membership
 
 
 def note_activity(membership: Membership, now: float) -> None:
--- a/packages/policy/src/ragwort_policy/_repair.py
+++ b/packages/policy/src/ragwort_policy/_repair.py
@@ -11,15 +11,14 @@
 
 from ragwort_policy._budget import Traffic
 from ragwort_policy._digest import list_differences, pack_digest
-from ragwort_policy._gossip_state import (
-    Membership,
-    RandomSource,
-    Send,
+from ragwort_policy._gossip_exchange import (
     emit,
     fit_bytes,
     list_neighbours,
     take_in,
 )
+from ragwort_policy._gossip_settings import RandomSource
+from ragwort_policy._gossip_state import Membership, Send
 from ragwort_policy._peer import Peer, describe_peer, generation_of, is_newer
 from ragwort_policy._table import list_bucket
 
