--- a/packages/policy/src/ragwort_policy/__init__.py
+++ b/packages/policy/src/ragwort_policy/__init__.py
@@ -41,15 +41,9 @@
 )
 from ragwort_policy._claim import ClaimTable
 from ragwort_policy._fence import EpochFence
-from ragwort_policy._gossip_state import (
-    GossipCounters,
-    Membership,
-    MembershipSettings,
-    RandomSource,
-    RegionLoad,
-    Send,
-    take_in,
-)
+from ragwort_policy._gossip_exchange import take_in
+from ragwort_policy._gossip_settings import MembershipSettings, RandomSource
+from ragwort_policy._gossip_state import GossipCounters, Membership, RegionLoad, Send
 from ragwort_policy._hedge import (
     HedgeState,
     get_hedge_delay,
@@ -76,22 +70,24 @@
     announce_left,
     announce_resumed,
     create_membership,
-    find_peer,
     join_peers,
-    list_alive,
-    list_orphans,
-    list_region_loads,
-    list_servers,
     note_link_lost,
     receive_message,
     set_load,
     set_revision,
-    take_changes,
     tick_membership,
 )
 from ragwort_policy._ownership import NOBODY, OwnerMap, RangeOwner, choose_owner, count_excess
 from ragwort_policy._pause import is_current
 from ragwort_policy._peer import Peer, first_incarnation
+from ragwort_policy._peer_lists import (
+    find_peer,
+    list_alive,
+    list_orphans,
+    list_region_loads,
+    list_servers,
+    take_changes,
+)
 from ragwort_policy._probing import ProbeBudget, ProbeSettings, make_probe_budget, plan_probe
 from ragwort_policy._retry import (
     Attempt,
