--- a/packages/node/src/ragwort_node/_gossip.py
+++ b/packages/node/src/ragwort_node/_gossip.py
@@ -128,8 +128,8 @@
     """What the gossip task owns; other tasks read the membership and put events.
 
     ``on_revision`` is told each higher rules revision, with a peer that has it in force; the peer
-    is empty while no peer has stated that itself. ``unsent`` counts messages for which there was no link, ``dropped`` events for which the queue
-    had no room.
+    is empty while no peer has stated that itself. ``unsent`` counts messages for which there was
+    no link, ``dropped`` events for which the queue had no room.
     """
 
     membership: Membership
@@ -194,6 +194,9 @@
     await asyncio.sleep(START_SPREAD_S * gossip.random.random())
     await _retry_until_done(gossip, lambda: _announce(gossip, store))
     await _retry_until_done(gossip, lambda: _list_peers(gossip, store))
+    # Nodes that start together list the platform before all of them have announced themselves.
+    await asyncio.sleep(2 * START_SPREAD_S)
+    await _retry_until_done(gossip, lambda: _list_peers(gossip, store))
     removed: set[tuple[NodeId, int]] = set()
     while True:
         await asyncio.sleep(ORPHAN_PERIOD_S * (0.5 + gossip.random.random()))
--- /dev/null
+++ b/packages/node/src/ragwort_node/_owner.py
@@ -0,0 +1,218 @@
+"""Acquires, renews and releases the leases of key ranges, and answers claims for them."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+from expression import Result
+from ragwort_common import Epoch, NodeId
+from ragwort_platform import Lease, LeaseError, LeaseErrorKind
+from ragwort_policy import KEY_RANGES, NOBODY, OwnerMap, choose_owner, count_excess
+from ragwort_protocol import ClaimReply, ClaimRequest, ClaimResult, ClaimVerdict, OwnerNotice
+
+from ragwort_node._journal_store import JournalStore, format_lease_path
+from ragwort_node._owner_limits import OwnerClocks, OwnerLimits
+from ragwort_node._range_owner import RangeKeeper
+
+log = logging.getLogger(__name__)
+
+LEASE_TTL_MS = 60_000
+LEASE_MARGIN_MS = 2_000
+RENEW_EVERY_S = 15.0
+TICK_S = 5.0
+NOT_OWNER_RETRY_MS = 2_000
+
+
+class RangeLeases(Protocol):
+    """The leases of the key ranges at the platform; ``LeaseClient`` has these calls."""
+
+    async def acquire_lease(self, path: str, floor: Epoch) -> Result[Lease, LeaseError]:
+        """Take a lease that is free or has lapsed, in an epoch above the floor."""
+
+    async def renew_lease(self, lease: Lease) -> Result[Lease, LeaseError]:
+        """Hold a lease for longer, in the same epoch."""
+
+    async def release_lease(self, lease: Lease) -> Result[None, LeaseError]:
+        """Give a lease up at once."""
+
+
+@dataclass(slots=True)
+class _Held:
+    """An owned range: its lease, its state and the task that writes its journal."""
+
+    key_range: int
+    lease: Lease
+    keeper: RangeKeeper
+    task: asyncio.Task[None]
+    renewed_s: float
+
+
+class KeyOwner:
+    """Owns this node's key ranges; ``run`` is its task.
+
+    Parameters
+    ----------
+    node
+        This node.
+    store, leases, clocks, limits
+        The platform's objects and leases, the clocks, and the limits of each range.
+    owners
+        Last known owners, shared with the entry and fed by gossip.
+    list_nodes
+        Returns the nodes that may own ranges now: alive, not leaving, in the preferred region.
+    announce
+        Takes the news of an owned range, for gossip.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        store: JournalStore,
+        leases: RangeLeases,
+        clocks: OwnerClocks,
+        limits: OwnerLimits,
+        owners: OwnerMap,
+        list_nodes: Callable[[], Iterable[NodeId]],
+        announce: Callable[[OwnerNotice], None],
+        ranges: int = KEY_RANGES,
+    ) -> None:
+        self._node = node
+        self._store = store
+        self._leases = leases
+        self._clocks = clocks
+        self._limits = limits
+        self._owners = owners
+        self._list_nodes = list_nodes
+        self._announce = announce
+        self._ranges = ranges
+        self._held: dict[int, _Held] = {}
+        self._floors: dict[int, Epoch] = {}
+
+    def list_held(self) -> list[OwnerNotice]:
+        """Return the ranges that this node owns."""
+        held = self._held.values()
+        return [OwnerNotice(each.key_range, each.lease.epoch, self._node) for each in held]
+
+    async def run(self) -> None:
+        """Renew and acquire leases until cancelled."""
+        while True:
+            await self.tick()
+            await self._clocks.sleep(TICK_S)
+
+    async def tick(self) -> None:
+        """Renew the leases that are due, give up what is lost or too much, take what is free."""
+        await self._drop_lost()
+        await self._release_excess()
+        renewals = [self._renew(held) for held in self._held.values() if self._is_due(held)]
+        free = [self._acquire(number) for number in self._list_wanted()]
+        await asyncio.gather(*renewals, *free)
+
+    async def answer_claim(self, claim: ClaimRequest) -> ClaimReply:
+        """Decide a claim that an entry sent to this node."""
+        held = self._held.get(claim.key_range)
+        if held is None or claim.epoch > held.lease.epoch:
+            return self._point_elsewhere(claim)
+        return await held.keeper.answer_claim(claim)
+
+    def take_result(self, result: ClaimResult) -> bool:
+        """Take in how a claimed call ended; tell whether it was of use."""
+        held = self._held.get(result.key_range)
+        return held is not None and held.keeper.take_result(result)
+
+    async def stop(self) -> None:
+        """Release all ranges at once; call it after ``run`` has been cancelled."""
+        await asyncio.gather(*[self._release(held) for held in list(self._held.values())])
+
+    def _point_elsewhere(self, claim: ClaimRequest) -> ClaimReply:
+        owner = self._owners.find(claim.key_range)
+        known = owner is not None and owner.node not in (self._node, NOBODY)
+        return ClaimReply(
+            claim.attempt,
+            ClaimVerdict.NOT_OWNER,
+            owner.epoch if owner and known else 0,
+            NOT_OWNER_RETRY_MS,
+            hint=owner.node if owner and known else "",
+        )
+
+    def _list_wanted(self) -> list[int]:
+        nodes = list(self._list_nodes())
+        accepting = set(nodes)
+        if self._node not in accepting:
+            return []
+        counts = self._owners.count_ranges()
+        counts[self._node] = len(self._held)
+        wanted = []
+        for number in range(self._ranges):
+            owner = self._find_known(number, accepting)
+            if number in self._held or (owner is not None and owner != self._node):
+                continue
+            # A range that the others still take for this node's is acquired again in any case.
+            chosen = owner or choose_owner(number, nodes, counts, self._ranges)
+            assert chosen is not None
+            counts[chosen] = counts.get(chosen, 0) + 1
+            if chosen == self._node:
+                wanted.append(number)
+        return wanted
+
+    def _find_known(self, number: int, accepting: set[NodeId]) -> NodeId | None:
+        owner = self._owners.find(number)
+        return owner.node if owner is not None and owner.node in accepting else None
+
+    async def _acquire(self, number: int) -> None:
+        known = self._owners.find(number)
+        floor = max(self._floors.get(number, Epoch(0)), known.epoch if known else Epoch(0))
+        got = await self._leases.acquire_lease(format_lease_path(number), floor)
+        if got.is_error():
+            return
+        lease = got.ok
+        keeper = RangeKeeper(number, lease.epoch, self._store, self._clocks, self._limits)
+        keeper.extend_lease(lease.deadline)
+        task = asyncio.create_task(keeper.run(), name=f"key range {number}")
+        self._held[number] = _Held(number, lease, keeper, task, self._clocks.now())
+        self._owners.learn(number, self._node, lease.epoch)
+        self._announce(OwnerNotice(number, lease.epoch, self._node))
+
+    def _is_due(self, held: _Held) -> bool:
+        return self._clocks.now() - held.renewed_s >= RENEW_EVERY_S
+
+    async def _renew(self, held: _Held) -> None:
+        got = await self._leases.renew_lease(held.lease)
+        if got.is_ok():
+            held.lease = got.ok
+            held.renewed_s = self._clocks.now()
+            held.keeper.extend_lease(held.lease.deadline)
+            await held.keeper.drop_expired()
+        elif got.error.kind is LeaseErrorKind.LOST:
+            log.warning("range %d: another node holds the lease", held.key_range)
+            self._forget(held)
+            held.keeper.close()
+
+    async def _drop_lost(self) -> None:
+        for held in [held for held in self._held.values() if held.task.done()]:
+            # A head of a higher epoch than the lease's: the lease object was lost or replaced.
+            self._floors[held.key_range] = held.keeper.journal.seen_epoch
+            self._forget(held)
+            await self._leases.release_lease(held.lease)
+
+    async def _release_excess(self) -> None:
+        nodes = list(self._list_nodes())
+        if self._node not in nodes:
+            await self.stop()
+            return
+        excess = count_excess(len(self._held), len(nodes), self._ranges)
+        for held in list(self._held.values())[:excess]:
+            await self._release(held)
+
+    async def _release(self, held: _Held) -> None:
+        held.keeper.extend_lease(0.0)
+        self._forget(held)
+        await held.keeper.release()
+        await self._leases.release_lease(held.lease)
+        self._owners.learn(held.key_range, NOBODY, held.lease.epoch)
+        self._announce(OwnerNotice(held.key_range, held.lease.epoch, NOBODY))
+
+    def _forget(self, held: _Held) -> None:
+        held.task.cancel()
+        self._held.pop(held.key_range, None)
--- /dev/null
+++ b/packages/node/src/ragwort_node/_range_owner.py
@@ -0,0 +1,262 @@
+"""Owns one key range in one epoch: decides its claims and writes its journal.
+
+All claims that wait for the journal share its next write. One write is under way at a time, and
+a token bucket paces them, so that the fleet's writes for keys stay within their budget however
+many calls arrive.
+"""
+
+import asyncio
+import logging
+from collections import Counter
+
+from ragwort_common import Epoch
+from ragwort_platform import ErrorKind
+from ragwort_policy import (
+    ClaimDecision,
+    ClaimTable,
+    CloseSegment,
+    Journal,
+    LoadSegments,
+    Need,
+    Phase,
+    ReadHead,
+    Step,
+    WriteHead,
+    WritePace,
+    split_marks,
+)
+from ragwort_protocol import ClaimReply, ClaimRequest, ClaimResult, ClaimVerdict
+
+from ragwort_node._journal_store import (
+    JournalStore,
+    Malformed,
+    close_segment,
+    delete_segment,
+    load_segments,
+    read_head,
+    write_head,
+)
+from ragwort_node._owner_limits import OwnerClocks, OwnerLimits
+
+log = logging.getLogger(__name__)
+
+RESOLVED_BY_READING = (ErrorKind.UNCERTAIN, ErrorKind.CONFLICT)
+RETRY_PAUSE_S = 0.25
+TURN_PAUSE_S = 0.001
+OPENING_RETRY_MS = 1_000
+
+
+class RangeKeeper:
+    """The state of one owned key range; ``run`` is the task that writes its journal.
+
+    Attributes
+    ----------
+    counts
+        Verdicts by ``ClaimVerdict``.
+    writes
+        Count of head writes that were sent.
+    """
+
+    def __init__(
+        self,
+        key_range: int,
+        epoch: Epoch,
+        store: JournalStore,
+        clocks: OwnerClocks,
+        limits: OwnerLimits,
+    ) -> None:
+        self.key_range = key_range
+        self.epoch = epoch
+        self.counts: Counter[ClaimVerdict] = Counter()
+        self.writes = 0
+        self.journal = Journal(epoch, limits.journal)
+        self.table: ClaimTable | None = None
+        self._lease_until_s = 0.0
+        self._store = store
+        self._clocks = clocks
+        self._limits = limits
+        self._changed = asyncio.Event()
+        self._wake = asyncio.Event()
+        self._pace = WritePace(limits.writes_per_s, limits.writes_burst, clocks.now())
+        self._failing = False
+
+    def extend_lease(self, until_s: float) -> None:
+        """Take in the monotonic time up to which the lease is held."""
+        self._lease_until_s = until_s
+        if self.table is not None:
+            self.table.lease_until_s = until_s
+
+    async def answer_claim(self, claim: ClaimRequest) -> ClaimReply:
+        """Decide a claim, if need be after the journal's next write."""
+        deadline_s = self._clocks.now() + claim.budget_ms / 1_000
+        decision = self._decide(claim)
+        while decision.need is not Need.NONE and self._can_write_by(deadline_s):
+            self._want(claim, decision.need)
+            if not await self._wait_change(deadline_s):
+                break
+            decision = self._decide(claim)
+        self.counts[decision.verdict] += 1
+        return ClaimReply(
+            claim.attempt, decision.verdict, self.epoch, decision.retry_after_ms, decision.answer
+        )
+
+    def take_result(self, result: ClaimResult) -> bool:
+        """Take in how a claimed call ended; tell whether it was of use."""
+        return self.table is not None and self.table.settle(result, self._clocks.now())
+
+    async def run(self) -> None:
+        """Write the journal until the range is lost to another owner."""
+        while self.journal.phase is not Phase.LOST:
+            step = self.journal.next_step(self._clocks.wall_ms())
+            if step is None:
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            await self._wait_turn()
+            await self._make_step()
+        log.warning("range %d: epoch %d is over", self.key_range, self.epoch)
+        self._notify()
+
+    async def release(self) -> None:
+        """Stop granting, then write the horizon down to what was granted."""
+        self.extend_lease(0.0)
+        step = self.journal.make_release(self.table.highest_ms) if self.table else None
+        if step is not None:
+            await self._write_head(step)
+        self.close()
+
+    def close(self) -> None:
+        """End the epoch and the waiting claims with it."""
+        self.extend_lease(0.0)
+        self.journal.phase = Phase.LOST
+        self._notify()
+
+    async def drop_expired(self) -> None:
+        """Delete the segments that are past their retention."""
+        for segment in self.journal.take_expired(self._clocks.wall_ms()):
+            if self.table is not None:
+                self.table.drop_marks(split_marks(segment.head.marks))
+            await delete_segment(self._store, self.key_range, segment)
+
+    def _decide(self, claim: ClaimRequest) -> ClaimDecision:
+        now = self._clocks.now()
+        if self.table is None or self.journal.phase is Phase.LOST:
+            return ClaimDecision(ClaimVerdict.NO_LEASE, OPENING_RETRY_MS)
+        wall_ms = self._clocks.wall_ms()
+        decision = self.table.decide(claim, now, wall_ms)
+        granted = decision.verdict is ClaimVerdict.GRANTED
+        if granted and claim.minted_ms and self.journal.want_horizon(claim.minted_ms, wall_ms):
+            self._wake.set()
+        return decision
+
+    def _can_write_by(self, deadline_s: float) -> bool:
+        # A claim that the journal cannot serve in time is refused at once, not at its deadline.
+        if self.journal.phase is Phase.LOST or self._failing:
+            return False
+        if self.journal.waiting >= self._limits.journal.segment_marks:
+            return False
+        return max(self._clocks.now(), self._pace.find_turn()) < deadline_s
+
+    def _want(self, claim: ClaimRequest, need: Need) -> None:
+        if need is Need.MARK:
+            self.journal.want_mark(claim.key_hash)
+        else:
+            self.journal.want_horizon(claim.minted_ms, self._clocks.wall_ms())
+        self._wake.set()
+
+    async def _wait_change(self, deadline_s: float) -> bool:
+        changed = self._changed
+        try:
+            async with asyncio.timeout(max(0.0, deadline_s - self._clocks.now())):
+                await changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _notify(self) -> None:
+        changed = self._changed
+        self._changed = asyncio.Event()
+        changed.set()
+
+    async def _wait_turn(self) -> None:
+        while not self._pace.take_turn(now := self._clocks.now()):
+            await self._clocks.sleep(max(TURN_PAUSE_S, self._pace.find_turn() - now))
+
+    async def _make_step(self) -> None:
+        # The step is asked for again here, so that the write takes all claims that have come in
+        # while the task waited for its turn.
+        step = self.journal.next_step(self._clocks.wall_ms())
+        self._failing = step is not None and not await self._carry_out(step)
+        if self._failing:
+            self._notify()
+            await self._clocks.sleep(RETRY_PAUSE_S)
+
+    async def _carry_out(self, step: Step) -> bool:
+        match step:
+            case ReadHead():
+                return await self._read_head()
+            case WriteHead():
+                return await self._write_head(step)
+            case CloseSegment():
+                return await self._close_segment(step)
+            case LoadSegments():
+                return await self._load_segments()
+
+    async def _read_head(self) -> bool:
+        found = await read_head(self._store, self.key_range)
+        if found is None:
+            return False
+        if isinstance(found, Malformed):
+            self.journal.phase = Phase.LOST
+            return True
+        self._admit(self.journal.take_head(found.version, found.head))
+        return True
+
+    async def _write_head(self, step: WriteHead) -> bool:
+        self.writes += 1
+        written = await write_head(self._store, self.key_range, step)
+        version = written.ok.version if written.is_ok() else None
+        self._admit(self.journal.take_write(step, version))
+        return written.is_ok() or written.error.kind in RESOLVED_BY_READING
+
+    async def _close_segment(self, step: CloseSegment) -> bool:
+        done = await close_segment(self._store, self.key_range, step)
+        self.journal.take_close(step, done)
+        return done
+
+    async def _load_segments(self) -> bool:
+        segments = await load_segments(self._store, self.key_range)
+        if segments is None:
+            return False
+        if isinstance(segments, Malformed):
+            self.journal.phase = Phase.LOST
+            return True
+        self.journal.take_segments(segments)
+        self._open_table()
+        return True
+
+    def _open_table(self) -> None:
+        head = self.journal.head
+        assert head is not None
+        self.table = ClaimTable(
+            self.epoch, head.floor_ms, self.journal.earlier, self._limits.claims
+        )
+        self.table.horizon_ms = head.horizon_ms
+        self.table.lease_until_s = self._lease_until_s
+        log.info("range %d: owned in epoch %d", self.key_range, self.epoch)
+        ahead_ms = head.floor_ms - self._clocks.wall_ms()
+        if ahead_ms > self._limits.journal.horizon_ms:
+            log.warning(
+                "range %d: the floor is %d ms ahead of this clock", self.key_range, ahead_ms
+            )
+        self._notify()
+
+    def _admit(self, key_hashes: list[bytes]) -> None:
+        head = self.journal.head
+        if self.table is None or head is None or self.journal.phase is not Phase.READY:
+            return
+        self.table.horizon_ms = head.horizon_ms
+        now = self._clocks.now()
+        for key_hash in key_hashes:
+            self.table.admit_durable(key_hash, now)
+        self._notify()
--- a/packages/policy/src/ragwort_policy/__init__.py
+++ b/packages/policy/src/ragwort_policy/__init__.py
@@ -5,6 +5,7 @@
     Decision,
     GateLimits,
     GateState,
+    Shed,
     Verdict,
     arrive,
     cancel,
@@ -13,8 +14,10 @@
     list_queued,
     make_gate,
     make_report,
+    shed_waiting,
     start_leaving,
     start_waiting,
+    stop_leaving,
 )
 from ragwort_policy._budget import (
     Budget,
@@ -36,6 +39,8 @@
     record_sent,
     update_servers,
 )
+from ragwort_policy._claim import ClaimTable
+from ragwort_policy._fence import EpochFence
 from ragwort_policy._gossip_exchange import (
     take_in,
 )
@@ -48,6 +53,19 @@
     record_latency,
     take_hedge,
 )
+from ragwort_policy._journal import Journal, JournalLimits, Phase
+from ragwort_policy._journal_head import JournalHead, Segment, decode_head, encode_head, split_marks
+from ragwort_policy._journal_step import CloseSegment, LoadSegments, ReadHead, Step, WriteHead
+from ragwort_policy._key_record import ClaimDecision, ClaimLimits, KeyState, Need
+from ragwort_policy._keyrange import (
+    KEY_RANGES,
+    MAX_KEY_BYTES,
+    choose_range,
+    hash_call,
+    hash_key,
+    normalize_key,
+    read_minted_ms,
+)
 from ragwort_policy._membership import (
     add_announced,
     announce_leaving,
@@ -61,13 +79,9 @@
     set_revision,
     tick_membership,
 )
-from ragwort_policy._pause import (
-    is_current,
-)
-from ragwort_policy._peer import (
-    Peer,
-    first_incarnation,
-)
+from ragwort_policy._ownership import NOBODY, OwnerMap, RangeOwner, choose_owner, count_excess
+from ragwort_policy._pause import is_current
+from ragwort_policy._peer import Peer, first_incarnation
 from ragwort_policy._peer_lists import (
     find_peer,
     list_alive,
@@ -85,9 +99,29 @@
     spend_attempt,
     take_retry,
 )
-from ragwort_policy._table import (
-    Change,
+from ragwort_policy._revision import (
+    UNKNOWN_DIGEST,
+    RevisionState,
+    Stamp,
+    Standing,
+    adopt_revision,
+    choose_source,
+    digest_document,
+    drop_source,
+    judge_revision,
+    note_source,
+    refuse_revision,
+)
+from ragwort_policy._table import Change
+from ragwort_policy._watchers import (
+    NOTICE_FANOUT,
+    WATCHERS_PER_DOMAIN,
+    PlacedPeer,
+    choose_notice_targets,
+    choose_watchers,
+    is_watcher,
 )
+from ragwort_policy._write_pace import WritePace
 
 __all__ = [
     "Arrival",
@@ -97,23 +131,54 @@
     "Change",
     "ChoiceSettings",
     "ChoiceState",
+    "ClaimDecision",
+    "ClaimLimits",
+    "ClaimTable",
+    "CloseSegment",
     "Decision",
+    "EpochFence",
     "GateLimits",
     "GateState",
     "GossipCounters",
     "HedgeState",
+    "Journal",
+    "JournalHead",
+    "JournalLimits",
+    "KEY_RANGES",
+    "KeyState",
+    "LoadSegments",
+    "MAX_KEY_BYTES",
     "Membership",
     "MembershipSettings",
+    "NOBODY",
+    "NOTICE_FANOUT",
+    "Need",
+    "OwnerMap",
     "Peer",
+    "Phase",
+    "PlacedPeer",
     "ProbeBudget",
     "ProbeSettings",
     "RandomSource",
+    "RangeOwner",
+    "ReadHead",
     "RegionLoad",
+    "RevisionState",
+    "Segment",
     "Send",
     "ServerPlace",
+    "Shed",
+    "Stamp",
+    "Standing",
+    "Step",
     "Traffic",
+    "UNKNOWN_DIGEST",
     "Verdict",
+    "WATCHERS_PER_DOMAIN",
+    "WriteHead",
+    "WritePace",
     "add_announced",
+    "adopt_revision",
     "announce_leaving",
     "announce_left",
     "announce_resumed",
@@ -121,17 +186,31 @@
     "can_spend",
     "cancel",
     "charge_received",
+    "choose_notice_targets",
+    "choose_owner",
+    "choose_range",
     "choose_server",
+    "choose_source",
+    "choose_watchers",
+    "count_excess",
     "create_membership",
+    "decode_head",
+    "digest_document",
+    "drop_source",
     "earn_attempts",
+    "encode_head",
     "expire",
     "find_peer",
     "finish",
     "first_incarnation",
     "get_hedge_delay",
+    "hash_call",
+    "hash_key",
     "is_current",
     "is_repeatable",
+    "is_watcher",
     "join_peers",
+    "judge_revision",
     "list_alive",
     "list_orphans",
     "list_queued",
@@ -144,18 +223,25 @@
     "make_probe_budget",
     "make_report",
     "measure_level",
+    "normalize_key",
     "note_link_lost",
+    "note_source",
     "plan_probe",
+    "read_minted_ms",
     "receive_message",
     "record_latency",
     "record_outcome",
     "record_report",
     "record_sent",
+    "refuse_revision",
     "set_load",
     "set_revision",
+    "shed_waiting",
     "spend_attempt",
+    "split_marks",
     "start_leaving",
     "start_waiting",
+    "stop_leaving",
     "take_changes",
     "take_hedge",
     "take_in",
--- a/packages/policy/src/ragwort_policy/_admission.py
+++ b/packages/policy/src/ragwort_policy/_admission.py
@@ -11,6 +11,14 @@
 from ragwort_common import CallId, Member, Reason
 from ragwort_protocol import LoadReport
 
+from ragwort_policy._breaker import (
+    Breaker,
+    allow_run,
+    get_trial_delay_ms,
+    is_open,
+    is_trial_due,
+    record_end,
+)
 from ragwort_policy._fairness import (
     FairQueue,
     add_waiting,
@@ -19,7 +27,14 @@
     pop_waiting,
     remove_waiting,
 )
-from ragwort_policy._limit import Limit, adjust_limit, get_limit, get_warmth, make_limit
+from ragwort_policy._limit import (
+    Limit,
+    adjust_limit,
+    get_limit,
+    get_warmth,
+    learn_no_load,
+    make_limit,
+)
 from ragwort_policy._service_time import (
     ServiceTime,
     add_call,
@@ -48,6 +63,8 @@
 
 RUN = Decision(Verdict.RUN)
 QUEUED = Decision(Verdict.QUEUED)
+SHED_FACTOR = 1.5
+"""Queued calls are refused when the expected wait is over the queue's bound by this factor."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -108,6 +125,7 @@
     lapsed: list[CallId] = field(default_factory=list)
     turns: int = 0
     leaving: bool = False
+    breaker: Breaker = field(default_factory=Breaker)
 
 
 def make_gate(limits: GateLimits, now: float) -> GateState:
@@ -124,9 +142,11 @@
     """Decide on a call that arrives; a queued one is started by a later ``finish``."""
     if state.leaving:
         return Decision(Verdict.REFUSED, Reason.LEAVING)
-    service_s = estimate_time(state.service, now)
     if call.deadline <= now:
         return Decision(Verdict.REFUSED, Reason.DEADLINE)
+    if not allow_run(state.breaker, now, len(state.running)):
+        return Decision(Verdict.REFUSED, Reason.SHED, get_trial_delay_ms(state.breaker, now))
+    service_s = _measure(state, now)
     limit = get_limit(state.limit, now)
     if _has_room(state, call.batch, limit):
         _start(state, call, now)
@@ -145,8 +165,9 @@
 ) -> list[CallId]:
     """Take in the end of a running call and return the queued calls that start now."""
     _stop(state, now, call_id, counts=not failed)
+    record_end(state.breaker, now, failed)
     if not failed:
-        adjust_limit(state.limit, latency, len(state.running) + 1)
+        learn_no_load(state.limit, estimate_time(state.service, now))
     return start_waiting(state, now)
 
 
@@ -163,20 +184,58 @@
 
 def expire(state: GateState, now: float) -> list[CallId]:
     """Take out and return the queued calls whose deadline has passed; they never ran."""
-    late = [call for call in state.waiting.values() if call.deadline <= now]
-    for call in late:
-        del state.waiting[call.call_id]
-        remove_waiting(state.batch if call.batch else state.interactive, call.member, call.call_id)
-    expired = state.lapsed + [call.call_id for call in late]
+    expired = state.lapsed
     state.lapsed = []
+    for call in [call for call in state.waiting.values() if call.deadline <= now]:
+        _unqueue(state, call)
+        expired.append(call.call_id)
     return expired
 
 
+@dataclass(slots=True, frozen=True)
+class Shed:
+    """Queued calls that are refused after all, and the refusal; they never ran."""
+
+    call_ids: list[CallId]
+    decision: Decision
+
+
+def shed_waiting(state: GateState, now: float) -> Shed | None:
+    """Take out the interactive calls that the server has become too slow to start in time.
+
+    These are the newest ones beyond what it can start within the queue's bound, or all of them
+    while the server fails every call. Asked while calls wait, it lets them try another server
+    instead of waiting for the slow one's end.
+    """
+    if not state.interactive.size:
+        return None
+    start_every_s = _measure(state, now) / get_limit(state.limit, now)
+    allowed = int(state.limits.queue_wait_ms / 1e3 * SHED_FACTOR / start_every_s)
+    if is_open(state.breaker):
+        allowed = 0
+    excess = state.interactive.size - allowed
+    if excess <= 0:
+        return None
+    # The dict of waiting calls is in the order of arrival.
+    newest = [call for call in state.waiting.values() if not call.batch][-excess:]
+    for call in newest:
+        _unqueue(state, call)
+    retry_after_ms = max(1, int((allowed + 1) * start_every_s * 1e3))
+    decision = Decision(Verdict.REFUSED, Reason.OVERLOADED, retry_after_ms)
+    return Shed([call.call_id for call in newest], decision)
+
+
+def _unqueue(state: GateState, call: Arrival) -> None:
+    del state.waiting[call.call_id]
+    remove_waiting(state.batch if call.batch else state.interactive, call.member, call.call_id)
+
+
 def start_waiting(state: GateState, now: float) -> list[CallId]:
     """Start queued calls while there is room; return them in the order of their start."""
     started: list[CallId] = []
+    _measure(state, now)
     limit = get_limit(state.limit, now)
-    while True:
+    while allow_run(state.breaker, now, len(state.running)):
         call = _take_next(state, limit)
         if call is None:
             return started
@@ -186,16 +245,18 @@
             continue
         _start(state, call, now)
         started.append(call.call_id)
+    return started
 
 
 def make_report(state: GateState, now: float) -> LoadReport:
     """Return the report that goes out with an answer, a refusal or a probe's reply."""
+    service_s = _measure(state, now)
     return LoadReport(
         in_flight=len(state.running),
         limit=get_limit(state.limit, now),
         queued=state.interactive.size,
-        service_time_us=int(estimate_time(state.service, now) * 1e6),
-        accepting=not state.leaving,
+        service_time_us=int(service_s * 1e6),
+        accepting=not state.leaving and is_trial_due(state.breaker, now),
         warm=get_warmth(state.limit, now),
     )
 
@@ -205,12 +266,23 @@
     state.leaving = True
 
 
+def stop_leaving(state: GateState) -> None:
+    """Take new calls again after a drain was ended."""
+    state.leaving = False
+
+
 def list_queued(state: GateState) -> list[CallId]:
     """Return the ids of all waiting calls."""
     queues = (state.interactive, state.batch)
     return [call.call_id for queue in queues for call in list_waiting(queue)]
 
 
+def _measure(state: GateState, now: float) -> float:
+    service_s = estimate_time(state.service, now)
+    adjust_limit(state.limit, service_s)
+    return service_s
+
+
 def _has_room(state: GateState, batch: bool, limit: int) -> bool:
     if len(state.running) >= limit:
         return False
--- a/packages/policy/src/ragwort_policy/_retry.py
+++ b/packages/policy/src/ragwort_policy/_retry.py
@@ -14,7 +14,9 @@
 BURST_CALLS = 10.0
 MAX_ATTEMPTS = 3
 
-FINAL_REASONS = frozenset({Reason.DEADLINE, Reason.CANCELLED, Reason.UNKNOWN_SERVICE})
+FINAL_REASONS = frozenset(
+    {Reason.DEADLINE, Reason.CANCELLED, Reason.UNKNOWN_SERVICE, Reason.NO_OWNER}
+)
 
 
 @dataclass(slots=True)
@@ -49,9 +51,10 @@
     number: int
 
 
-def earn_attempts(budget: AttemptBudget) -> None:
-    """Credit the budget for one new call."""
-    budget.tokens = min(budget.burst_calls, budget.tokens + budget.part)
+def earn_attempts(budget: AttemptBudget, part: float | None = None) -> None:
+    """Credit the budget for one new call, with the budget's own part or a given one."""
+    earned = budget.part if part is None else part
+    budget.tokens = min(budget.burst_calls, budget.tokens + earned)
 
 
 def spend_attempt(budget: AttemptBudget) -> bool:
--- a/packages/protocol/src/ragwort_protocol/_calls.py
+++ b/packages/protocol/src/ragwort_protocol/_calls.py
@@ -19,12 +19,16 @@
         First part of the body; the whole of it unless ``more`` is set.
     budget_ms
         Time left until the caller's deadline, in milliseconds.
+    idempotent
+        True when a second run does no harm, so that an unwanted run may be broken off.
     batch
         True for work that may wait in the queue behind interactive calls.
     member
         Firm on whose share the call counts.
     share
         Weight of that member at the gate.
+    limit
+        Most calls of the member that the gate may hold at once; zero for no limit.
     more
         True when ``Data`` messages with the rest of the body follow.
     epoch, key_range
@@ -37,20 +41,26 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     budget_ms: float
+    idempotent: bool = False
     batch: bool = False
     member: str = ""
     share: int = 1
+    limit: int = 0
     more: bool = False
     epoch: int = 0
     key_range: int = 0
 
 
 class Data(Message, tag=2):
-    """Carries a further part of a request's or response's body."""
+    """Carries a further part of a request's or response's body.
+
+    ``from_caller`` tells a request's part from a response's, since both sides number their calls.
+    """
 
     call_id: int
     body: bytes
     more: bool
+    from_caller: bool = True
 
 
 class Response(Message, tag=3):
@@ -89,3 +99,10 @@
     """Tells the gate that nobody waits for the call any more."""
 
     call_id: int
+
+
+class Hello(Message, tag=6):
+    """Opens a link: says which node speaks, from either side."""
+
+    node_id: str
+    incarnation: int
