--- a/packages/policy/src/ragwort_policy/_hedge.py
+++ b/packages/policy/src/ragwort_policy/_hedge.py
@@ -12,7 +12,7 @@
 
 QUANTILE = 0.95
 HEDGE_PART = 0.02
-HEDGE_BURST_CALLS = 5.0
+HEDGE_BURST_CALLS = 2.0
 STEP_PART = 0.05
 
 
--- a/packages/policy/src/ragwort_policy/_retry.py
+++ b/packages/policy/src/ragwort_policy/_retry.py
@@ -11,7 +11,7 @@
 from ragwort_common import Outcome, Reason
 
 RETRY_PART = 0.07
-BURST_CALLS = 10.0
+BURST_CALLS = 8.0
 MAX_ATTEMPTS = 3
 
 FINAL_REASONS = frozenset({Reason.DEADLINE, Reason.CANCELLED, Reason.UNKNOWN_SERVICE})
