--- a/bench/choice.py
+++ b/bench/choice.py
@@ -268,6 +268,8 @@
 
     if "--policy-only" in arguments:
         BASELINES.clear()
+    if quick:
+        BASELINES.pop("plain-least-load", None)
     sites = [HANBIT] if quick else [HANBIT, INDICE]
     run_all(sites, chosen, "--table" in arguments)
 
--- a/packages/policy/src/ragwort_policy/__init__.py
+++ b/packages/policy/src/ragwort_policy/__init__.py
@@ -28,18 +28,9 @@
     measure_level,
     try_spend,
 )
-from ragwort_policy._choice import (
-    ChoiceSettings,
-    ChoiceState,
-    ServerPlace,
-    choose_server,
-    make_choice,
-    record_outcome,
-    record_report,
-    record_sent,
-    update_servers,
-)
+from ragwort_policy._choice import choose_server
 from ragwort_policy._claim import ClaimTable
+from ragwort_policy._evidence import record_outcome, record_report, record_sent
 from ragwort_policy._fence import EpochFence
 from ragwort_policy._gossip_exchange import take_in
 from ragwort_policy._gossip_settings import MembershipSettings, RandomSource
@@ -110,6 +101,13 @@
     note_source,
     refuse_revision,
 )
+from ragwort_policy._servers import (
+    ChoiceSettings,
+    ChoiceState,
+    ServerPlace,
+    make_choice,
+    update_servers,
+)
 from ragwort_policy._table import Change
 from ragwort_policy._watchers import (
     NOTICE_FANOUT,
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_evidence.py
@@ -0,0 +1,120 @@
+"""Takes in what an entry learns of servers: reports, and how its own calls ended."""
+
+from ragwort_common import CallId, NodeId, Outcome, Reason
+from ragwort_protocol import LoadReport
+
+from ragwort_policy._estimate import MOST_DELAY, foretell_delay
+from ragwort_policy._faith import record_delay
+from ragwort_policy._servers import ChoiceState, Distance, Sent, ServerView
+from ragwort_policy._service_time import add_call, end_call
+from ragwort_policy._trust import (
+    end_trial,
+    is_error,
+    record_error,
+    record_success,
+    start_trial,
+)
+
+USUAL_MEMORY = 0.05
+FAR_FULL_DOUBLINGS = 4
+FULL_REASONS = frozenset({Reason.OVERLOADED, Reason.LIMIT, Reason.SHED})
+
+
+def record_sent(state: ChoiceState, node: NodeId, call_id: CallId, now: float) -> None:
+    """Take in that a call is sent to a server."""
+    view = state.servers.get(node)
+    if view is None:
+        return
+    state.calls += 1
+    view.last_call = state.calls
+    start_trial(view.trust)
+    view.sent[call_id] = Sent(now, foretell_delay(state, view, now))
+    view.sent_since += 1
+    add_call(view.latency, now)
+
+
+def record_report(state: ChoiceState, node: NodeId, report: LoadReport, now: float) -> None:
+    """Take in a server's report, from an answer, a refusal or a probe's reply."""
+    view = state.servers.get(node)
+    if view is None:
+        return
+    view.load = float(report.in_flight + report.queued)
+    view.limit = float(max(1, report.limit))
+    view.service_s = report.service_time_us / 1e6
+    view.accepting = report.accepting
+    view.reported_at = now
+    view.sent_since = _count_on_the_way(view, now)
+    filled = view.load / view.limit
+    if view.distance is Distance.OTHER_REGION:
+        state.usual_far_load += USUAL_MEMORY * (filled - state.usual_far_load)
+    else:
+        state.usual_load += USUAL_MEMORY * (filled - state.usual_load)
+    # A slow server must not become the usual: its reports count no more than twice the usual.
+    service_s = min(view.service_s, 2.0 * state.usual_service_s)
+    state.usual_service_s += USUAL_MEMORY * (service_s - state.usual_service_s)
+
+
+def record_outcome(
+    state: ChoiceState,
+    node: NodeId,
+    call_id: CallId,
+    outcome: Outcome,
+    reason: Reason,
+    now: float,
+    jitter: float = 0.5,
+) -> None:
+    """Take in how a call ended; a call that isn't known at this server is passed over."""
+    view = state.servers.get(node)
+    sent = view.sent.pop(call_id, None) if view else None
+    if sent is None:
+        return
+    _learn_from(state, view, sent, outcome, reason, now)
+    end_call(view.latency, now, counts=outcome is Outcome.ANSWERED)
+    if is_error(outcome, reason):
+        certain = reason is Reason.CONNECT_FAILED
+        record_error(view.trust, now, state.calls, jitter, certain)
+    elif outcome is Outcome.ANSWERED:
+        record_success(view.trust)
+        view.refusals_in_row = 0
+    else:
+        end_trial(view.trust)
+        if reason in FULL_REASONS:
+            _note_refusal(state, view, now)
+    if reason is Reason.LEAVING:
+        view.accepting = False
+
+
+def _learn_from(
+    state: ChoiceState, view: ServerView, sent: Sent, outcome: Outcome, reason: Reason, now: float
+) -> None:
+    if view.distance is Distance.OTHER_REGION:
+        return
+    if outcome is Outcome.ANSWERED:
+        delay_s = now - sent.at - view.round_trip_s
+        met = min(MOST_DELAY, delay_s / state.usual_service_s - 1.0)
+    elif reason in FULL_REASONS:
+        met = MOST_DELAY
+    else:
+        return
+    record_delay(state.faith, sent.foretold, met)
+
+
+def _note_refusal(state: ChoiceState, view: ServerView, now: float) -> None:
+    full_s = state.settings.full_ms / 1e3
+    if view.distance is Distance.OTHER_REGION:
+        # Asking a full region again costs a paid round trip, so the pause grows.
+        view.refusals_in_row += 1
+        doublings = min(view.refusals_in_row, FAR_FULL_DOUBLINGS)
+        full_s = view.round_trip_s * 2.0**doublings
+    view.full_until = now + full_s
+
+
+def _count_on_the_way(view: ServerView, now: float) -> int:
+    # The report left the gate half a round trip ago; later calls of ours aren't in it.
+    sent_after = now - view.round_trip_s
+    count = 0
+    for sent in reversed(view.sent.values()):
+        if sent.at < sent_after:
+            break
+        count += 1
+    return count
--- a/packages/policy/src/ragwort_policy/_probing.py
+++ b/packages/policy/src/ragwort_policy/_probing.py
@@ -8,7 +8,7 @@
 
 from ragwort_common import NodeId
 
-from ragwort_policy._choice import ChoiceState, Distance, ServerView
+from ragwort_policy._servers import ChoiceState, Distance, ServerView
 
 BURST_S = 0.25
 
--- /dev/null
+++ b/packages/policy/src/ragwort_policy/_servers.py
@@ -0,0 +1,146 @@
+"""What an entry knows of the servers of one service.
+
+The list comes from membership; what has been learned of a server that stays on it is kept.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from ragwort_common import CallId, FailureDomain, NodeId, Region
+
+from ragwort_policy._faith import Faith
+from ragwort_policy._service_time import ServiceTime, make_service_time
+from ragwort_policy._trust import Trust
+
+
+class RandomSource(Protocol):
+    """The part of ``random.Random`` that the policy uses."""
+
+    def random(self) -> float:
+        """Return a number in [0, 1)."""
+
+
+class Distance(Enum):
+    """How far a server is from the entry."""
+
+    SAME_DOMAIN = "same-domain"
+    SAME_REGION = "same-region"
+    OTHER_REGION = "other-region"
+
+
+@dataclass(slots=True, frozen=True)
+class ServerPlace:
+    """A server of the service and where it stands."""
+
+    node: NodeId
+    failure_domain: FailureDomain
+    region: Region
+
+
+@dataclass(slots=True, frozen=True)
+class ChoiceSettings:
+    """What an entry assumes before it has measured, and how many servers it compares."""
+
+    compared: int = 3
+    expected_ms: float = 20.0
+    expected_limit: int = 8
+    same_domain_ms: float = 0.4
+    same_region_ms: float = 2.0
+    other_region_ms: float = 60.0
+    crossing_margin_ms: float = 10.0
+    report_life_ms: float = 100.0
+    full_ms: float = 20.0
+
+
+@dataclass(slots=True)
+class Sent:
+    """A call on its way: when it was sent, and the delay foretold by the report."""
+
+    at: float
+    foretold: float
+
+
+@dataclass(slots=True, eq=False)
+class ServerView:
+    """What an entry knows of one server."""
+
+    place: ServerPlace
+    distance: Distance
+    round_trip_s: float
+    latency: ServiceTime
+    service_s: float
+    load: float
+    limit: float
+    reported_at: float = -1e9
+    accepting: bool = True
+    probed_at: float = -1e9
+    full_until: float = -1e9
+    refusals_in_row: int = 0
+    sent_since: int = 0
+    last_call: int = -1000
+    sent: dict[CallId, Sent] = field(default_factory=dict)
+    trust: Trust = field(default_factory=Trust)
+
+
+@dataclass(slots=True)
+class ChoiceState:
+    """What an entry knows of the servers of one service."""
+
+    settings: ChoiceSettings
+    failure_domain: FailureDomain
+    region: Region
+    servers: dict[NodeId, ServerView] = field(default_factory=dict)
+    near: list[ServerView] = field(default_factory=list)
+    far: list[ServerView] = field(default_factory=list)
+    usual_load: float = 0.5
+    usual_far_load: float = 0.5
+    usual_service_s: float = 0.0
+    crossing: bool = False
+    calls: int = 0
+    faith: Faith = field(default_factory=Faith)
+
+
+def make_choice(
+    settings: ChoiceSettings, failure_domain: FailureDomain, region: Region
+) -> ChoiceState:
+    """Return the state of an entry that stands in this failure domain and region."""
+    state = ChoiceState(settings, failure_domain, region)
+    state.usual_service_s = settings.expected_ms / 1e3
+    return state
+
+
+def update_servers(state: ChoiceState, places: Iterable[ServerPlace], now: float) -> None:
+    """Set the servers that may be chosen; what is known of those that stay is kept."""
+    known = state.servers
+    state.servers = {}
+    for place in places:
+        view = known.get(place.node)
+        if view is None or view.place != place:
+            view = _make_view(state, place, now)
+        state.servers[place.node] = view
+    views = state.servers.values()
+    state.near = [view for view in views if view.distance is not Distance.OTHER_REGION]
+    state.far = [view for view in views if view.distance is Distance.OTHER_REGION]
+
+
+def _make_view(state: ChoiceState, place: ServerPlace, now: float) -> ServerView:
+    settings = state.settings
+    if place.region != state.region:
+        distance, round_trip_ms = Distance.OTHER_REGION, settings.other_region_ms
+    elif place.failure_domain != state.failure_domain:
+        distance, round_trip_ms = Distance.SAME_REGION, settings.same_region_ms
+    else:
+        distance, round_trip_ms = Distance.SAME_DOMAIN, settings.same_domain_ms
+    expected_s = settings.expected_ms / 1e3
+    limit = float(settings.expected_limit)
+    return ServerView(
+        place=place,
+        distance=distance,
+        round_trip_s=round_trip_ms / 1e3,
+        latency=make_service_time(expected_s + round_trip_ms / 1e3, now),
+        service_s=expected_s,
+        load=state.usual_load * limit,
+        limit=limit,
+    )
