--- a/packages/control/src/ragwort_control/_nodes.py
+++ b/packages/control/src/ragwort_control/_nodes.py
@@ -17,6 +17,8 @@
 
 MAX_ASKED_AT_ONCE = 32
 
+# Control addresses are IP numbers of hosts; a proxy of the operator's shell is for other things.
+_CHANNEL_OPTIONS = (("grpc.enable_http_proxy", 0),)
 _CONNECT_ENDS = {
     grpc.ChannelConnectivity.READY,
     grpc.ChannelConnectivity.TRANSIENT_FAILURE,
@@ -32,9 +34,12 @@
     sent: bool
 
 
-async def ask_status(address: str, timeout_ms: int) -> Result[GetStatusReply, NodeError]:
-    """Ask one node what it knows of itself and its peers."""
-    return await _call(address, timeout_ms, "GetStatus", GetStatusRequest())
+async def ask_status(
+    address: str, timeout_ms: int, without_peers: bool = False
+) -> Result[GetStatusReply, NodeError]:
+    """Ask one node what it knows of itself and, unless told not to, of its peers."""
+    request = GetStatusRequest(without_peers=without_peers)
+    return await _call(address, timeout_ms, "GetStatus", request)
 
 
 async def set_drain(
@@ -54,7 +59,7 @@
 
         async def ask(address: str) -> Result[GetStatusReply, NodeError]:
             async with places:
-                reply = await ask_status(address, timeout_ms)
+                reply = await ask_status(address, timeout_ms, without_peers=True)
             progress.update()
             return reply
 
@@ -63,7 +68,7 @@
 
 async def _call(address: str, timeout_ms: int, name: str, request) -> Result:
     timeout_s = timeout_ms / 1000
-    async with grpc.aio.insecure_channel(address) as channel:
+    async with grpc.aio.insecure_channel(address, _CHANNEL_OPTIONS) as channel:
         # Until there is a connection, nothing can have been sent.
         if not await _connect(channel, timeout_s):
             return Error(NodeError(f"no connection to {address}", False))
--- a/packages/node/src/ragwort_node/_status.py
+++ b/packages/node/src/ragwort_node/_status.py
@@ -6,7 +6,7 @@
 
 from ragwort_common import Revision
 from ragwort_policy import Arrival, Budget, Membership, is_current, measure_level
-from ragwort_protocol.control import GetStatusReply
+from ragwort_protocol.control import GetStatusReply, Peer
 
 from ragwort_node._directory import describe_peer, list_peers
 from ragwort_node._gate import Gate
@@ -40,8 +40,8 @@
     limits: LimitSettings
 
 
-def read_status(sources: StatusSources) -> GetStatusReply:
-    """Return the node's state and its table of peers."""
+def read_status(sources: StatusSources, without_peers: bool) -> GetStatusReply:
+    """Return the node's state and, unless told not to, its table of peers."""
     report = sources.gate.make_report()
     own = sources.membership.own
     return GetStatusReply(
@@ -51,14 +51,18 @@
         in_flight=report.in_flight,
         limit=report.limit,
         queued=report.queued,
-        peers=[
-            describe_peer(peer, peer.revision)
-            for peer in list_peers(sources.membership)
-            if peer is not own
-        ],
+        peers=[] if without_peers else _describe_peers(sources.membership),
     )
 
 
+def _describe_peers(membership: Membership) -> list[Peer]:
+    return [
+        describe_peer(peer, peer.revision)
+        for peer in list_peers(membership)
+        if peer is not membership.own
+    ]
+
+
 def read_state(sources: StatusSources) -> dict[str, Any]:
     """Return the node's state, budgets and counters as plain JSON values."""
     sources.collect()
