--- a/packages/node/src/ragwort_node/_tracing.py
+++ b/packages/node/src/ragwort_node/_tracing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import re
 import time
 from collections import deque
 from collections.abc import Callable
@@ -21,6 +22,8 @@
 
 EXPORT_INTERVAL_S = 1.0
 _SAMPLED = 1
+# Version 00 ends after the flags; a later one may go on after a further hyphen.
+_FORM = re.compile(rb"(?!ff)([0-9a-f]{2})-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})(-.*)?", re.S)
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -49,14 +52,11 @@
 
 def parse_traceparent(value: bytes) -> TraceParent | None:
     """Return what a ``traceparent`` header says, or None when it is malformed."""
-    parts = value.split(b"-")
-    if len(parts) < 4 or [len(part) for part in parts[:4]] != [2, 32, 16, 2]:
+    match = _FORM.fullmatch(value)
+    if match is None or (match[1] == b"00" and match[5]):
         return None
-    try:
-        trace_id, span_id, flags = (int(part, 16) for part in parts[1:4])
-    except ValueError:
-        return None
-    if parts[0] == b"ff" or not trace_id or not span_id:
+    trace_id, span_id, flags = (int(part, 16) for part in match.group(2, 3, 4))
+    if not trace_id or not span_id:
         return None
     return TraceParent(trace_id, span_id, bool(flags & _SAMPLED))
 
