--- a/packages/node/src/ragwort_node/_entry.py
+++ b/packages/node/src/ragwort_node/_entry.py
@@ -12,12 +12,11 @@
 from ragwort_node._caller import Call
 from ragwort_node._metrics import Counters
 from ragwort_node._rules import RulesInForce
-from ragwort_node._server import HOP_BY_HOP
+from ragwort_node._server import DEADLINE_HEADER, HOP_BY_HOP
 from ragwort_node._tracing import Tracer
 
 OUTCOME_HEADER = b"ragwort-outcome"
 REASON_HEADER = b"ragwort-reason"
-DEADLINE_HEADER = b"ragwort-deadline-ms"
 KEY_HEADER = b"idempotency-key"
 DEPTH_HEADER = b"ragwort-depth"
 """Header that counts the calls on whose behalf a call is made; servers pass it on."""
--- a/tests/node/test_gate.py
+++ b/tests/node/test_gate.py
@@ -18,10 +18,11 @@
     def __init__(self, result=None):
         self.result = result or Answer(200, [], b"ok")
         self.release = asyncio.Event()
-        self.started, self.ended, self.broken_off = [], [], []
+        self.started, self.ended, self.broken_off, self.told = [], [], [], []
 
     async def run_call(self, method, target, headers, body, budget_ms):
         self.started.append(target)
+        self.told.append((dict(headers).get(b"ragwort-deadline-ms"), budget_ms))
         try:
             await self.release.wait()
         except asyncio.CancelledError:
@@ -170,3 +171,13 @@
         assert isinstance(await gate.run_call(full), Response)
 
     run_gate(scenario, slots=4)
+
+
+def test_the_server_is_told_the_time_that_is_left():
+    async def scenario(gate, server):
+        server.release.set()
+        await gate.run_call(make_request(budget_ms=250.0))
+        ((header, budget_ms),) = server.told
+        assert 0 < int(header) == int(budget_ms) <= 250
+
+    run_gate(scenario)
