--- a/bench/decision.py
+++ b/bench/decision.py
@@ -6,8 +6,9 @@
 """
 
 import json
+from collections.abc import Callable
 from random import Random
-from time import perf_counter
+from time import process_time
 from tracemalloc import get_traced_memory, start, stop
 
 from ragwort_common import Outcome, Reason
@@ -35,7 +36,8 @@
 
 SEED = 20260
 SIZES = {24: 6, 720: 81, 7200: 81}
-ROUNDS = 20_000
+ROUNDS = 10_000
+REPEATS = 5
 CALLS_PER_S = 94.0
 REPORT = LoadReport(7, 13, 2, 20_000)
 
@@ -60,7 +62,7 @@
     budget = make_probe_budget(1500.0, 0.0)
     far_budget = make_probe_budget(300.0, 0.0)
     settings = ProbeSettings()
-    before = perf_counter()
+    before = process_time()
     for number in range(ROUNDS):
         now = number / CALLS_PER_S
         state = states[number % len(states)]
@@ -69,29 +71,29 @@
         record_sent(state, node, number, now)
         record_outcome(state, node, number, Outcome.ANSWERED, Reason.NONE, now + 0.02)
         record_report(state, node, REPORT, now + 0.02)
-    return (perf_counter() - before) / ROUNDS
+    return (process_time() - before) / ROUNDS
 
 
 def run_admissions() -> float:
     """Return the mean time of an arrival, its end and the report at a busy gate."""
     gate = make_gate(GateLimits(slots=13), 0.0)
-    before = perf_counter()
+    before = process_time()
     for number in range(ROUNDS):
         now = number * 0.0015
         arrive(gate, now, Arrival(number, "member", 1, False, now + 1.0))
         if len(gate.running) > 12:
             finish(gate, now, next(iter(gate.running)), 0.02, False)
         make_report(gate, now)
-    return (perf_counter() - before) / ROUNDS
+    return (process_time() - before) / ROUNDS
 
 
 def run_unit() -> float:
     """Return the mean time of the unit of work."""
     numbers = [number * 7 % 9 for number in range(9)]
-    before = perf_counter()
+    before = process_time()
     for _ in range(ROUNDS):
         min(numbers, key=lambda number: -number)
-    return (perf_counter() - before) / ROUNDS
+    return (process_time() - before) / ROUNDS
 
 
 def measure_state(servers: int, services: int) -> int:
@@ -111,19 +113,25 @@
     print(json.dumps(line | {"ratio": ratio, "seed": SEED}))
 
 
+def find_least(measure: Callable[[], float]) -> float:
+    """Return the least of several measurements, the one that other work disturbed least."""
+    return min(measure() for _ in range(REPEATS))
+
+
 def main() -> None:
     """Run the benchmark."""
-    unit_s = run_unit()
+    unit_s = find_least(run_unit)
     baseline = f"min-of-nine={unit_s * 1e6:.2f}us"
     for servers, services in SIZES.items():
-        cost_s = run_decisions(make_states(servers, services))
+        states = make_states(servers, services)
+        cost_s = find_least(lambda states=states: run_decisions(states))
         ratio = round(cost_s / unit_s, 1)
         print_line(f"decision.time.{servers}", round(cost_s * 1e6, 2), "us", baseline, ratio)
         part = round(cost_s * CALLS_PER_S, 6)
         print_line(f"decision.core.{servers}", part, "part of a core at 94 calls/s", "none", None)
         size = measure_state(servers, services)
         print_line(f"decision.state.{servers}", size, "bytes", "none", round(size / servers, 1))
-    cost_s = run_admissions()
+    cost_s = find_least(run_admissions)
     ratio = round(cost_s / unit_s, 1)
     print_line("gate.admission", round(cost_s * 1e6, 2), "us", baseline, ratio)
     probe = len(encode_frame(Probe(1 << 20))) + len(encode_frame(ProbeReply(1 << 20, REPORT)))
--- a/packages/policy/src/ragwort_policy/_admission.py
+++ b/packages/policy/src/ragwort_policy/_admission.py
@@ -257,7 +257,7 @@
         queued=state.interactive.size,
         service_time_us=int(service_s * 1e6),
         accepting=not state.leaving and is_trial_due(state.breaker, now),
-        warm=get_warmth(state.limit, now),
+        warm_percent=int(100 * get_warmth(state.limit, now)),
     )
 
 
--- a/packages/protocol/src/ragwort_protocol/_load.py
+++ b/packages/protocol/src/ragwort_protocol/_load.py
@@ -19,8 +19,8 @@
         running count, so it rises as soon as they hang.
     accepting
         False while the server leaves or the gate refuses everything.
-    warm
-        Share of the full limit that a freshly started server may take, 0 to 1.
+    warm_percent
+        Share of the full limit that a freshly started server may take, 0 to 100.
     """
 
     in_flight: int
@@ -28,7 +28,7 @@
     queued: int
     service_time_us: int
     accepting: bool = True
-    warm: float = 1.0
+    warm_percent: int = 100
 
 
 class Probe(Message, tag=11):
