Measure frames apart from tables, and restarts over one period of lease renewals

A window shorter than the renewals' 15 s held all of them or few, so that the writes of a restart could not be told from the background (79 to 112 in 9 s). A window of 15 s holds each once.

--- a/bench/costs.py
+++ b/bench/costs.py
@@ -1,18 +1,15 @@
-"""Measures what one node's tables, decisions and frames cost at several sizes, in one process.
+"""Measures what one node's tables and decisions cost at several sizes, in one process.
 
 Times are processor time of this process, the mean of many turns. The baseline of a slope is the
 smallest size of the same run.
 """
 
 import random
-import socket
 import time
 import tracemalloc
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import statsd
 from ragwort_common import (
     CallId,
     Epoch,
@@ -24,7 +21,6 @@
     Region,
     ServiceName,
 )
-from ragwort_node._metrics import MAX_DATAGRAM_BYTES, Counters, _flush
 from ragwort_node._services import Services
 from ragwort_policy import (
     Arrival,
@@ -43,7 +39,7 @@
     record_sent,
     update_servers,
 )
-from ragwort_protocol import FrameReader, LoadReport, Request, Response, encode_frame
+from ragwort_protocol import LoadReport
 
 from bench.report import print_result
 
@@ -52,21 +48,12 @@
 PEERS = (24, 720, 7200)
 SERVICE_SIZES = (4, 9, 100)
 SLOTS = (4, 13, 64)
-BODY_BYTES = (200, 2_000, 20_000)
 OWNER_RANGES = (16, 64, 256)
-FLUSHED_CALLS = (10, 100, 200)
-COUNTER_NAMES = 30
 FIRST_SERVICE = ServiceName("service-0")
 DOMAINS = tuple(
     (Region(f"region-{number % 2}"), FailureDomain(f"domain-{number}")) for number in range(8)
 )
 REPORT = LoadReport(3, 8, 0, 2_000)
-HEADERS = [
-    (b"host", b"drum-tracking"),
-    (b"x-request-id", b"0193d5a0-7c1e-7cc3-98c4-dc0c0c07398f"),
-    (b"content-type", b"application/json"),
-    (b"traceparent", b"00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"),
-]
 
 
 @dataclass(slots=True)
@@ -193,26 +180,6 @@
     return run_call
 
 
-def measure_codec(turns: Turns) -> None:
-    """Print the cost of a call's two frames at several sizes of bodies, and what they add."""
-    first: float | None = None
-    for size in BODY_BYTES:
-        request = Request(7, "GET", b"/drums/17", HEADERS, b"x" * size, 1_500.0, member="hanbit")
-        response = Response(7, 200, HEADERS, b"x" * size, REPORT)
-        reader = FrameReader()
-
-        def exchange(_: int, messages=(request, response), reader=reader) -> None:
-            for message in messages:
-                reader.feed(encode_frame(message))
-
-        cost_us = time_turns(exchange, turns.count)
-        first = first or cost_us
-        report(f"codec.{size}_bytes", cost_us, "us/call", first)
-        framed = len(encode_frame(request)) + len(encode_frame(response))
-        carried = 2 * (size + sum(len(name) + len(value) for name, value in HEADERS))
-        report(f"codec.{size}_bytes.added", framed - carried, "bytes/call")
-
-
 def measure_owners(turns: Turns) -> None:
     """Print the memory of the map of owners, and the cost of news of an owner."""
     first: float | None = None
@@ -237,36 +204,9 @@
     return owners
 
 
-def measure_flush(turns: Turns) -> None:
-    """Print the cost of one flush to statsd after several numbers of calls since the last."""
-    first: float | None = None
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sink:
-        sink.bind(("127.0.0.1", 0))
-        port = sink.getsockname()[1]
-        for calls in FLUSHED_CALLS:
-            client = statsd.StatsClient(
-                "127.0.0.1", port, prefix="ragwort", maxudpsize=MAX_DATAGRAM_BYTES
-            )
-            counters, sent = Counters(), Counter()
-
-            def run(_: int, counters=counters, sent=sent, client=client, calls=calls) -> None:
-                for name in range(COUNTER_NAMES):
-                    counters.add(f"entry.counter_{name}", calls)
-                for _ in range(calls):
-                    counters.add_timing("entry.call", 1.234)
-                _flush(client, counters, sent)
-
-            cost_us = time_turns(run, max(5, turns.count // 200))
-            client.close()
-            first = first or cost_us
-            report(f"statsd.{calls}_calls", cost_us, "us/flush", first)
-
-
 def measure_costs(turns: Turns) -> None:
     """Run every measurement of this module."""
     measure_choice(turns)
     measure_services(turns)
     measure_gate(turns)
-    measure_codec(turns)
     measure_owners(turns)
-    measure_flush(turns)
--- a/bench/links.py
+++ b/bench/links.py
@@ -14,7 +14,8 @@
 from ragwort_node._metrics import Counters
 from ragwort_protocol import Hello, Message, Request, Response
 
-from bench.costs import HEADERS, REPORT, report
+from bench.costs import REPORT, report
+from bench.wire import HEADERS
 
 LINKS = (10, 100, 700)
 CALLS = 7_000
--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -27,9 +27,10 @@
 )
 
 SERVICES = ("drum-tracking", "collections", "cleaning-records")
-SETTLE_S = 9.0
+SETTLE_S = 7.0
+# Leases are renewed each 15 s, so a window of that length has each range's renewal once.
 IDLE_S = 15.0
-RESTART_S = 4.0
+RESTART_S = 15.0
 RULES = b"drum-tracking GET /** idempotent deadline=2s  # hanbit: lookups\n"
 
 
@@ -96,9 +97,8 @@
     await place.process.wait()
     await start_node(fleet, place)
     await wait_ready(fleet)
-    await asyncio.sleep(RESTART_S)
+    await asyncio.sleep(max(0.0, began + RESTART_S - time.monotonic()))
     after = await _count_calls(fleet)
-    report(f"nodes.{size}.restart.took", time.monotonic() - began, "s")
     for kind, count in sorted((after - before).items()):
         report(f"nodes.{size}.restart.{kind}", count, "platform calls")
 
--- /dev/null
+++ b/bench/wire.py
@@ -0,0 +1,104 @@
+"""Measures frames, statistics and listings: what a node writes and reads, in one process."""
+
+import base64
+import json
+import socket
+from collections import Counter
+
+import statsd
+from ragwort_common import Incarnation, ServiceName
+from ragwort_node._metrics import MAX_DATAGRAM_BYTES, Counters, _flush
+from ragwort_platform import Announcement, encode_announcement
+from ragwort_policy import ServerPlace
+from ragwort_protocol import FrameReader, Probe, ProbeReply, Request, Response, encode_frame
+
+from bench.costs import PEERS, REPORT, Turns, make_places, report, time_turns
+
+BODY_BYTES = (200, 2_000, 20_000)
+FLUSHED_CALLS = (10, 100, 200)
+COUNTER_NAMES = 30
+HEADERS = [
+    (b"host", b"drum-tracking"),
+    (b"x-request-id", b"0193d5a0-7c1e-7cc3-98c4-dc0c0c07398f"),
+    (b"content-type", b"application/json"),
+    (b"traceparent", b"00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"),
+]
+
+
+def measure_codec(turns: Turns) -> None:
+    """Print the cost of a call's two frames at several sizes of bodies, and what they add."""
+    first: float | None = None
+    for size in BODY_BYTES:
+        request = Request(7, "GET", b"/drums/17", HEADERS, b"x" * size, 1_500.0, member="hanbit")
+        response = Response(7, 200, HEADERS, b"x" * size, REPORT)
+        reader = FrameReader()
+
+        def exchange(_: int, messages=(request, response), reader=reader) -> None:
+            for message in messages:
+                reader.feed(encode_frame(message))
+
+        cost_us = time_turns(exchange, turns.count)
+        first = first or cost_us
+        report(f"codec.{size}_bytes", cost_us, "us/call", first)
+        framed = len(encode_frame(request)) + len(encode_frame(response))
+        carried = 2 * (size + sum(len(name) + len(value) for name, value in HEADERS))
+        report(f"codec.{size}_bytes.added", framed - carried, "bytes/call")
+    probe = len(encode_frame(Probe(70_000))) + len(encode_frame(ProbeReply(70_000, REPORT)))
+    report("codec.probe", probe, "bytes/probe and reply")
+
+
+def measure_flush(turns: Turns) -> None:
+    """Print the cost of one flush to statsd after several numbers of calls since the last."""
+    first: float | None = None
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sink:
+        sink.bind(("127.0.0.1", 0))
+        port = sink.getsockname()[1]
+        for calls in FLUSHED_CALLS:
+            client = statsd.StatsClient(
+                "127.0.0.1", port, prefix="ragwort", maxudpsize=MAX_DATAGRAM_BYTES
+            )
+            counters, sent = Counters(), Counter()
+
+            def run(_: int, counters=counters, sent=sent, client=client, calls=calls) -> None:
+                for name in range(COUNTER_NAMES):
+                    counters.add(f"entry.counter_{name}", calls)
+                for _ in range(calls):
+                    counters.add_timing("entry.call", 1.234)
+                _flush(client, counters, sent)
+
+            cost_us = time_turns(run, max(5, turns.count // 200))
+            client.close()
+            first = first or cost_us
+            report(f"statsd.{calls}_calls", cost_us, "us/flush", first)
+
+
+def measure_listing() -> None:
+    """Print the bytes of the platform's listing of all announcements, which each start reads."""
+    first: float | None = None
+    for peers in PEERS:
+        size = len(json.dumps([_make_item(place) for place in make_places(peers)]))
+        first = first or size / peers
+        report(f"listing.{peers}_peers", size / peers, "bytes/peer", first)
+
+
+def _make_item(place: ServerPlace) -> dict[str, object]:
+    address = "192.0.2.117:7701"
+    announcement = Announcement(
+        place.node,
+        ServiceName("drum-tracking"),
+        place.region,
+        place.failure_domain,
+        address,
+        address,
+        address,
+        Incarnation(1_700_000_000_000 << 12),
+    )
+    data = base64.b64encode(encode_announcement(announcement)).decode()
+    return {"path": f"nodes/{place.node}", "version": 1_000, "data": data, "deleted": False}
+
+
+def measure_wire(turns: Turns) -> None:
+    """Run every measurement of this module."""
+    measure_codec(turns)
+    measure_flush(turns)
+    measure_listing()
--- a/tests/bench/test_costs.py
+++ b/tests/bench/test_costs.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from bench.costs import Turns, measure_choice, measure_codec, measure_flush, measure_gate
+from bench.costs import Turns, measure_choice, measure_gate
+from bench.wire import measure_codec, measure_flush
 
 
 @pytest.mark.parametrize("measure", [measure_choice, measure_codec, measure_flush, measure_gate])
