Split the composition root by concern, and let a stop always release its keys

Builders for the path, the keys and the watching now stand beside the node that starts and stops them. Read through on the way: a stop that ran out of its drain time skipped the release of key ranges and the news that the node has left, which leaves its ranges without an owner for a lease's 60 s; both now have a time of their own.

--- /dev/null
+++ b/packages/node/src/ragwort_node/_composition/__init__.py
@@ -0,0 +1,5 @@
+"""The composition root: builds the parts of a node from its settings and runs them."""
+
+from ragwort_node._composition._node import run_node
+
+__all__ = ["run_node"]
--- /dev/null
+++ b/packages/node/src/ragwort_node/_composition/_node.py
@@ -0,0 +1,279 @@
+"""Starts and stops the parts of a node in the order of their needs."""
+
+import asyncio
+import contextlib
+import logging
+import signal
+from collections.abc import Awaitable, Coroutine
+from typing import Any
+
+from opentelemetry.sdk.resources import Resource
+from ragwort_policy import Membership, is_current
+from ragwort_protocol import Message, PeerState
+from ragwort_protocol.control import FetchRulesReply
+
+from ragwort_node._admin import AdminPorts, build_admin
+from ragwort_node._composition._inbox import route_message
+from ragwort_node._composition._keys import build_keys, keep_ranges
+from ragwort_node._composition._path import build_path
+from ragwort_node._composition._shared import make_shared, split_address
+from ragwort_node._composition._watching import build_rules, build_watching
+from ragwort_node._control import Control, start_control
+from ragwort_node._directory import find_link_address, make_profile
+from ragwort_node._entry import EntryLimits, build_entry
+from ragwort_node._gauges import CountSources, collect_counts
+from ragwort_node._gossip import (
+    LinkLost,
+    LoadChanged,
+    StateWanted,
+    change_state,
+    put_event,
+    run_announcer,
+    run_gossip,
+    run_seeds,
+    withdraw,
+)
+from ragwort_node._http import RunningServer, start_http
+from ragwort_node._link import Link
+from ragwort_node._metrics import flush_metrics
+from ragwort_node._settings import Exporter, Settings
+from ragwort_node._status import (
+    StatusSources,
+    read_peers,
+    read_rules,
+    read_state,
+    read_status,
+)
+from ragwort_node._tracing import export_spans, make_console_exporter
+
+log = logging.getLogger(__name__)
+
+LOAD_INTERVAL_S = 1.0
+LEAVING_NOTICE_S = 1.0
+"""How long a stop waits for its notice to spread before it stops to accept callers."""
+
+LAST_STEP_TIMEOUT_S = 5.0
+"""How long a stop waits to release key ranges, and again to say that the node has left."""
+
+ADMIN_GRACE_MS = 1000
+
+
+class Node:
+    """The parts of one running node.
+
+    ``start`` starts them in the order of their needs; ``stop`` ends them so that no call under
+    way is cut off. Some parts need each other, so a few functions reach others through the node.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._shared = make_shared(settings)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._rules = build_rules(lambda: self._watching.gossip)
+        self._path = build_path(
+            self._shared,
+            lambda peer: find_link_address(self._get_membership(), peer),
+            self._receive_other,
+            lambda peer: put_event(self._watching.gossip, LinkLost(peer)),
+        )
+        self._keys = build_keys(self._shared, self._path, self._get_membership)
+
+    async def start(self) -> None:
+        """Start every part; the node takes calls when this returns."""
+        addresses = self._settings.addresses
+        link_port = await self._path.pool.listen(*split_address(addresses.link))
+        self._entry = await self._start_entry()
+        self._control, control_port = await self._start_control()
+        profile = make_profile(
+            self._settings,
+            f"{split_address(addresses.link)[0]}:{link_port}",
+            f"{split_address(addresses.entry)[0]}:{self._entry.port}",
+            f"{split_address(addresses.control)[0]}:{control_port}",
+        )
+        self._watching = build_watching(self._shared, self._path, self._rules, profile)
+        self._status = self._build_status()
+        self._admin = await self._start_admin()
+        await self._shared.store.__aenter__()
+        self._start_tasks()
+        log.info("node %s takes calls on port %d", self._shared.node_id, self._entry.port)
+
+    async def stop(self) -> None:
+        """Refuse new calls, let those under way end, and close everything."""
+        log.info("node %s stops: it refuses new calls from its peers", self._shared.node_id)
+        self._path.gate.set_leaving(True)
+        drain_s = self._settings.limits.drain_timeout_ms / 1000
+        await _bound(self._drain(), drain_s)
+        await _bound(self._keys.owner.stop(), LAST_STEP_TIMEOUT_S)
+        await _bound(change_state(self._watching.gossip, PeerState.LEFT), LAST_STEP_TIMEOUT_S)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._admin.stop()
+        await self._control.stop(None)
+        await self._path.pool.close()
+        await self._path.server.close()
+        await self._shared.store.__aexit__(None, None, None)
+        log.info("node %s has stopped", self._shared.node_id)
+
+    def set_drain(self, draining: bool) -> None:
+        """Start or end the draining of the local server."""
+        gate = self._path.gate
+        if draining == gate.leaving:
+            return
+        gate.set_leaving(draining)
+        state = PeerState.LEAVING if draining else PeerState.ALIVE
+        put_event(self._watching.gossip, StateWanted(state))
+        shared = self._shared
+        self._path.services.take_report(shared.node_id, gate.make_report(), shared.clock())
+        log.info("draining of the server %s", "starts" if draining else "ends")
+
+    async def _drain(self) -> None:
+        await change_state(self._watching.gossip, PeerState.LEAVING)
+        await withdraw(self._watching.gossip, self._shared.store)
+        await asyncio.sleep(LEAVING_NOTICE_S)
+        await self._entry.stop()
+        await self._path.gate.wait_idle()
+
+    def _get_membership(self) -> Membership:
+        return self._watching.membership
+
+    def _receive_other(self, link: Link, message: Message) -> None:
+        counters = self._shared.counters
+        route_message(self._path, self._keys, self._watching, counters, link, message)
+
+    async def _start_entry(self) -> RunningServer:
+        limits = self._settings.limits
+        entry = build_entry(
+            self._rules.in_force,
+            self._keys.calls.run_call,
+            EntryLimits(limits.header_bytes, limits.body_bytes),
+            self._shared.counters,
+            self._shared.clock,
+            self._path.tracer,
+        )
+        return await start_http(entry, self._settings.addresses.entry, limits.drain_timeout_ms)
+
+    async def _start_control(self) -> tuple[Any, int]:
+        control = Control(
+            self._read_rules,
+            lambda without_peers: read_status(self._status, without_peers),
+            self.set_drain,
+            self._settings.admin.token,
+        )
+        return await start_control(self._settings.addresses.control, control)
+
+    async def _start_admin(self) -> RunningServer:
+        ports = AdminPorts(
+            lambda: read_state(self._status),
+            lambda: read_rules(self._status),
+            lambda: read_peers(self._status),
+            self._is_ready,
+            self.set_drain,
+        )
+        admin = build_admin(ports, self._settings.admin.token)
+        return await start_http(admin, self._settings.addresses.admin, ADMIN_GRACE_MS)
+
+    def _build_status(self) -> StatusSources:
+        shared, path, watching = self._shared, self._path, self._watching
+        sources = CountSources(
+            watching.gossip,
+            path.gate,
+            path.pool,
+            shared.store,
+            watching.configuration.counts,
+            self._keys.claims,
+            self._keys.owner,
+        )
+        return StatusSources(
+            watching.membership,
+            path.gate,
+            path.pool,
+            shared.counters,
+            shared.clock,
+            lambda: self._rules.in_force.revision,
+            self._is_ready,
+            lambda: watching.configuration.current,
+            lambda: collect_counts(sources, shared.counters),
+            path.services,
+            self._settings.limits,
+        )
+
+    def _start_tasks(self) -> None:
+        shared, watching = self._shared, self._watching
+        self._spawn(run_gossip(watching.gossip))
+        self._spawn(run_announcer(watching.gossip, shared.store))
+        if self._settings.node.seeds:
+            seeds = self._settings.node.seeds
+            self._spawn(run_seeds(watching.gossip, seeds, self._path.pool.meet))
+        self._spawn(watching.configuration.run())
+        self._spawn(self._keys.news.run(shared.store))
+        self._spawn(keep_ranges(shared, self._keys, self._get_membership))
+        self._spawn(self._report_load())
+        self._start_telemetry()
+
+    def _start_telemetry(self) -> None:
+        statsd = self._settings.statsd
+        self._spawn(
+            flush_metrics(
+                self._shared.counters,
+                statsd.host,
+                statsd.port,
+                statsd.prefix,
+                statsd.interval_ms,
+                self._status.collect,
+            )
+        )
+        if self._settings.tracing.exporter is Exporter.CONSOLE:
+            exporter = make_console_exporter()
+            names = {"service.name": "ragwortd", "service.instance.id": self._shared.node_id}
+            self._spawn(export_spans(self._path.tracer, exporter.export, Resource(names)))
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(_stop_process_on_failure)
+        self._tasks.append(task)
+
+    async def _report_load(self) -> None:
+        while True:
+            report = self._path.gate.make_report()
+            free = max(0, report.limit - report.in_flight)
+            put_event(self._watching.gossip, LoadChanged(free))
+            await asyncio.sleep(LOAD_INTERVAL_S)
+
+    def _is_ready(self) -> bool:
+        has_rules = self._rules.in_force.revision > 0
+        knows_peers = is_current(self._get_membership(), self._shared.clock())
+        return has_rules and knows_peers and not self._path.gate.leaving
+
+    def _read_rules(self) -> FetchRulesReply:
+        current = self._watching.configuration.current
+        if current is None:
+            return FetchRulesReply(revision=0)
+        return FetchRulesReply(revision=current.stamp.revision, document=current.data)
+
+
+async def _bound(step: Awaitable[Any], timeout_s: float) -> None:
+    """Take a step of a stop, and go on without it after a time."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await step
+
+
+def _stop_process_on_failure(task: asyncio.Task[None]) -> None:
+    """End the process when a task ended by an exception: that is a broken invariant."""
+    if task.cancelled() or task.exception() is None:
+        return
+    log.critical("a task has failed; the node ends", exc_info=task.exception())
+    signal.raise_signal(signal.SIGTERM)
+
+
+async def run_node(settings: Settings) -> None:
+    """Run a node until it gets SIGTERM or SIGINT."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    node = Node(settings)
+    await node.start()
+    await stopped.wait()
+    await node.stop()
--- /dev/null
+++ b/packages/node/src/ragwort_node/_composition/_shared.py
@@ -0,0 +1,50 @@
+"""What every part of a node is built with."""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ragwort_common import Incarnation, NodeId
+from ragwort_platform import CallBudget, ObjectStore
+from ragwort_policy import first_incarnation
+
+from ragwort_node._metrics import Counters
+from ragwort_node._settings import Settings
+
+MEMBERSHIP_SHARE = 0.6
+"""Part of the bytes of watching that membership may spend; probes may spend the rest."""
+
+
+@dataclass(frozen=True, slots=True)
+class Shared:
+    """The settings, clock, random source, counters and platform client of one node."""
+
+    settings: Settings
+    node_id: NodeId
+    incarnation: Incarnation
+    clock: Callable[[], float]
+    random: random.Random
+    counters: Counters
+    store: ObjectStore
+
+
+def make_shared(settings: Settings) -> Shared:
+    """Return what the parts of a node that starts now are built with."""
+    platform = settings.platform
+    budget = CallBudget(platform.calls_per_s, 2 * platform.calls_per_s, time.monotonic)
+    return Shared(
+        settings=settings,
+        node_id=NodeId(settings.node.id),
+        incarnation=first_incarnation(time.time_ns() // 1_000_000),
+        clock=time.monotonic,
+        random=random.Random(),
+        counters=Counters(),
+        store=ObjectStore(platform.url, platform.timeout_ms, budget),
+    )
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and port of ``host:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/tests/node/test_settings_page.py
+++ b/tests/node/test_settings_page.py
@@ -13,7 +13,7 @@
 from ragwort_protocol import ClaimVerdict, PeerState
 
 DOCS = Path(__file__).parents[2] / "docs"
-SOURCES = sorted(Path(ragwort_node.__file__).parent.glob("*.py"))
+SOURCES = sorted(Path(ragwort_node.__file__).parent.rglob("*.py"))
 OPERATIONS = (DOCS / "OPERATIONS.md").read_text("utf-8")
 PLACEHOLDERS = {
     "outcome.value": ["OUTCOME"],
