Ask a server that refused everything again after two seconds

Cause, found in review: an entry that has heard that a server accepts nothing sends it no calls, so without a probe, and a far server is seldom probed, it would never learn that a drain was ended. The test fails without this and passes with it.

--- a/packages/policy/src/ragwort_policy/_choice.py
+++ b/packages/policy/src/ragwort_policy/_choice.py
@@ -13,7 +13,7 @@
 from ragwort_common import NodeId
 
 from ragwort_policy._estimate import estimate_cost, has_room
-from ragwort_policy._servers import ChoiceState, RandomSource, ServerView
+from ragwort_policy._servers import ChoiceState, RandomSource, ServerView, is_accepting
 from ragwort_policy._trust import is_paused, is_trial_due
 
 MOST_DRAWS = 4
@@ -89,7 +89,7 @@
     spread = len(state.near) + 1.0
     for view in views:
         if (
-            not view.accepting
+            not is_accepting(view, now)
             or view.place.node in exclude
             or is_paused(view.trust, now, state.calls)
         ):
@@ -128,7 +128,7 @@
 
 def _pick_paused(state: ChoiceState, now: float, exclude: Collection[NodeId]) -> Candidate | None:
     # When every server is paused, errors say more about the calls than about the servers.
-    views = [view for view in state.servers.values() if view.accepting]
+    views = [view for view in state.servers.values() if is_accepting(view, now)]
     views = [view for view in views if view.place.node not in exclude]
     views = [view for view in views if not view.trust.on_trial] or views
     if not views:
--- a/packages/policy/src/ragwort_policy/_evidence.py
+++ b/packages/policy/src/ragwort_policy/_evidence.py
@@ -5,7 +5,7 @@
 
 from ragwort_policy._estimate import MOST_DELAY, foretell_delay
 from ragwort_policy._faith import record_delay
-from ragwort_policy._servers import ChoiceState, Distance, Sent, ServerView
+from ragwort_policy._servers import ChoiceState, Distance, Sent, ServerView, set_accepting
 from ragwort_policy._service_time import add_call, end_call
 from ragwort_policy._trust import (
     end_trial,
@@ -41,7 +41,7 @@
     view.load = float(report.in_flight + report.queued)
     view.limit = float(max(1, report.limit))
     view.service_s = report.service_time_us / 1e6
-    view.accepting = report.accepting
+    set_accepting(view, report.accepting, now)
     view.reported_at = now
     view.sent_since = _count_on_the_way(view, now)
     filled = view.load / view.limit
@@ -81,7 +81,7 @@
         if reason in FULL_REASONS:
             _note_refusal(state, view, now)
     if reason is Reason.LEAVING:
-        view.accepting = False
+        set_accepting(view, False, now)
 
 
 def _learn_from(
--- a/packages/policy/src/ragwort_policy/_servers.py
+++ b/packages/policy/src/ragwort_policy/_servers.py
@@ -14,6 +14,8 @@
 from ragwort_policy._service_time import ServiceTime, make_service_time
 from ragwort_policy._trust import Trust
 
+CLOSED_S = 2.0
+
 
 class RandomSource(Protocol):
     """The part of ``random.Random`` that the policy uses."""
@@ -75,6 +77,7 @@
     limit: float
     reported_at: float = -1e9
     accepting: bool = True
+    closed_at: float = -1e9
     probed_at: float = -1e9
     full_until: float = -1e9
     refusals_in_row: int = 0
@@ -144,3 +147,19 @@
         load=state.usual_load * limit,
         limit=limit,
     )
+
+
+def set_accepting(view: ServerView, accepting: bool, now: float) -> None:
+    """Take in whether a server says that it accepts calls."""
+    view.accepting = accepting
+    if not accepting:
+        view.closed_at = now
+
+
+def is_accepting(view: ServerView, now: float) -> bool:
+    """Tell whether a server may accept calls.
+
+    One that refused everything is asked again after a while, since an entry that sends it no
+    calls may never hear that it came back. If it did not, the call is refused as not run.
+    """
+    return view.accepting or now - view.closed_at > CLOSED_S
--- a/tests/policy/test_choice.py
+++ b/tests/policy/test_choice.py
@@ -235,3 +235,10 @@
     assert state.servers[NEAR[0]].load == 30.0
     update_servers(state, [], 1.0)
     assert choose_server(state, 1.0, Random(1)) is None
+
+
+def test_a_server_that_refused_everything_is_asked_again_without_any_news_of_it():
+    state = _make_state(NEAR[:2])
+    _send(state, NEAR[0], 1, 1.0, Outcome.NOT_RUN, reason=Reason.LEAVING)
+    assert {choose_server(state, 2.9, Random(n)) for n in range(20)} == {NEAR[1]}
+    assert choose_server(state, 3.1, Still(), NEAR[1:2]) == NEAR[0]
