Refuse names in place of IP numbers in the settings, and ports above 65535

Cause: a metrics host that can't be resolved made the task of metrics fail and ended the node; an address with port 70000 passed the check and failed at the start.

Ruled out: retrying the resolution, since the hosts talk by IP numbers anyway and a blocking name service would hold the event loop up.

--- a/packages/node/src/ragwort_node/_settings.py
+++ b/packages/node/src/ragwort_node/_settings.py
@@ -4,15 +4,35 @@
 from dataclasses import dataclass
 from enum import Enum
 from importlib import resources
+from ipaddress import AddressValueError, IPv4Address
 from pathlib import Path
 from typing import Annotated, Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 from ruamel.yaml import YAML
 from ruamel.yaml.comments import CommentedMap
 from ruamel.yaml.error import MarkedYAMLError, YAMLError
 
-Address = Annotated[str, Field(pattern=r"^[^:\s]+:\d{1,5}$")]
+MAX_PORT = 65535
+
+
+def _check_number(text: str) -> str:
+    try:
+        return str(IPv4Address(text))
+    except AddressValueError:
+        raise ValueError("expected an IPv4 number such as 192.0.2.7") from None
+
+
+def _check_address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    _check_number(host)
+    if not (port.isascii() and port.isdigit() and int(port) <= MAX_PORT):
+        raise ValueError(f"expected a port from 0 to {MAX_PORT} after the number")
+    return text
+
+
+Number = Annotated[str, AfterValidator(_check_number)]
+Address = Annotated[str, AfterValidator(_check_address)]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Positive = Annotated[int, Field(gt=0)]
 
@@ -94,7 +114,7 @@
 class StatsdSettings(_Section):
     """Where metrics go."""
 
-    host: str
+    host: Number
     port: Annotated[int, Field(gt=0, lt=65536)]
     prefix: str
     interval_ms: Positive
@@ -227,4 +247,4 @@
     if detail["input"] is None:
         return f"{name} is missing, expected a value"
     message = detail["msg"][0].lower() + detail["msg"][1:]
-    return f"{name} is {detail['input']!r}: {message}"
+    return f"{name} is {detail['input']!r}: {message.removeprefix('value error, ')}"
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -67,3 +67,25 @@
 def test_a_file_that_cannot_be_read(tmp_path):
     (mistake,) = load_settings(tmp_path / "none.yaml")
     assert "cannot be read" in str(mistake)
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("statsd:\n  host: metrics.example\n", "11: statsd.host is 'metrics.example': expected an"),
+        ("addresses:\n  link: host:80\n", "11: addresses.link is 'host:80': expected an IPv4"),
+        (
+            "addresses:\n  link: 1.2.3.4:65536\n",
+            "11: addresses.link is '1.2.3.4:65536': expected a",
+        ),
+        (
+            "addresses:\n  link: 1.2.3.400:1\n",
+            "11: addresses.link is '1.2.3.400:1': expected an IPv4",
+        ),
+        ("addresses:\n  link: 1.2.3.4\n", "11: addresses.link is '1.2.3.4': expected an IPv4"),
+        ("admin:\n  token: ''\n", "11: admin.token is '': string should have at least 1"),
+    ],
+)
+def test_names_wrong_ports_and_an_empty_token_are_mistakes(tmp_path, text, expected):
+    (mistake,) = load(tmp_path, GOOD + text)
+    assert mistake.startswith(expected)
