Cancel the calls of a link that ended, and refuse what is late before sending

Cause, found by reading: a peer that died left its calls running at the gates, a deadline that passed while a link was opened was told as unknown though nothing had been written, and keys of any length were accepted.

--- a/packages/node/src/ragwort_node/_caller.py
+++ b/packages/node/src/ragwort_node/_caller.py
@@ -183,6 +183,8 @@
         link = self._pool.find_link(node) or await self._pool.open_link(node)
         if link is None:
             return refuse_call(Outcome.NOT_RUN, Reason.CONNECT_FAILED)
+        if self._clock() >= call.deadline:
+            return refuse_call(Outcome.NOT_RUN, Reason.DEADLINE)
         request = self._make_request(link.take_call_id(), call)
         return await _exchange(link, request)
 
--- a/packages/node/src/ragwort_node/_composition/_path.py
+++ b/packages/node/src/ragwort_node/_composition/_path.py
@@ -53,13 +53,15 @@
     fence = EpochFence()
     gate_limits = GateLimits(settings.server.slots)
     gate = Gate(server, gate_limits, counters, shared.clock, tracer, fence)
+    peer_calls = PeerCalls(gate, counters, receive_other)
     pool = LinkPool(
         Hello(shared.node_id, shared.incarnation),
         resolve,
-        PeerCalls(gate, counters, receive_other).receive,
+        peer_calls.receive,
         counters,
         limits.connect_timeout_ms,
         lost,
+        peer_calls.drop_link,
     )
     node = settings.node
     services = Services(FailureDomain(node.failure_domain), Region(node.region), ChoiceSettings())
--- a/packages/node/src/ragwort_node/_entry.py
+++ b/packages/node/src/ragwort_node/_entry.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from ragwort_common import Outcome, Reason, ServiceName
+from ragwort_policy import MAX_KEY_BYTES
 from ragwort_protocol import Refusal, Response
 
 from ragwort_node._caller import Call
@@ -136,6 +137,9 @@
     target = scope["raw_path"]
     if scope["query_string"]:
         target += b"?" + scope["query_string"]
+    key = _find_key(headers)
+    if len(key) > MAX_KEY_BYTES:
+        return _Rejection(400, Reason.LIMIT, f"Idempotency-Key is over {MAX_KEY_BYTES} bytes")
     depth = _find_depth(headers)
     kept = [field for field in headers if _is_passed(field[0])]
     kept.append((DEPTH_HEADER, b"%d" % (depth + 1)))
@@ -148,7 +152,7 @@
         body=body,
         deadline=now + budget_ms / 1000,
         nested=depth > 0,
-        key=_find_key(headers),
+        key=key,
     )
 
 
--- a/packages/node/src/ragwort_node/_peers.py
+++ b/packages/node/src/ragwort_node/_peers.py
@@ -31,6 +31,13 @@
         else:
             self._receive_other(link, message)
 
+    def drop_link(self, link: Link) -> None:
+        """Cancel the calls of a link that has ended, since nobody is left to take the answers."""
+        for key, task in list(self._tasks.items()):
+            if key[0] is link:
+                self._counters.add("gate.cancelled")
+                task.cancel()
+
     def _start(self, link: Link, request: Request) -> None:
         key = (link, request.call_id)
         if key in self._tasks:
--- a/packages/node/src/ragwort_node/_pool.py
+++ b/packages/node/src/ragwort_node/_pool.py
@@ -34,6 +34,8 @@
         How long a dial may take, in milliseconds.
     lost
         Told of each peer whose link broke or could not be opened.
+    closed
+        Told of each link that has ended.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         counters: Counters,
         connect_timeout_ms: int,
         lost: Callable[[NodeId], None] = lambda peer: None,
+        closed: Callable[[Link], None] = lambda link: None,
     ) -> None:
         self._hello = hello
         self._resolve = resolve
@@ -51,6 +54,7 @@
         self._counters = counters
         self._timeout_s = connect_timeout_ms / 1000
         self._lost = lost
+        self._closed = closed
         self._waiting: dict[NodeId, list[Message]] = {}
         self._links: dict[NodeId, Link] = {}
         self._all: set[Link] = set()
@@ -160,6 +164,7 @@
 
     def _remove(self, link: Link) -> None:
         self._all.discard(link)
+        self._closed(link)
         if link.peer is not None and self._links.get(link.peer) is link:
             del self._links[link.peer]
             self._lost(link.peer)
--- a/tests/node/test_caller.py
+++ b/tests/node/test_caller.py
@@ -49,12 +49,15 @@
 class FakePool:
     def __init__(self, links):
         self._links = links
+        self.late_links = {}
 
     def find_link(self, node):
         return self._links.get(node)
 
     async def open_link(self, node):
-        return None
+        """Find no link, and take so long over it that a short deadline passes."""
+        await asyncio.sleep(0.03)
+        return self.late_links.get(node)
 
 
 def run_call(replies, treatment, scenario=None, domains=None, **fields):
@@ -78,6 +81,8 @@
         budget = make_probe_budget(0.0, loop.time())
         prober = Prober(services, lambda *_: 0, budget, budget, counters, loop.time)
         pool, source = FakePool(links), random.Random(1)
+        if fields.pop("opens_late", False):
+            pool.late_links, pool._links = links, {}
         caller = Caller("own", None, pool, services, prober, counters, loop.time, source)
         deadline = loop.time() + fields.pop("budget_s", 20.0)
         call = Call(SERVICE, treatment, "GET", b"/", [], b"", deadline, **fields)
@@ -178,3 +183,8 @@
 def test_a_claim_travels_to_the_gate_with_its_range_and_epoch():
     _, log = run_call([[ANSWER]], ONCE, claim=Claim(3, 4))
     assert (log[0][1].key_range, log[0][1].epoch) == (3, 4)
+
+
+def test_a_deadline_that_passes_while_a_link_opens_leaves_the_call_not_run():
+    reply, log = run_call([[ANSWER]], ONCE, budget_s=0.01, opens_late=True)
+    assert (reply.outcome, reply.reason, log) == ("not-run", "deadline", [])
--- a/tests/node/test_entry.py
+++ b/tests/node/test_entry.py
@@ -81,6 +81,7 @@
         (400, "limit", {"headers": {"Ragwort-Deadline-Ms": "soon"}}),
         (400, "limit", {"headers": {"Ragwort-Deadline-Ms": "-5"}}),
         (400, "limit", {"headers": {"Ragwort-Deadline-Ms": "nan"}}),
+        (400, "limit", {"method": "POST", "headers": {"Idempotency-Key": "k" * 256}}),
     ],
 )
 def test_a_call_that_breaks_a_limit_is_rejected_before_anything_runs(status, reason, options):
--- /dev/null
+++ b/tests/node/test_peers.py
@@ -0,0 +1,97 @@
+import asyncio
+
+import pytest
+from ragwort_node._metrics import Counters
+from ragwort_node._peers import PeerCalls
+from ragwort_protocol import Cancel, LoadReport, Probe, ProtocolError, Request, Response
+
+REPORT = LoadReport(0, 1, 0, 0)
+
+
+class FakeGate:
+    """Holds each call until it is released; keeps those that were cancelled."""
+
+    def __init__(self):
+        self.release = asyncio.Event()
+        self.cancelled = []
+
+    async def run_call(self, request):
+        try:
+            await self.release.wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(request.call_id)
+            raise
+        return Response(request.call_id, 200, [], b"ok", REPORT)
+
+
+class FakeLink:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+def make_request(call_id):
+    return Request(call_id, "GET", b"/", [], b"", 1000.0)
+
+
+def run_calls(scenario):
+    async def run():
+        gate, others = FakeGate(), []
+        calls = PeerCalls(gate, Counters(), lambda link, message: others.append(message))
+        first, second = FakeLink(), FakeLink()
+        for call_id in (1, 2):
+            calls.receive(first, make_request(call_id))
+        calls.receive(second, make_request(1))
+        await asyncio.sleep(0)
+        await scenario(calls, gate, first, second, others)
+
+    asyncio.run(run())
+
+
+async def let_run():
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+def test_each_answer_goes_back_on_the_link_of_its_call():
+    async def scenario(calls, gate, first, second, others):
+        gate.release.set()
+        await let_run()
+        assert [reply.call_id for reply in first.sent] == [1, 2]
+        assert [reply.call_id for reply in second.sent] == [1]
+
+    run_calls(scenario)
+
+
+def test_a_cancel_ends_its_own_call_only():
+    async def scenario(calls, gate, first, second, others):
+        calls.receive(first, Cancel(2))
+        calls.receive(first, Cancel(99))
+        await let_run()
+        assert gate.cancelled == [2]
+
+    run_calls(scenario)
+
+
+def test_a_link_that_ends_cancels_its_calls_and_no_others():
+    async def scenario(calls, gate, first, second, others):
+        calls.drop_link(first)
+        await let_run()
+        assert gate.cancelled == [1, 2]
+        gate.release.set()
+        await let_run()
+        assert (first.sent, len(second.sent)) == ([], 1)
+
+    run_calls(scenario)
+
+
+def test_a_call_id_in_use_is_a_broken_protocol_and_other_messages_are_handed_on():
+    async def scenario(calls, gate, first, second, others):
+        with pytest.raises(ProtocolError):
+            calls.receive(first, make_request(1))
+        calls.receive(first, Probe(4))
+        assert others == [Probe(4)]
+
+    run_calls(scenario)
