--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -354,3 +354,27 @@
     up = {name for name in ALL if name not in fleet.down}
     assert len(up) == 20
     assert all({peer.node_id for peer in list_alive(fleet.nodes[name])} == up for name in up)
+
+
+def test_old_news_of_a_node_itself_is_answered_by_what_it_states_now(fleet):
+    node = fleet.nodes[ALL[0]]
+    old = News(ALL[0], node.own.incarnation, PeerState.SUSPECT)
+    answers = []
+    for _ in range(2):
+        (send,) = receive_message(node, fleet.now, fleet.random, ALL[1], Ping(1, 0, [old]))
+        answers.append([(news.node_id, news.incarnation) for news in send.message.news])
+        node.queue.items.clear()
+    assert answers == [[(ALL[0], old.incarnation + 1)]] * 2
+
+
+def test_whoever_suspects_a_peer_tells_it_until_the_matter_is_settled(fleet):
+    told = []
+    fleet.on_send = lambda name, send: told.append((name, fleet.now)) if send.to == ALL[2] else None
+    fleet.down.add(ALL[2])
+    finder = None
+    while finder is None:
+        fleet.run(0.1)
+        finder = next((name for name in ALL if fleet.nodes[name].counters.suspicions), None)
+    suspected_at = fleet.now
+    fleet.run(3)
+    assert sum(name == finder and at > suspected_at for name, at in told) >= 4
