--- a/packages/node/src/ragwort_node/_gate.py
+++ b/packages/node/src/ragwort_node/_gate.py
@@ -24,7 +24,7 @@
 from ragwort_protocol import LoadReport, Refusal, Request, Response, replace_fields
 
 from ragwort_node._metrics import Counters
-from ragwort_node._server import Answer, Failure, ServerClient, is_shed
+from ragwort_node._server import DEADLINE_HEADER, Answer, Failure, ServerClient, is_shed
 from ragwort_node._tracing import Tracer
 
 SHED_RETRY_AFTER_MS = 1000
@@ -99,6 +99,10 @@
         """Return the present load."""
         return make_report(self._state, self._clock())
 
+    def list_present(self) -> tuple[list[Arrival], list[Arrival]]:
+        """Return the calls that run on the server and those that wait in the queue."""
+        return list(self._state.running.values()), list(self._state.waiting.values())
+
     async def run_call(self, request: Request) -> Response | Refusal:
         """Run one call on the local server if it is admitted, at once or after a wait."""
         if request.limit and self._members[request.member] >= request.limit:
@@ -189,14 +193,17 @@
 
     async def _run(self, request: Request, call_id: CallId, deadline: float) -> Response | Refusal:
         started = self._clock()
+        budget_ms = (deadline - started) * 1000
+        # The server can give up in time, and state what is left in calls of its own.
+        told = (DEADLINE_HEADER, b"%d" % max(1, budget_ms))
         failed = True
         try:
             result = await self._server.run_call(
                 request.method,
                 request.target,
-                request.headers,
+                [*request.headers, told],
                 request.body,
-                (deadline - started) * 1000,
+                budget_ms,
             )
             failed = isinstance(result, Failure) or result.status >= 500
         finally:
--- a/packages/node/src/ragwort_node/_server.py
+++ b/packages/node/src/ragwort_node/_server.py
@@ -11,6 +11,9 @@
 import httptools
 from ragwort_common import Outcome, Reason
 
+DEADLINE_HEADER = b"ragwort-deadline-ms"
+"""Header with the time left for a call: callers may send it, and servers are told by it."""
+
 SHED_HEADER = b"ragwort-shed"
 """Header by which a server says that it refused a call without running any of it."""
 
