Bind every address before anything listens; tell a taken one in one line

Cause: links were accepted before the part that takes their messages stood, so an early message would have broken its link; a taken port ended in a traceback; an answer that could not be framed left its caller waiting for the deadline.

--- a/packages/node/src/ragwort_node/_composition/_node.py
+++ b/packages/node/src/ragwort_node/_composition/_node.py
@@ -18,7 +18,7 @@
 from ragwort_node._composition._path import build_path
 from ragwort_node._composition._shared import make_shared, split_address
 from ragwort_node._composition._watching import build_rules, build_watching
-from ragwort_node._control import Control, start_control
+from ragwort_node._control import Control, bind_control
 from ragwort_node._directory import find_link_address, make_profile
 from ragwort_node._entry import EntryLimits, build_entry
 from ragwort_node._gauges import CountSources, collect_counts
@@ -79,11 +79,17 @@
         self._keys = build_keys(self._shared, self._path, self._get_membership)
 
     async def start(self) -> None:
-        """Start every part; the node takes calls when this returns."""
+        """Start every part; the node takes calls when this returns.
+
+        Raises
+        ------
+        OSError
+            When an address of the settings can't be listened on.
+        """
         addresses = self._settings.addresses
-        link_port = await self._path.pool.listen(*split_address(addresses.link))
+        link_port = self._path.pool.bind(*split_address(addresses.link))
         self._entry = await self._start_entry()
-        self._control, control_port = await self._start_control()
+        self._control, control_port = self._bind_control()
         profile = make_profile(
             self._settings,
             f"{split_address(addresses.link)[0]}:{link_port}",
@@ -93,6 +99,9 @@
         self._watching = build_watching(self._shared, self._path, self._rules, profile)
         self._status = self._build_status()
         self._admin = await self._start_admin()
+        # Peers may speak only now that there is who listens to them.
+        await self._path.pool.listen()
+        await self._control.start()
         await self._shared.store.__aenter__()
         self._start_tasks()
         log.info("node %s takes calls on port %d", self._shared.node_id, self._entry.port)
@@ -153,14 +162,14 @@
         )
         return await start_http(entry, self._settings.addresses.entry, limits.drain_timeout_ms)
 
-    async def _start_control(self) -> tuple[Any, int]:
+    def _bind_control(self) -> tuple[Any, int]:
         control = Control(
             self._read_rules,
             lambda without_peers: read_status(self._status, without_peers),
             self.set_drain,
             self._settings.admin.token,
         )
-        return await start_control(self._settings.addresses.control, control)
+        return bind_control(self._settings.addresses.control, control)
 
     async def _start_admin(self) -> RunningServer:
         ports = AdminPorts(
@@ -267,13 +276,17 @@
     signal.raise_signal(signal.SIGTERM)
 
 
-async def run_node(settings: Settings) -> None:
-    """Run a node until it gets SIGTERM or SIGINT."""
+async def run_node(settings: Settings) -> str:
+    """Run a node until it gets SIGTERM or SIGINT; return why it could not start, if so."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     node = Node(settings)
-    await node.start()
+    try:
+        await node.start()
+    except OSError as error:
+        return str(error)
     await stopped.wait()
     await node.stop()
+    return ""
--- a/packages/node/src/ragwort_node/_control.py
+++ b/packages/node/src/ragwort_node/_control.py
@@ -65,10 +65,18 @@
     return bool(expected) and hmac.compare_digest(expected.encode(), given.encode())
 
 
-async def start_control(address: str, control: Control) -> tuple[grpc.aio.Server, int]:
-    """Serve the exchanges and return the server with the port that is bound."""
-    server = grpc.aio.server()
+def bind_control(address: str, control: Control) -> tuple[grpc.aio.Server, int]:
+    """Return a server that will answer the exchanges once started, and its port.
+
+    Raises
+    ------
+    OSError
+        When the address is taken or is none of this host's.
+    """
+    # Without this option two processes could share the port, and each would get half the calls.
+    server = grpc.aio.server(options=(("grpc.so_reuseport", 0),))
     add_ControlServicer_to_server(control, server)
-    port = server.add_insecure_port(address)
-    await server.start()
-    return server, port
+    try:
+        return server, server.add_insecure_port(address)
+    except RuntimeError as error:
+        raise OSError(f"{address}: cannot be listened on") from error
--- a/packages/node/src/ragwort_node/_peers.py
+++ b/packages/node/src/ragwort_node/_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from ragwort_common import Outcome, Reason
 from ragwort_protocol import Cancel, Message, ProtocolError, Refusal, Request, Response
 
 from ragwort_node._gate import Gate
@@ -59,6 +60,8 @@
         except ProtocolError:
             # Only the head can be too long, since the body goes in parts.
             self._counters.add("gate.unsendable_answers")
+            outcome, reason = Outcome.FAILED.value, Reason.BAD_ANSWER.value
+            link.send(Refusal(request.call_id, outcome, reason, 0, reply.report))
 
 
 def _send_reply(link: Link, reply: Response | Refusal) -> None:
--- a/packages/node/src/ragwort_node/_pool.py
+++ b/packages/node/src/ragwort_node/_pool.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
 
 from ragwort_common import NodeId
 from ragwort_protocol import Hello, Message, encode_frame
 
+from ragwort_node._http import bind_socket
 from ragwort_node._link import Handler, Link
 from ragwort_node._metrics import Counters
 
@@ -59,13 +61,18 @@
         self._links: dict[NodeId, Link] = {}
         self._all: set[Link] = set()
         self._dials: dict[NodeId, asyncio.Task[Link | None]] = {}
+        self._socket: socket.socket | None = None
         self._server: asyncio.Server | None = None
 
-    async def listen(self, host: str, port: int) -> int:
-        """Accept links and return the port that is bound."""
+    def bind(self, host: str, port: int) -> int:
+        """Bind the address at which links will be accepted, and return the port."""
+        self._socket = bind_socket(host, port)
+        return self._socket.getsockname()[1]
+
+    async def listen(self) -> None:
+        """Accept links from now on."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._make_link, host, port)
-        return self._server.sockets[0].getsockname()[1]
+        self._server = await loop.create_server(self._make_link, sock=self._socket)
 
     def find_link(self, peer: NodeId) -> Link | None:
         """Return the open link to a peer, if there is one that takes in what is sent."""
--- a/packages/node/src/ragwort_node/main.py
+++ b/packages/node/src/ragwort_node/main.py
@@ -10,6 +10,7 @@
 from ragwort_node._logging import configure_logging
 from ragwort_node._settings import Settings, load_settings
 
+FAILED = 1
 USER_MISTAKE = 2
 
 _settings_flag = flags.DEFINE_string("settings", None, "The node's settings file (YAML).")
@@ -33,5 +34,7 @@
     if _check_flag.value:
         return 0
     configure_logging(settings.logging.level.value, settings.logging.json_lines)
-    uvloop.run(run_node(settings))
-    return 0
+    failure = uvloop.run(run_node(settings))
+    if failure:
+        print(f"ragwortd: {failure}", file=sys.stderr)
+    return FAILED if failure else 0
--- a/tests/node/test_link.py
+++ b/tests/node/test_link.py
@@ -24,7 +24,8 @@
         Hello("a", 1), lambda peer: f"127.0.0.1:{ports[0]}", lambda *_: None, counters, 2000
     )
     b = LinkPool(Hello("b", 1), lambda peer: None, handle, counters, 2000)
-    ports.append(await b.listen("127.0.0.1", 0))
+    ports.append(b.bind("127.0.0.1", 0))
+    await b.listen()
     try:
         yield a, b, counters
     finally:
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -14,6 +14,7 @@
     def __init__(self):
         self.release = asyncio.Event()
         self.cancelled = []
+        self.headers = []
 
     async def run_call(self, request):
         try:
@@ -21,7 +22,7 @@
         except asyncio.CancelledError:
             self.cancelled.append(request.call_id)
             raise
-        return Response(request.call_id, 200, [], b"ok", REPORT)
+        return Response(request.call_id, 200, self.headers, b"ok", REPORT)
 
 
 class FakeLink:
@@ -29,6 +30,8 @@
         self.sent = []
 
     def send(self, message):
+        if isinstance(message, Response) and len(message.headers) > 1:
+            raise ProtocolError("over the frame limit")
         self.sent.append(message)
 
 
@@ -95,3 +98,14 @@
         assert others == [Probe(4)]
 
     run_calls(scenario)
+
+
+def test_an_answer_that_cannot_be_sent_ends_its_call_as_failed_at_once():
+    async def scenario(calls, gate, first, second, others):
+        gate.headers = [(b"x", b"1")] * 2
+        gate.release.set()
+        await let_run()
+        (refusal,) = second.sent
+        assert (refusal.outcome, refusal.reason) == ("failed", "bad-answer")
+
+    run_calls(scenario)
