--- a/packages/policy/src/ragwort_policy/_admission.py
+++ b/packages/policy/src/ragwort_policy/_admission.py
@@ -177,6 +177,8 @@
     if call is not None:
         remove_waiting(state.batch if call.batch else state.interactive, call.member, call_id)
         return []
+    if call_id in state.lapsed:
+        state.lapsed.remove(call_id)
     if call_id in state.running:
         _stop(state, now, call_id, counts=False)
     return start_waiting(state, now)
--- a/packages/policy/src/ragwort_policy/_evidence.py
+++ b/packages/policy/src/ragwort_policy/_evidence.py
@@ -17,7 +17,8 @@
 
 USUAL_MEMORY = 0.05
 FAR_FULL_DOUBLINGS = 4
-FULL_REASONS = frozenset({Reason.OVERLOADED, Reason.LIMIT, Reason.SHED})
+# A refusal for the limit of waiting batch calls says nothing about interactive ones.
+FULL_REASONS = frozenset({Reason.OVERLOADED, Reason.SHED})
 
 
 def record_sent(state: ChoiceState, node: NodeId, call_id: CallId, now: float) -> None:
--- a/packages/policy/src/ragwort_policy/_servers.py
+++ b/packages/policy/src/ragwort_policy/_servers.py
@@ -53,7 +53,7 @@
     other_region_ms: float = 60.0
     crossing_margin_ms: float = 10.0
     report_life_ms: float = 100.0
-    full_ms: float = 20.0
+    full_ms: float = 80.0
 
 
 @dataclass(slots=True)
