Review the gate's queue while calls wait in it, and warm up fresh servers

Cause: the policy can shed queued calls from a server that became slow, but the node asked it only when a call ended, which a hanging server does not bring about; and the node passed no time to warm up. The queue is now reviewed every 5 ms while calls wait, and the bounds are settings.

--- a/packages/node/src/ragwort_node/_composition/_path.py
+++ b/packages/node/src/ragwort_node/_composition/_path.py
@@ -51,7 +51,10 @@
     server = ServerClient(settings.server.address, settings.server.connections, limits.answer_bytes)
     tracer = Tracer(settings.tracing.sample_ratio, shared.random, counters)
     fence = EpochFence()
-    gate_limits = GateLimits(settings.server.slots)
+    bounds = settings.server
+    gate_limits = GateLimits(
+        slots=bounds.slots, queue_wait_ms=bounds.queue_wait_ms, warm_ms=bounds.warm_ms
+    )
     gate = Gate(server, gate_limits, counters, shared.clock, tracer, fence)
     peer_calls = PeerCalls(gate, counters, receive_other)
     pool = LinkPool(
--- a/packages/node/src/ragwort_node/_gate.py
+++ b/packages/node/src/ragwort_node/_gate.py
@@ -4,11 +4,11 @@
 import itertools
 from collections import Counter
 from collections.abc import Callable
-from enum import Enum
 
 from ragwort_common import CallId, Member, Outcome, Reason
 from ragwort_policy import (
     Arrival,
+    Decision,
     EpochFence,
     GateLimits,
     Verdict,
@@ -18,7 +18,9 @@
     finish,
     make_gate,
     make_report,
+    shed_waiting,
     start_leaving,
+    start_waiting,
     stop_leaving,
 )
 from ragwort_protocol import LoadReport, Refusal, Request, Response, replace_fields
@@ -30,7 +32,6 @@
 SHED_RETRY_AFTER_MS = 1000
 """What a caller is told when the server itself shed the call and named no time."""
 
-
 LIMIT_RETRY_AFTER_MS = 1000
 """What a caller is told whose member has as many calls at the gate as its rule allows."""
 
@@ -38,11 +39,11 @@
 """What a caller is told whose claim was granted in an epoch that is over."""
 
 
-class Turn(Enum):
-    """What becomes of a call that waits in the queue."""
+REVIEW_INTERVAL_S = 0.005
+"""How often the queue is reviewed while calls wait in it."""
 
-    START = "start"
-    EXPIRED = "expired"
+START = Decision(Verdict.RUN)
+EXPIRED = Decision(Verdict.REFUSED, Reason.DEADLINE)
 
 
 class Gate:
@@ -73,7 +74,8 @@
         self._counters = counters
         self._clock = clock
         self._state = make_gate(limits, clock())
-        self._turns: dict[CallId, asyncio.Future[Turn]] = {}
+        self._turns: dict[CallId, asyncio.Future[Decision]] = {}
+        self._review: asyncio.TimerHandle | None = None
         self._ids = itertools.count(1)
         self._members: Counter[str] = Counter()
         self._idle = asyncio.Event()
@@ -142,13 +144,12 @@
         deadline = now + request.budget_ms / 1000
         call = Arrival(call_id, Member(request.member), request.share, request.batch, deadline)
         decision = arrive(self._state, now, call)
+        if decision.verdict is Verdict.QUEUED:
+            self._counters.add("gate.queued")
+            decision = await self._wait_turn(call_id, deadline)
         if decision.verdict is Verdict.REFUSED:
             wait_ms = decision.retry_after_ms
             return self._refuse(request, Outcome.NOT_RUN, decision.reason, wait_ms)
-        if decision.verdict is Verdict.QUEUED:
-            self._counters.add("gate.queued")
-            if await self._wait_turn(call_id, deadline) is Turn.EXPIRED:
-                return self._refuse(request, Outcome.NOT_RUN, Reason.DEADLINE, 0)
         if request.idempotent:
             return await self._run(request, call_id, deadline)
         return await self._run_to_end(request, call_id, deadline)
@@ -166,9 +167,11 @@
                 run.add_done_callback(lambda _: self._leave(request.member))
             raise
 
-    async def _wait_turn(self, call_id: CallId, deadline: float) -> Turn:
+    async def _wait_turn(self, call_id: CallId, deadline: float) -> Decision:
+        """Wait until a queued call is started or refused after all."""
         turn = asyncio.get_running_loop().create_future()
         self._turns[call_id] = turn
+        self._plan_review()
         try:
             async with asyncio.timeout(max(0.0, deadline - self._clock())):
                 return await turn
@@ -177,7 +180,7 @@
                 # Its turn came in the moment in which the wait ended, so it holds a slot.
                 return turn.result()
             self._expire(call_id)
-            return Turn.EXPIRED
+            return EXPIRED
         except asyncio.CancelledError:
             self._start(cancel(self._state, self._clock(), call_id))
             raise
@@ -189,7 +192,27 @@
         if call_id not in expired:
             self._start(cancel(self._state, self._clock(), call_id))
         for other in expired:
-            self._give_turn(other, Turn.EXPIRED)
+            self._give_turn(other, EXPIRED)
+
+    def _plan_review(self) -> None:
+        if self._review is None:
+            loop = asyncio.get_running_loop()
+            self._review = loop.call_later(REVIEW_INTERVAL_S, self._review_queue)
+
+    def _review_queue(self) -> None:
+        """Start, expire and shed queued calls; a slow server ends too few to do that by itself."""
+        self._review = None
+        now = self._clock()
+        for call_id in expire(self._state, now):
+            self._give_turn(call_id, EXPIRED)
+        shed = shed_waiting(self._state, now)
+        if shed is not None:
+            self._counters.add("gate.shed", len(shed.call_ids))
+            for call_id in shed.call_ids:
+                self._give_turn(call_id, shed.decision)
+        self._start(start_waiting(self._state, now))
+        if self._turns:
+            self._plan_review()
 
     async def _run(self, request: Request, call_id: CallId, deadline: float) -> Response | Refusal:
         started = self._clock()
@@ -213,12 +236,12 @@
 
     def _start(self, call_ids: list[CallId]) -> None:
         for call_id in call_ids:
-            self._give_turn(call_id, Turn.START)
+            self._give_turn(call_id, START)
 
-    def _give_turn(self, call_id: CallId, turn: Turn) -> None:
+    def _give_turn(self, call_id: CallId, decision: Decision) -> None:
         future = self._turns.get(call_id)
         if future is not None and not future.done():
-            future.set_result(turn)
+            future.set_result(decision)
 
     def _make_reply(self, request: Request, result: Answer | Failure) -> Response | Refusal:
         if isinstance(result, Failure):
--- a/packages/node/src/ragwort_node/_settings.py
+++ b/packages/node/src/ragwort_node/_settings.py
@@ -83,6 +83,8 @@
     address: Address
     slots: Positive
     connections: Positive
+    queue_wait_ms: Positive
+    warm_ms: Annotated[int, Field(ge=0)]
 
 
 class PlatformSettings(_Section):
--- a/tests/node/test_gate.py
+++ b/tests/node/test_gate.py
@@ -181,3 +181,16 @@
         assert 0 < int(header) == int(budget_ms) <= 250
 
     run_gate(scenario)
+
+
+def test_queued_calls_leave_a_server_that_hangs_instead_of_waiting_for_its_end():
+    async def scenario(gate, server):
+        tasks = start(gate, *[b"/%d" % number for number in range(8)])
+        refusals = asyncio.as_completed(tasks)
+        reply = await next(refusals)
+        assert (reply.outcome, reply.reason) == ("not-run", "overloaded")
+        assert server.started == [b"/0"]
+        server.release.set()
+        await asyncio.gather(*tasks)
+
+    run_gate(scenario)
