Let the processes of a benchmark end with the one that started them

Cause: two deployments of an hour ago were still running, since the script that had started them was ended by a signal that skipped its clean-up; they disturbed every later measurement of the path. The kernel now ends them with their parent. The path is measured with one key range, since two nodes would own 32 each and move them at each drain.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import signal
 import socket
@@ -16,6 +17,8 @@
 
 READY_TIMEOUT_S = 30
 STOP_TIMEOUT_S = 10
+PR_SET_PDEATHSIG = 1
+"""From the kernel's header linux/prctl.h."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,12 +143,18 @@
         stdout=output,
         stderr=output,
         start_new_session=True,
+        preexec_fn=_die_with_parent,
     )
     output.close()
     fleet.processes.append(process)
     return process
 
 
+def _die_with_parent() -> None:
+    """Let the kernel end this process when the one that started it ends, however that ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 async def start_server(fleet: Fleet, place: Place) -> None:
     """Start a place's stand-in server."""
     plan = fleet.plan
--- a/bench/path.py
+++ b/bench/path.py
@@ -32,11 +32,13 @@
 )
 RULES = b"drum-tracking GET /** idempotent interactive deadline=2s  # hanbit: benchmark\n"
 TOKEN = "bench"
+# At the target size a node owns a tenth of a key range; with two nodes it would own 32.
+SETTINGS = {"admin": {"token": TOKEN}, "node": {"key_ranges": 1}}
 
 
 async def measure_path() -> None:
     """Run the measurement and print its results."""
-    async with run_fleet(PLAN, {"admin": {"token": TOKEN}}) as fleet:
+    async with run_fleet(PLAN, SETTINGS) as fleet:
         rules = Path(fleet.folder) / "bench.rules"
         rules.write_bytes(RULES)
         await apply_rules(fleet, rules, "bench")
--- a/bench/run.py
+++ b/bench/run.py
@@ -8,7 +8,7 @@
 import sys
 from concurrent.futures import ThreadPoolExecutor
 
-ALONE = ("bench.path",)
+ALONE = ("bench.path", "bench.capacity")
 TOGETHER = (
     "bench.choice",
     "bench.membership",
