--- a/bench/rules.py
+++ b/bench/rules.py
@@ -119,7 +119,10 @@
     """Replies with a table of so many peers."""
 
     def __init__(self, peers: int) -> None:
-        self.reply = GetStatusReply(peers=[self.describe(number) for number in range(peers)])
+        own = self.describe(peers)
+        others = [self.describe(number) for number in range(peers)]
+        self.whole = GetStatusReply(self=own, peers=others)
+        self.reply = GetStatusReply(self=own)
 
     def describe(self, number: int) -> Peer:
         """Return a peer as nodes describe them."""
@@ -136,8 +139,8 @@
         )
 
     async def GetStatus(self, request, context):  # noqa: N802
-        """Return the table."""
-        return self.reply
+        """Return the node's own state, with the table unless told otherwise."""
+        return self.reply if request.without_peers else self.whole
 
 
 async def measure_status(nodes: int) -> None:
