--- a/packages/node/src/ragwort_node/_composition/_node.py
+++ b/packages/node/src/ragwort_node/_composition/_node.py
@@ -20,7 +20,7 @@
 from ragwort_node._composition._watching import build_rules, build_watching
 from ragwort_node._control import Control, bind_control
 from ragwort_node._directory import find_link_address, make_profile
-from ragwort_node._entry import EntryLimits, build_entry
+from ragwort_node._entry import build_entry
 from ragwort_node._gauges import CountSources, collect_counts
 from ragwort_node._gossip import (
     LinkLost,
@@ -34,6 +34,7 @@
     withdraw,
 )
 from ragwort_node._http import RunningServer, start_http
+from ragwort_node._intake import EntryLimits
 from ragwort_node._link import Link
 from ragwort_node._metrics import flush_metrics
 from ragwort_node._settings import Exporter, Settings
--- a/tests/node/test_admin.py
+++ b/tests/node/test_admin.py
@@ -17,8 +17,9 @@
     ServiceName,
 )
 from ragwort_node._admin import NO_TOKEN_SET, TOKEN_WRONG, AdminPorts, build_admin
-from ragwort_node._entry import EntryLimits, build_entry
+from ragwort_node._entry import build_entry
 from ragwort_node._http import start_http
+from ragwort_node._intake import EntryLimits
 from ragwort_node._metrics import Counters
 from ragwort_node._rules import RulesInForce
 from ragwort_node._rules_ports import CurrentRules
