--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	touch $(STAMP)
 
 demo: $(STAMP)
-	$(BIN)/python -m bench.demo
+	@$(BIN)/python -m bench.demo
 
 test: $(STAMP)
 	PYTHONHASHSEED=0 $(BIN)/python -m pytest
@@ -28,7 +28,7 @@
 	PYTHONHASHSEED=0 $(BIN)/python -m pytest
 
 bench: $(STAMP)
-	$(BIN)/python -m bench.run
+	@$(BIN)/python -m bench.run
 
 format: $(STAMP)
 	$(BIN)/black -q $(CODE)
