Let the operators' command read a long history

The command now has a budget of its own, 200 at once and 50 a second.

Ruled out: a listing of all history, whose documents may be a megabyte each.

--- a/packages/control/src/ragwort_control/_store.py
+++ b/packages/control/src/ragwort_control/_store.py
@@ -1,10 +1,15 @@
 """What the commands need of the platform's store, and how they open it."""
 
+import time
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
 from expression import Result
-from ragwort_platform import Listing, ObjectStore, Stored, StoreError
+from ragwort_platform import CallBudget, Listing, ObjectStore, Stored, StoreError
+
+CALLS_PER_S = 50.0
+BURST_CALLS = 200.0
+"""Calls that a command may make at once; ``history`` reads one object for each revision."""
 
 
 class Store(Protocol):
@@ -27,4 +32,4 @@
 
 def open_platform(url: str, timeout_ms: int) -> AbstractAsyncContextManager[Store]:
     """Return the store of the platform at a URL."""
-    return ObjectStore(url, timeout_ms)
+    return ObjectStore(url, timeout_ms, CallBudget(CALLS_PER_S, BURST_CALLS, time.monotonic))
--- a/tests/control/test_main.py
+++ b/tests/control/test_main.py
@@ -253,3 +253,20 @@
     winner, data = asyncio.run(scenario())
     assert f"# {winner}" in data.decode()
     assert operator.capsys.readouterr().err.count("nothing was applied: revision 2 by kim") == 3
+
+
+def test_a_long_history_is_not_cut_off_by_the_budget_of_platform_calls(operator):
+    async def scenario():
+        async with PlatformStandIn() as platform:
+            flags = [f"--platform={platform.url}", "--author=kim"]
+            for revision in range(30):
+                expected = [f"--expect-version={revision}"] if revision else []
+                name = operator.write(ONE.replace("lookups", f"lookups {revision}"))
+                words = ["apply", name, *flags, *expected]
+                assert await asyncio.to_thread(run_command, words, open_platform, go_on) == 0
+            operator.capsys.readouterr()
+            words = ["history", "--count=50", flags[0]]
+            return await asyncio.to_thread(run_command, words, open_platform, go_on)
+
+    assert asyncio.run(scenario()) == 0
+    assert operator.capsys.readouterr().out.count("kim") == 30
