Drop the key owner's own loop, which nothing ran

Cause: KeyOwner.run stood beside keep_ranges, which does the same but only while the view of peers is current; no code or test called the first, and the period stood twice. The loop that runs is the one that stays, with the owner's period. Behaviour is unchanged.

--- a/packages/node/src/ragwort_node/_composition/_keys.py
+++ b/packages/node/src/ragwort_node/_composition/_keys.py
@@ -15,11 +15,10 @@
 from ragwort_node._composition._shared import Shared
 from ragwort_node._keyed_call import KeyedCalls
 from ragwort_node._once import KeyClaims
-from ragwort_node._owner import LEASE_MARGIN_MS, LEASE_TTL_MS, KeyOwner
+from ragwort_node._owner import LEASE_MARGIN_MS, LEASE_TTL_MS, TICK_S, KeyOwner
 from ragwort_node._owner_limits import OwnerClocks, OwnerLimits
 from ragwort_node._owner_news import OwnerNews
 
-KEY_TICK_S = 5.0
 KEY_WRITES_PER_S = 100.0
 """Writes a second to the platform that the journals of all key ranges may take together."""
 
@@ -84,4 +83,4 @@
     while True:
         if is_current(get_membership(), shared.clock()):
             await keys.owner.tick()
-        await asyncio.sleep(KEY_TICK_S)
+        await asyncio.sleep(TICK_S)
--- a/packages/node/src/ragwort_node/_owner.py
+++ b/packages/node/src/ragwort_node/_owner.py
@@ -50,7 +50,7 @@
 
 
 class KeyOwner:
-    """Owns this node's key ranges; ``run`` is its task.
+    """Owns this node's key ranges; a task calls ``tick`` every ``TICK_S``.
 
     Parameters
     ----------
@@ -95,12 +95,6 @@
         held = self._held.values()
         return [OwnerNotice(each.key_range, each.lease.epoch, self._node) for each in held]
 
-    async def run(self) -> None:
-        """Renew and acquire leases until cancelled."""
-        while True:
-            await self.tick()
-            await self._clocks.sleep(TICK_S)
-
     async def tick(self) -> None:
         """Renew the leases that are due, give up what is lost or too much, take what is free."""
         await self._drop_lost()
@@ -122,7 +116,7 @@
         return held is not None and held.keeper.take_result(result)
 
     async def stop(self) -> None:
-        """Release all ranges at once; call it after ``run`` has been cancelled."""
+        """Release all ranges at once; no range is taken again while the node leaves."""
         await asyncio.gather(*[self._release(held) for held in list(self._held.values())])
 
     def _point_elsewhere(self, claim: ClaimRequest) -> ClaimReply:
