--- a/Makefile
+++ b/Makefile
@@ -2,17 +2,18 @@
 PYTHON ?= python3
 BIN := .venv/bin
 STAMP := .venv/.installed
-CODE := packages standins tests bench
+CODE := packages platform standins tests bench
 
 .PHONY: setup demo test check bench format proto lock
 
 setup: $(STAMP)
 
-$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml) standins/pyproject.toml
+$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml \
+		standins/pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/python -m pip install -q --require-hashes -r requirements.lock
 	$(BIN)/python -m pip install -q --no-deps --no-build-isolation --no-index \
-		$(foreach p,$(wildcard packages/*) standins,-e ./$(p))
+		$(foreach p,$(wildcard packages/*) platform standins,-e ./$(p))
 	touch $(STAMP)
 
 demo: $(STAMP)
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -15,7 +15,6 @@
 from time import perf_counter
 
 from ragwort_common import FailureDomain, NodeId, Region, Revision
-from ragwort_platform import RulesDocument, encode_document
 from ragwort_policy import (
     UNKNOWN_DIGEST,
     RevisionState,
@@ -32,6 +31,7 @@
     note_source,
 )
 from ragwort_protocol import RevisionNotice, encode_frame
+from ragwort_store import RulesDocument, encode_document
 
 SEED = 4
 SIZES = ((24, 4), (720, 8), (7200, 8))
--- a/bench/links.py
+++ b/bench/links.py
@@ -9,10 +9,9 @@
 
 import psutil
 import uvloop
-from ragwort_common import NodeId
-from ragwort_node._link import Link
-from ragwort_node._metrics import Counters
+from ragwort_common import Counters, NodeId
 from ragwort_protocol import Hello, Message, Request, Response
+from ragwort_transport import Link
 
 from bench.costs import REPORT, report
 from bench.wire import HEADERS
--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -10,7 +10,7 @@
 from expression import Error, Ok, Result
 from ragwort_common import Epoch
 from ragwort_node._owner import LEASE_TTL_MS
-from ragwort_platform import (
+from ragwort_store import (
     ErrorKind,
     Lease,
     LeaseError,
--- a/bench/wire.py
+++ b/bench/wire.py
@@ -6,11 +6,11 @@
 from collections import Counter
 
 import statsd
-from ragwort_common import Incarnation, ServiceName
-from ragwort_node._metrics import MAX_DATAGRAM_BYTES, Counters, _flush
-from ragwort_platform import Announcement, encode_announcement
+from ragwort_common import Counters, Incarnation, ServiceName
+from ragwort_node._metrics import MAX_DATAGRAM_BYTES, _flush
 from ragwort_policy import ServerPlace
 from ragwort_protocol import FrameReader, Request, Response, encode_frame
+from ragwort_store import Announcement, encode_announcement
 
 from bench.costs import PEERS, REPORT, Turns, make_places, report, time_turns
 
--- a/packages/common/src/ragwort_common/__init__.py
+++ b/packages/common/src/ragwort_common/__init__.py
@@ -1,5 +1,6 @@
 """Ids, outcomes and small helpers that every package shares."""
 
+from ragwort_common._counters import MAX_TIMINGS, Counters
 from ragwort_common._ids import (
     CallId,
     Epoch,
@@ -15,9 +16,11 @@
 
 __all__ = [
     "CallId",
+    "Counters",
     "Epoch",
     "FailureDomain",
     "Incarnation",
+    "MAX_TIMINGS",
     "Member",
     "NodeId",
     "Outcome",
--- a/packages/common/src/ragwort_common/_outcome.py
+++ b/packages/common/src/ragwort_common/_outcome.py
@@ -26,6 +26,7 @@
     CONNECTION_LOST = "connection-lost"
     BAD_ANSWER = "bad-answer"
     SHED = "shed"
+    MISDIRECTED = "misdirected"
     LIMIT = "limit"
     KEY_RUNNING = "key-running"
     KEY_UNPROVEN = "key-unproven"
--- a/packages/control/src/ragwort_control/_apply.py
+++ b/packages/control/src/ragwort_control/_apply.py
@@ -8,8 +8,8 @@
 from absl import flags
 from expression import Error, Ok, Result
 from ragwort_common import Revision
-from ragwort_platform import MAX_OBJECT_BYTES, RulesDocument, encode_document
 from ragwort_rules import ChangeKind, Rules, compare_rules
+from ragwort_store import MAX_OBJECT_BYTES, RulesDocument, encode_document
 
 from ragwort_control._command import (
     Command,
--- a/packages/control/src/ragwort_control/_drain.py
+++ b/packages/control/src/ragwort_control/_drain.py
@@ -5,8 +5,8 @@
 
 from absl import flags
 from expression import Error, Ok, Result
-from ragwort_platform import NODES_PREFIX, ErrorKind, Stored, StoreError, decode_announcement
 from ragwort_protocol.control import SetDrainReply
+from ragwort_store import NODES_PREFIX, ErrorKind, Stored, StoreError, decode_announcement
 
 from ragwort_control._command import (
     Command,
--- a/packages/control/src/ragwort_control/_platform.py
+++ b/packages/control/src/ragwort_control/_platform.py
@@ -4,7 +4,7 @@
 from typing import TypeVar
 
 from expression import Error, Ok, Result
-from ragwort_platform import StoreError
+from ragwort_store import StoreError
 
 from ragwort_control._command import Context, Failure, blame_user, fail
 from ragwort_control._flags import PLATFORM_VARIABLE
--- a/packages/control/src/ragwort_control/_replacement.py
+++ b/packages/control/src/ragwort_control/_replacement.py
@@ -9,7 +9,7 @@
 from enum import Enum
 
 from expression import Error, Ok, Result
-from ragwort_platform import (
+from ragwort_store import (
     RULES_PATH,
     ErrorKind,
     RulesDocument,
--- a/packages/control/src/ragwort_control/_revision.py
+++ b/packages/control/src/ragwort_control/_revision.py
@@ -5,7 +5,7 @@
 
 from expression import Error, Ok, Result
 from ragwort_common import Revision
-from ragwort_platform import (
+from ragwort_store import (
     RULES_PATH,
     ErrorKind,
     RulesDocument,
--- a/packages/control/src/ragwort_control/_show.py
+++ b/packages/control/src/ragwort_control/_show.py
@@ -4,7 +4,7 @@
 
 from absl import flags
 from expression import Error, Ok, Result
-from ragwort_platform import RulesDocument
+from ragwort_store import RulesDocument
 
 from ragwort_control._command import Command, Context, Failure, Outcome, Report, fail
 from ragwort_control._flags import define_platform_flags
--- a/packages/control/src/ragwort_control/_status.py
+++ b/packages/control/src/ragwort_control/_status.py
@@ -5,8 +5,8 @@
 
 from absl import flags
 from expression import Error, Ok, Result
-from ragwort_platform import NODES_PREFIX, decode_announcement
 from ragwort_protocol.control import GetStatusReply
+from ragwort_store import NODES_PREFIX, decode_announcement
 from tabulate import tabulate
 
 from ragwort_control._command import (
--- a/packages/control/src/ragwort_control/_store.py
+++ b/packages/control/src/ragwort_control/_store.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from expression import Result
-from ragwort_platform import CallBudget, Listing, ObjectStore, Stored, StoreError
+from ragwort_store import CallBudget, Listing, ObjectStore, Stored, StoreError
 
 CALLS_PER_S = 50.0
 BURST_CALLS = 200.0
--- /dev/null
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -0,0 +1,94 @@
+"""The decisions about one call, as pure code: placing, queueing, refusing and repeating."""
+
+from ragwort_flow._decision import EXPIRED, QUEUED, RUN, Decision, Verdict
+from ragwort_flow._distance import Distance, RandomSource, find_distance
+from ragwort_flow._instance_watch import (
+    InstanceWatch,
+    is_ready,
+    take_departure,
+    take_heartbeat,
+)
+from ragwort_flow._placement import (
+    Fit,
+    Placement,
+    Target,
+    choose_target,
+    close_target,
+    estimate_finish,
+    record_sent,
+    take_report,
+)
+from ragwort_flow._repeats import RepeatBudget, RepeatLimits, count_call, take_repeat
+from ragwort_flow._slowdown import expect_run, fade_slowdown
+from ragwort_flow._split import SplitState, take_part
+from ragwort_flow._turns import (
+    Offer,
+    Turns,
+    TurnState,
+    close_server,
+    end_call,
+    find_best_limit,
+    note_slowdown,
+    offer_call,
+    report_load,
+    review_waiting,
+    set_server,
+    withdraw_call,
+)
+from ragwort_flow._work import (
+    WorkClock,
+    WorkEstimates,
+    estimate_work,
+    learn_work,
+    read_work_clock,
+    state_slowdown,
+)
+
+__all__ = [
+    "Decision",
+    "Distance",
+    "EXPIRED",
+    "Fit",
+    "InstanceWatch",
+    "Offer",
+    "Placement",
+    "QUEUED",
+    "RUN",
+    "RandomSource",
+    "RepeatBudget",
+    "RepeatLimits",
+    "SplitState",
+    "Target",
+    "TurnState",
+    "Turns",
+    "Verdict",
+    "WorkClock",
+    "WorkEstimates",
+    "choose_target",
+    "close_server",
+    "close_target",
+    "count_call",
+    "end_call",
+    "estimate_finish",
+    "estimate_work",
+    "expect_run",
+    "fade_slowdown",
+    "find_best_limit",
+    "find_distance",
+    "is_ready",
+    "learn_work",
+    "note_slowdown",
+    "offer_call",
+    "read_work_clock",
+    "record_sent",
+    "report_load",
+    "review_waiting",
+    "set_server",
+    "state_slowdown",
+    "take_departure",
+    "take_heartbeat",
+    "take_part",
+    "take_repeat",
+    "take_report",
+    "withdraw_call",
+]
--- /dev/null
+++ b/packages/flow/src/ragwort_flow/_placement.py
@@ -0,0 +1,195 @@
+"""Chooses at the entry the server for a call, from reports that are always a little old.
+
+Answers a load that shifts faster than reports travel: for each server the time until the answer
+is estimated from its latest report, faded by age, and this node's own calls since. Few servers
+are compared where there are many (power of two choices, Mitzenmacher 2001), so that entries with
+the same reports don't all turn to one server. A call leaves its region only when that serves it
+in time and its own region does not.
+"""
+
+from collections import deque
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ragwort_common import NodeId
+from ragwort_protocol import LoadReport
+
+from ragwort_flow._distance import Distance, RandomSource
+from ragwort_flow._slowdown import expect_run, fade_slowdown
+
+COMPARED = 5
+"""Servers of the region that are compared for one call."""
+
+JITTER_PART = 0.1
+"""Differences up to this part of the estimate are left to chance, so that entries spread."""
+
+WAIT_LIFE_S = 0.3
+"""Mean time for which a stated wait still holds; a few service times."""
+
+CLOSED_LIFE_S = 1.0
+"""How long a server that takes no calls is left alone unless it says that it takes them again."""
+
+FAILURE_COST_S = 0.6
+"""Time that a failed call is worth: about the objective of the users' slower kinds of calls."""
+
+FAR_MARGIN = 0.9
+"""Part of the time left within which the other region has to answer, for a call to go there."""
+
+FIRST_LIMIT = 4
+"""Calls at once of a server that has not reported yet."""
+
+ROUND_TRIPS_S = {
+    Distance.SAME_DOMAIN: 0.0005,
+    Distance.SAME_REGION: 0.003,
+    Distance.OTHER_REGION: 0.065,
+}
+"""Times of a message there and back, from the users' sheets, with the nodes' own time."""
+
+CROSSING_COST_S = {
+    Distance.SAME_DOMAIN: 0.0,
+    Distance.SAME_REGION: 0.004,
+    Distance.OTHER_REGION: 0.03,
+}
+"""What the bytes of a call between domains and regions cost, put as time."""
+
+
+@dataclass(slots=True, eq=False)
+class Target:
+    """What an entry knows of one server.
+
+    Attributes
+    ----------
+    report, reported_at
+        The latest report, and when it arrived; None before the first.
+    sent
+        Times of the calls sent since the report.
+    closed_until
+        Until when it gets no calls, since it takes none or can't be reached.
+    """
+
+    node: NodeId
+    distance: Distance
+    report: LoadReport | None = None
+    reported_at: float = 0.0
+    sent: deque[float] = field(default_factory=deque)
+    closed_until: float = 0.0
+
+
+class Fit(Enum):
+    """Whether the answer of the chosen server is expected within the objective."""
+
+    IN_TIME = "in-time"
+    LATE = "late"
+
+
+@dataclass(slots=True, frozen=True)
+class Placement:
+    """The chosen server and the estimate that decided."""
+
+    target: Target
+    finish_s: float
+    fit: Fit
+
+
+def take_report(target: Target, now: float, report: LoadReport) -> None:
+    """Take in a report; calls on their way while it was sent still count."""
+    target.report = report
+    target.reported_at = now
+    since = now - ROUND_TRIPS_S[target.distance]
+    while target.sent and target.sent[0] <= since:
+        target.sent.popleft()
+    target.closed_until = 0.0 if report.accepting else now + CLOSED_LIFE_S
+
+
+def close_target(target: Target, now: float, pause_s: float = CLOSED_LIFE_S) -> None:
+    """Leave a server alone for a time."""
+    target.closed_until = max(target.closed_until, now + pause_s)
+
+
+def record_sent(target: Target, now: float) -> None:
+    """Take in that a call is sent to a server."""
+    target.sent.append(now)
+
+
+def estimate_finish(target: Target, now: float, work_s: float) -> float:
+    """Return the time until the answer of a call of this work, in seconds."""
+    base_s = ROUND_TRIPS_S[target.distance] + CROSSING_COST_S[target.distance]
+    report = target.report
+    if report is None:
+        over = max(0, len(target.sent) + 1 - FIRST_LIMIT)
+        return base_s + work_s * (1.0 + over / FIRST_LIMIT)
+    age_s = max(0.0, now - target.reported_at)
+    usual = max(1.0, report.service_time_us / 1e6 / work_s) if work_s > 0 else 1.0
+    usual = min(usual, USUAL_SLOWDOWN)
+    slowdown = fade_slowdown(report.slowdown_percent / 100, age_s, usual)
+    taken = report.in_flight + report.queued + len(target.sent)
+    over = max(0, taken + 1 - report.limit)
+    own_over = min(over, len(target.sent) + 1) if over else 0
+    fade = WAIT_LIFE_S / (WAIT_LIFE_S + age_s)
+    wait_s = report.wait_ms / 1e3 * fade + own_over * report.service_time_us / 1e6 / report.limit
+    failure_s = report.failing_percent / 100 * FAILURE_COST_S
+    return base_s + wait_s + expect_run(work_s, slowdown, usual) + failure_s
+
+
+USUAL_SLOWDOWN = 2.0
+"""Slowdown of a host on average, from the users' sheets: a quarter of the time fivefold."""
+
+
+def choose_target(
+    targets: Iterable[Target],
+    now: float,
+    random: RandomSource,
+    exclude: Collection[NodeId],
+    work_s: float,
+    left_s: float,
+) -> Placement | None:
+    """Return the server whose answer is expected soonest, or None when there is none.
+
+    Parameters
+    ----------
+    exclude
+        Nodes that this call has tried already.
+    work_s
+        Expected work of the call, in seconds.
+    left_s
+        Time left until the end of its objective, in seconds.
+    """
+    near: list[Target] = []
+    far: list[Target] = []
+    for target in targets:
+        if now < target.closed_until or target.node in exclude:
+            continue
+        (far if target.distance is Distance.OTHER_REGION else near).append(target)
+    best = _find_best(near, now, random, work_s, left_s)
+    if best is not None and best.fit is Fit.IN_TIME:
+        return best
+    best_far = _find_best(far, now, random, work_s, left_s * FAR_MARGIN)
+    if best is None or (best_far is not None and best_far.fit is Fit.IN_TIME):
+        return best_far or best
+    return best
+
+
+def _find_best(
+    targets: list[Target], now: float, random: RandomSource, work_s: float, left_s: float
+) -> Placement | None:
+    best: Target | None = None
+    best_rank = best_s = 0.0
+    for target in _draw(targets, random):
+        finish_s = estimate_finish(target, now, work_s)
+        rank = finish_s * (1.0 + JITTER_PART * random.random())
+        if best is None or rank < best_rank:
+            best, best_rank, best_s = target, rank, finish_s
+    if best is None:
+        return None
+    return Placement(best, best_s, Fit.IN_TIME if best_s <= left_s else Fit.LATE)
+
+
+def _draw(targets: list[Target], random: RandomSource) -> list[Target]:
+    if len(targets) <= COMPARED:
+        return targets
+    start = int(random.random() * len(targets))
+    # A prime step visits different servers whatever the start, and spreads the sets.
+    step = 1 + int(random.random() * (len(targets) - 1))
+    drawn = {(start + step * number) % len(targets) for number in range(COMPARED)}
+    return [targets[index] for index in drawn]
--- /dev/null
+++ b/packages/flow/src/ragwort_flow/_turns.py
@@ -0,0 +1,260 @@
+"""Decides at the gate which call runs next on its server, which one waits and which is refused.
+
+Answers a load that shifts in milliseconds: neighbours slow the host down for parts of a second, a
+server is slower near its last slots, and more calls come than can be run within their objectives.
+A call waits only while its answer is expected within its objective; waiting calls start by their
+rank and then by their latest start (earliest deadline first, Liu and Layland, 1973, on the
+objective less the expected work). What cannot be in time is refused at once.
+"""
+
+from dataclasses import dataclass, field
+
+from ragwort_common import CallId, Reason
+from ragwort_protocol import LoadReport
+
+from ragwort_flow._decision import EXPIRED, QUEUED, RUN, Decision, Verdict
+from ragwort_flow._slowdown import expect_run, fade_slowdown
+from ragwort_flow._work import (
+    WorkClock,
+    WorkEstimates,
+    estimate_work,
+    learn_work,
+    read_work_clock,
+    state_slowdown,
+)
+
+KNEE_SHARE = 0.8
+"""Share of its slots up to which a server runs at full speed; from the users' sheets."""
+
+FULL_SLOWDOWN = 1.7
+"""Slowdown of a server whose slots are all taken; from the users' sheets."""
+
+COLD_SLOWDOWN = 2.0
+"""Slowdown of a server that has just started; from the users' sheets."""
+
+LATE_WAIT_S = 0.03
+"""Longest wait with which a call is queued that can't be in time any more."""
+
+MIN_REMAINING_SHARE = 0.2
+"""Least part of its work that a running call is expected to have left."""
+
+ERROR_MEMORY = 0.15
+"""Weight of the latest call in the share of failed calls: about the last seven count."""
+
+
+@dataclass(slots=True, frozen=True)
+class Offer:
+    """A call that asks for its turn; times are on the gate's clock, in seconds.
+
+    Attributes
+    ----------
+    kind
+        Calls of one kind need about the same work.
+    rank
+        Urgency; 0 is the highest.
+    objective
+        Until when an answer is worth most.
+    deadline
+        Until when an answer is of any use.
+    """
+
+    call_id: CallId
+    kind: str
+    rank: int
+    objective: float
+    deadline: float
+
+
+@dataclass(slots=True)
+class TurnState:
+    """Everything that a gate knows of its server and its calls."""
+
+    accepting: bool = False
+    slots: int = 1
+    limit: int = 1
+    cold_until: float = 0.0
+    clock: WorkClock = field(default_factory=WorkClock)
+    work: WorkEstimates = field(default_factory=WorkEstimates)
+    running: dict[CallId, "_Running"] = field(default_factory=dict)
+    waiting: list["_Waiting"] = field(default_factory=list)
+    failing: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class _Running:
+    offer: Offer
+    started_work_s: float
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class _Waiting:
+    rank: int
+    latest_start: float
+    call_id: CallId
+    offer: Offer = field(compare=False)
+
+
+@dataclass(slots=True, frozen=True)
+class Turns:
+    """What a step decided: calls that start now, and waiting calls that are refused."""
+
+    started: list[CallId] = field(default_factory=list)
+    refused: list[tuple[CallId, Decision]] = field(default_factory=list)
+
+
+def find_best_limit(slots: int) -> int:
+    """Return the number of calls at once with which a server gets most work done."""
+    return max(range(1, slots + 1), key=lambda running: running / _get_knee_factor(running, slots))
+
+
+def set_server(state: TurnState, now: float, slots: int, cold_s: float) -> None:
+    """Take in that the server takes calls, how many at once and for how long it is slow."""
+    state.accepting = True
+    state.slots = slots
+    state.limit = find_best_limit(slots)
+    state.cold_until = now + cold_s
+
+
+def close_server(state: TurnState) -> Turns:
+    """Take in that the server takes no further calls; those that wait are refused."""
+    state.accepting = False
+    refused = [(call.call_id, _refuse_closed()) for call in state.waiting]
+    state.waiting.clear()
+    return Turns(refused=refused)
+
+
+def note_slowdown(state: TurnState, now: float, slowdown: float) -> None:
+    """Take in how much slower than usual the host says that it is."""
+    state_slowdown(state.clock, now, slowdown)
+
+
+def offer_call(state: TurnState, now: float, offer: Offer) -> Decision:
+    """Decide on a call that arrives; a queued one is started by a later step."""
+    if not state.accepting:
+        return _refuse_closed()
+    if offer.deadline <= now:
+        return EXPIRED
+    if len(state.running) < state.limit and not state.waiting:
+        _start(state, now, offer)
+        return RUN
+    work_s = estimate_work(state.work, offer.kind)
+    entry = _Waiting(offer.rank, offer.objective - work_s, offer.call_id, offer)
+    ahead = [call.offer for call in state.waiting if call < entry]
+    wait_s = _expect_wait(state, now, ahead, 0.0)
+    finish = now + _expect_wait(state, now, ahead, work_s)
+    if finish > offer.deadline or (finish > offer.objective and wait_s > LATE_WAIT_S):
+        return Decision(Verdict.REFUSED, Reason.OVERLOADED, max(1, int(wait_s * 1e3)))
+    state.waiting.append(entry)
+    state.waiting.sort()
+    return QUEUED
+
+
+def end_call(state: TurnState, now: float, call_id: CallId, succeeded: bool) -> Turns:
+    """Take in the end of a running call."""
+    running = state.running.pop(call_id)
+    if succeeded:
+        work_s = read_work_clock(state.clock, now) - running.started_work_s
+        learn_work(state.work, running.offer.kind, work_s)
+    state.failing += ((not succeeded) - state.failing) * ERROR_MEMORY
+    return _start_waiting(state, now)
+
+
+def withdraw_call(state: TurnState, now: float, call_id: CallId) -> Turns:
+    """Forget a call that nobody waits for, running or waiting; nothing is learned from it."""
+    state.running.pop(call_id, None)
+    state.waiting = [call for call in state.waiting if call.call_id != call_id]
+    return _start_waiting(state, now)
+
+
+def review_waiting(state: TurnState, now: float) -> Turns:
+    """Refuse the waiting calls that can't be answered by their deadline any more."""
+    refused = []
+    kept = []
+    ahead: list[Offer] = []
+    for call in state.waiting:
+        work_s = estimate_work(state.work, call.offer.kind)
+        if call.offer.deadline <= now:
+            refused.append((call.call_id, EXPIRED))
+        elif now + _expect_wait(state, now, ahead, work_s) > call.offer.deadline:
+            retry_ms = int(_expect_wait(state, now, ahead, 0.0) * 1e3)
+            refused.append(
+                (call.call_id, Decision(Verdict.REFUSED, Reason.OVERLOADED, max(1, retry_ms)))
+            )
+        else:
+            kept.append(call)
+            ahead.append(call.offer)
+    state.waiting = kept
+    started = _start_waiting(state, now).started
+    return Turns(started, refused)
+
+
+def report_load(state: TurnState, now: float) -> LoadReport:
+    """Return what the entries are told of the server."""
+    mean_s = _average([estimate_work(state.work, kind) for kind in state.work.mean_s])
+    slowdown = _get_slowdown(state, now)
+    wait_s = _expect_wait(state, now, [call.offer for call in state.waiting], 0.0)
+    return LoadReport(
+        in_flight=len(state.running),
+        limit=state.limit,
+        queued=len(state.waiting),
+        service_time_us=int(mean_s * state.clock.usual * 1e6),
+        accepting=state.accepting,
+        warm_percent=100,
+        slowdown_percent=int(slowdown * 100),
+        wait_ms=int(wait_s * 1e3),
+        failing_percent=int(state.failing * 100),
+    )
+
+
+def _refuse_closed() -> Decision:
+    return Decision(Verdict.REFUSED, Reason.LEAVING)
+
+
+def _get_knee_factor(running: int, slots: int) -> float:
+    over = max(0.0, running / slots - KNEE_SHARE) / (1.0 - KNEE_SHARE)
+    return 1.0 + (FULL_SLOWDOWN - 1.0) * over
+
+
+def _get_slowdown(state: TurnState, now: float) -> float:
+    age_s = now - state.clock.stated_at
+    slowdown = fade_slowdown(state.clock.slowdown, age_s, state.clock.usual)
+    return slowdown * (COLD_SLOWDOWN if now < state.cold_until else 1.0)
+
+
+def _expect_wait(state: TurnState, now: float, ahead: list[Offer], work_s: float) -> float:
+    """Return the time until ``work_s`` of work is done that starts after the calls ahead."""
+    quiet_s = work_s
+    if len(state.running) + len(ahead) >= state.limit:
+        done_s = read_work_clock(state.clock, now)
+        remaining = [_get_remaining(state, call, done_s) for call in state.running.values()]
+        ahead_s = sum(estimate_work(state.work, offer.kind) for offer in ahead)
+        quiet_s += (_average(remaining) + ahead_s) / state.limit
+    return expect_run(quiet_s, _get_slowdown(state, now), state.clock.usual)
+
+
+def _get_remaining(state: TurnState, call: _Running, done_s: float) -> float:
+    """Return the work that a running call is expected to have left.
+
+    One that has run for longer than expected is expected to go on as long again, as with a
+    heavy-tailed distribution; so the wait at a server that hangs grows with time.
+    """
+    work_s = estimate_work(state.work, call.offer.kind)
+    spent_s = done_s - call.started_work_s
+    return max(work_s * MIN_REMAINING_SHARE, abs(work_s - spent_s))
+
+
+def _start(state: TurnState, now: float, offer: Offer) -> None:
+    state.running[offer.call_id] = _Running(offer, read_work_clock(state.clock, now))
+
+
+def _start_waiting(state: TurnState, now: float) -> Turns:
+    started = []
+    while state.waiting and len(state.running) < state.limit:
+        call = state.waiting.pop(0)
+        _start(state, now, call.offer)
+        started.append(call.call_id)
+    return Turns(started=started)
+
+
+def _average(values: list[float]) -> float:
+    return sum(values) / len(values) if values else 0.0
--- /dev/null
+++ b/packages/mesh/src/ragwort_mesh/_caller.py
@@ -0,0 +1,271 @@
+"""Has a call run: chooses a server, offers it there, and goes on elsewhere where that is safe."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from ragwort_common import NodeId, Outcome, Reason, ServiceName
+from ragwort_flow import (
+    Placement,
+    RepeatBudget,
+    RepeatLimits,
+    Target,
+    WorkEstimates,
+    choose_target,
+    close_target,
+    count_call,
+    estimate_work,
+    record_sent,
+    take_repeat,
+    take_report,
+)
+from ragwort_protocol import Cancel, LoadReport, Refusal, Request, Response
+from ragwort_transport import Link, LinkLost
+
+from ragwort_mesh._call import Attempt, Call
+from ragwort_mesh._gate import Gate
+from ragwort_mesh._peers import Peers
+from ragwort_mesh._targets import Targets
+from ragwort_mesh._telemetry import Telemetry
+
+MAX_GATES = 4
+"""Most gates that one call is offered to: those of its region and two of the other."""
+
+REPLY_SLACK_S = 0.04
+"""How long after the deadline a gate's reply is still awaited: the gate's own timers and a flight
+between regions."""
+
+UNKNOWN_SERVICE_RETRY_MS = 300
+"""When a caller may come back for a service without a server: about a server's next report."""
+
+NO_REPORT = LoadReport(0, 0, 0, 0, accepting=False)
+
+_REACHED_SERVER = frozenset({Reason.SHED, Reason.MISDIRECTED})
+"""Reasons of calls that did not run although they were sent to a server."""
+
+
+@dataclass(slots=True)
+class Progress:
+    """What has become of a call so far.
+
+    Attributes
+    ----------
+    tried
+        Nodes that it was offered to.
+    sent
+        Servers that it may have reached.
+    may_have_run
+        Whether some server may have run it.
+    answer
+        A server's answer that is kept while a better one is sought.
+    refusal
+        The latest refusal.
+    retry_after_ms
+        The soonest time that a gate named for coming back; 0 before the first.
+    """
+
+    tried: set[NodeId] = field(default_factory=set)
+    sent: int = 0
+    may_have_run: bool = False
+    answer: Response | None = None
+    refusal: Refusal | None = None
+    retry_after_ms: int = 0
+    attempts: list[Attempt] = field(default_factory=list)
+
+
+def make_refusal(outcome: Outcome, reason: Reason, retry_after_ms: int = 0) -> Refusal:
+    """Return a refusal that this node decided by itself."""
+    return Refusal(0, outcome.value, reason.value, retry_after_ms, NO_REPORT)
+
+
+class Caller:
+    """Owns what this entry has learned of services; owns no connection."""
+
+    def __init__(
+        self,
+        node: NodeId,
+        gate: Gate,
+        peers: Peers,
+        targets: Targets,
+        telemetry: Telemetry,
+        clock: Callable[[], float],
+        limits: RepeatLimits,
+        random_source: random.Random,
+    ) -> None:
+        self._node = node
+        self._gate = gate
+        self._peers = peers
+        self._targets = targets
+        self._telemetry = telemetry
+        self._clock = clock
+        self._limits = limits
+        self._random = random_source
+        self._work = WorkEstimates()
+        self._repeats: dict[ServiceName, RepeatBudget] = {}
+
+    async def run_call(self, call: Call, progress: Progress) -> Response | Refusal:
+        """Have a call run, and return its answer or the refusal that ends it."""
+        count_call(self._get_budget(call.service), self._clock())
+        while True:
+            now = self._clock()
+            if now >= call.deadline:
+                return self._end(progress, Reason.DEADLINE)
+            placement = self._choose(call, progress, now)
+            if placement is None:
+                return self._end(progress, Reason.NO_SERVER)
+            reply = await self._try_target(call, placement, progress)
+            if self._is_final(call, reply, progress):
+                return reply if isinstance(reply, Response) else self._end(progress, Reason.NONE)
+
+    def _choose(self, call: Call, progress: Progress, now: float) -> Placement | None:
+        if len(progress.tried) >= MAX_GATES:
+            return None
+        return choose_target(
+            self._list_usable(call.service, now),
+            now,
+            self._random,
+            progress.tried,
+            estimate_work(self._work, call.route.name),
+            call.objective - now,
+        )
+
+    def _list_usable(self, service: ServiceName, now: float) -> Iterator[Target]:
+        for target in self._targets.list_targets(service):
+            if target.node == self._node:
+                take_report(target, now, self._gate.make_report())
+            elif self._peers.find_link(target.node) is None:
+                continue
+            yield target
+
+    async def _try_target(
+        self, call: Call, placement: Placement, progress: Progress
+    ) -> Response | Refusal:
+        target = placement.target
+        started = self._clock()
+        age_s = started - target.reported_at if target.report is not None else None
+        progress.tried.add(target.node)
+        record_sent(target, started)
+        reply = await self._send(target, call)
+        now = self._clock()
+        if reply.report is not NO_REPORT:
+            take_report(target, now, reply.report)
+        elif isinstance(reply, Refusal) and reply.reason == Reason.CONNECTION_LOST.value:
+            close_target(target, now)
+        self._note_result(call, reply, progress)
+        progress.attempts.append(
+            Attempt(
+                target.node,
+                round(placement.finish_s * 1000, 1),
+                None if age_s is None else round(age_s * 1000, 1),
+                _describe(reply),
+                round((now - started) * 1000, 1),
+            )
+        )
+        return reply
+
+    def _note_result(self, call: Call, reply: Response | Refusal, progress: Progress) -> None:
+        if isinstance(reply, Response):
+            progress.sent += 1
+            progress.may_have_run = True
+            progress.answer = reply
+            if reply.work_ms:
+                self._work.mean_s[call.route.name] = reply.work_ms / 1000
+            return
+        progress.refusal = reply
+        if reply.outcome != Outcome.NOT_RUN.value:
+            progress.sent += 1
+            progress.may_have_run = True
+        elif Reason(reply.reason) in _REACHED_SERVER:
+            progress.sent += 1
+        if reply.retry_after_ms and (
+            not progress.retry_after_ms or reply.retry_after_ms < progress.retry_after_ms
+        ):
+            progress.retry_after_ms = reply.retry_after_ms
+
+    def _is_final(self, call: Call, reply: Response | Refusal, progress: Progress) -> bool:
+        """Tell whether the reply ends the call; if not, another server is tried."""
+        if isinstance(reply, Response):
+            if reply.status < 500 or not call.route.idempotent:
+                return True
+        elif reply.outcome == Outcome.NOT_RUN.value:
+            if Reason(reply.reason) not in _REACHED_SERVER:
+                # The call was not sent to a server, so that another try is no further arrival.
+                return False
+        elif not call.route.idempotent:
+            return True
+        now = self._clock()
+        if progress.sent >= call.route.max_servers or now >= call.deadline:
+            return True
+        budget = self._get_budget(call.service)
+        if not take_repeat(budget, now, self._targets.count_nodes()):
+            self._telemetry.counters.add("entry.repeats_refused")
+            return True
+        self._telemetry.counters.add("entry.repeats")
+        return False
+
+    def _end(self, progress: Progress, reason: Reason) -> Response | Refusal:
+        """Return the best of what has become of a call that is not tried any further."""
+        if progress.answer is not None:
+            return progress.answer
+        if progress.may_have_run:
+            if progress.refusal is not None and progress.refusal.outcome != Outcome.NOT_RUN.value:
+                return progress.refusal
+            return make_refusal(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
+        if progress.refusal is None:
+            return make_refusal(Outcome.NOT_RUN, reason, UNKNOWN_SERVICE_RETRY_MS)
+        told = Reason(progress.refusal.reason)
+        return make_refusal(Outcome.NOT_RUN, told, progress.retry_after_ms)
+
+    async def _send(self, target: Target, call: Call) -> Response | Refusal:
+        if target.node == self._node:
+            return await self._gate.run_call(self._make_request(0, call))
+        link = self._peers.find_link(target.node)
+        if link is None:
+            return make_refusal(Outcome.NOT_RUN, Reason.CONNECT_FAILED)
+        return await _exchange(link, self._make_request(link.take_call_id(), call))
+
+    def _make_request(self, call_id: int, call: Call) -> Request:
+        now = self._clock()
+        route = call.route
+        return Request(
+            call_id=call_id,
+            method=call.method,
+            target=call.target,
+            headers=call.headers,
+            body=call.body,
+            budget_ms=(call.deadline - now) * 1000,
+            idempotent=route.idempotent,
+            route=route.name,
+            rank=route.rank,
+            objective_ms=(call.objective - now) * 1000,
+        )
+
+    def _get_budget(self, service: ServiceName) -> RepeatBudget:
+        budget = self._repeats.get(service)
+        if budget is None:
+            budget = self._repeats[service] = RepeatBudget(self._limits)
+        return budget
+
+
+async def _exchange(link: Link, request: Request) -> Response | Refusal:
+    """Send a request over a link and return what ends it, at the deadline at the latest."""
+    reply = link.start_call(request)
+    try:
+        async with asyncio.timeout(max(0.0, request.budget_ms / 1000) + REPLY_SLACK_S):
+            result = await reply
+    except (TimeoutError, asyncio.CancelledError) as error:
+        link.forget_call(request.call_id)
+        link.send(Cancel(request.call_id))
+        if isinstance(error, asyncio.CancelledError):
+            raise
+        return make_refusal(Outcome.UNKNOWN, Reason.DEADLINE)
+    if isinstance(result, LinkLost):
+        return make_refusal(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
+    return result
+
+
+def _describe(reply: Response | Refusal) -> str:
+    if isinstance(reply, Response):
+        return str(reply.status)
+    return f"{reply.outcome}:{reply.reason}"
--- /dev/null
+++ b/packages/mesh/src/ragwort_mesh/_configuration.py
@@ -0,0 +1,82 @@
+"""Keeps the newest configuration in force; an older one never replaces it."""
+
+from collections.abc import Callable
+
+from ragwort_model import CallerLimits, Configuration, FindRoute, Mistake, build_route_finder
+from ragwort_platform import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    Change,
+    StoredObject,
+    decode_configuration,
+)
+
+from ragwort_mesh._store import StoreClient
+from ragwort_mesh._telemetry import Telemetry
+from ragwort_mesh._watch import KindWatch, WatchSettings
+
+WATCH_WAIT_S = 5.0
+"""How long one watch waits. A connection may go silent for good: it is noticed when the watch is
+over, and then 6.5 s after the silence began the newest configuration has to be in force."""
+
+
+class ConfigurationKeeper:
+    """Owns the configuration in force and its route finder.
+
+    Parameters
+    ----------
+    changed
+        Called after a newer configuration has come into force.
+    """
+
+    def __init__(
+        self, store: StoreClient, telemetry: Telemetry, changed: Callable[[], None]
+    ) -> None:
+        self.current: Configuration | None = None
+        self.limits = CallerLimits()
+        self._find_route: FindRoute | None = None
+        self._revision = 0
+        self._telemetry = telemetry
+        self._changed = changed
+        settings = WatchSettings(CONFIGURATION_KIND, WATCH_WAIT_S, stale_start=False)
+        watch = KindWatch(settings, store, telemetry, self._take_listed, self._take_change)
+        self.run = watch.run
+
+    def get_route_finder(self) -> FindRoute | None:
+        """Return the function that finds routes, or None before the first configuration."""
+        return self._find_route
+
+    def _take_listed(self, objects: list[StoredObject]) -> None:
+        for stored in objects:
+            self._take_object(stored)
+
+    def _take_change(self, change: Change) -> None:
+        if not change.removed:
+            self._take_object(change.stored)
+
+    def _take_object(self, stored: StoredObject) -> None:
+        if stored.name != CONFIGURATION_NAME or stored.revision <= self._revision:
+            return
+        configuration = decode_configuration(stored.content)
+        events = self._telemetry.events
+        if isinstance(configuration, Mistake):
+            events.write(
+                "configuration-unreadable", revision=stored.revision, mistake=str(configuration)
+            )
+            return
+        if self.current is not None and configuration.version < self.current.version:
+            events.write(
+                "configuration-older", version=configuration.version, revision=stored.revision
+            )
+            return
+        self._revision = stored.revision
+        self.current = configuration
+        self.limits = configuration.limits
+        self._find_route = build_route_finder(configuration)
+        events.write(
+            "configuration-in-force",
+            version=configuration.version,
+            revision=stored.revision,
+            routes=len(configuration.routes),
+        )
+        self._changed()
--- /dev/null
+++ b/packages/mesh/src/ragwort_mesh/_control.py
@@ -0,0 +1,54 @@
+"""Answers the server on this host, which reports to the node, and who asks if the node is ready."""
+
+from collections.abc import Callable
+
+from ragwort_model import Mistake
+from ragwort_platform import is_ready_question, read_server_report
+from ragwort_transport import Handler, HttpLimits, HttpReply, HttpRequest
+
+from ragwort_mesh._gate import Gate
+from ragwort_mesh._telemetry import Telemetry
+
+CONTROL_LIMITS = HttpLimits(
+    max_header_bytes=16 << 10, max_body_bytes=64 << 10, header_timeout_s=3.0, idle_timeout_s=30.0
+)
+"""Limits on a server's reports: some hundred bytes each, every second or two."""
+
+JSON_HEADERS = [(b"content-type", b"application/json")]
+
+
+def build_control(gate: Gate, telemetry: Telemetry) -> Handler:
+    """Return the handler of the server's reports."""
+
+    async def handle(request: HttpRequest) -> HttpReply:
+        report = read_server_report(request)
+        if isinstance(report, Mistake):
+            telemetry.counters.add("control.unreadable_reports")
+            telemetry.events.write("server-report-unreadable", mistake=str(report))
+            return HttpReply(400, JSON_HEADERS, b"{}")
+        gate.take_server_report(report)
+        return HttpReply(200, JSON_HEADERS, b"{}")
+
+    return handle
+
+
+def build_ready(is_ready: Callable[[], bool]) -> Handler:
+    """Return the handler of the question whether callers may be sent here."""
+
+    async def handle(request: HttpRequest) -> HttpReply:
+        if not is_ready_question(request.method, request.target):
+            return HttpReply(404, [])
+        return HttpReply(200 if is_ready() else 503, [])
+
+    return handle
+
+
+def build_metrics(telemetry: Telemetry, path: bytes) -> Handler:
+    """Return the handler of the metrics."""
+
+    async def handle(request: HttpRequest) -> HttpReply:
+        if request.target != path:
+            return HttpReply(404, [])
+        return HttpReply(200, [(b"content-type", b"text/plain; version=0.0.4")], telemetry.render())
+
+    return handle
--- /dev/null
+++ b/packages/mesh/src/ragwort_mesh/_entry.py
@@ -0,0 +1,181 @@
+"""Answers the calls of this host's callers and of its server."""
+
+import random
+from collections.abc import Callable
+
+from ragwort_common import Outcome, Reason, ServiceName
+from ragwort_flow import SplitState, take_part
+from ragwort_model import Route, RouteName
+from ragwort_platform import (
+    CallFields,
+    build_forwarded_headers,
+    build_refusal_headers,
+    read_call_fields,
+)
+from ragwort_protocol import Refusal, Response
+from ragwort_transport import HttpLimits, HttpReply, HttpRequest, find_header
+
+from ragwort_mesh._call import Call
+from ragwort_mesh._caller import Caller, Progress, make_refusal
+from ragwort_mesh._configuration import ConfigurationKeeper
+from ragwort_mesh._telemetry import Telemetry
+
+NOT_READY_RETRY_MS = 300
+"""When a caller may come back to a node that knows no configuration yet: a start takes less."""
+
+MIN_RETRY_MS = 30
+"""Shortest time to come back in: a caller's way there and back, and a few calls' ends."""
+
+RETRY_SPREAD = 0.5
+"""Part by which the times to come back are spread, so that callers don't come as one wave."""
+
+_STATUSES = {
+    Reason.DEADLINE: 504,
+    Reason.BAD_ANSWER: 502,
+    Reason.CONNECTION_LOST: 502,
+}
+
+
+class Entry:
+    """Owns what the entry keeps between calls: the splits of routes and how long callers wait.
+
+    Parameters
+    ----------
+    service
+        Service of the server on this host; servers are told it as that of the caller.
+    """
+
+    def __init__(
+        self,
+        service: ServiceName,
+        configuration: ConfigurationKeeper,
+        caller: Caller,
+        telemetry: Telemetry,
+        clock: Callable[[], float],
+        random_source: random.Random,
+    ) -> None:
+        self._service = service
+        self._configuration = configuration
+        self._caller = caller
+        self._telemetry = telemetry
+        self._clock = clock
+        self._random = random_source
+        self._splits: dict[RouteName, SplitState] = {}
+        self._longest_ms: dict[RouteName, float] = {}
+
+    def get_limits(self) -> HttpLimits:
+        """Return the limits on what callers send."""
+        limits = self._configuration.limits
+        return HttpLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        )
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Answer one call."""
+        arrived = self._clock()
+        fields = read_call_fields(request.headers)
+        find_route = self._configuration.get_route_finder()
+        if find_route is None:
+            refusal = make_refusal(Outcome.NOT_RUN, Reason.NOT_READY, NOT_READY_RETRY_MS)
+            return self._answer(fields, refusal, arrived, None, Progress())
+        host = find_header(request.headers, b"host") or b""
+        path = request.target.partition(b"?")[0]
+        route = find_route(host.decode("latin-1"), path.decode("latin-1"))
+        if route is None:
+            self._telemetry.counters.add("entry.no_route")
+            self._log(fields, arrived, None, 404, "no-route", Progress())
+            return HttpReply(404, build_refusal_headers(fields.call_id, 0))
+        call = self._make_call(request, fields, route, arrived)
+        progress = Progress()
+        reply = await self._caller.run_call(call, progress)
+        return self._answer(fields, reply, arrived, call, progress)
+
+    def _make_call(
+        self, request: HttpRequest, fields: CallFields, route: Route, arrived: float
+    ) -> Call:
+        waits_ms = route.timeout_ms if fields.deadline_ms is None else fields.deadline_ms
+        waited_ms = self._estimate_waited(route, waits_ms)
+        return Call(
+            call_id=fields.call_id.decode("latin-1"),
+            route=route,
+            service=self._take_service(route),
+            method=request.method,
+            target=request.target,
+            headers=build_forwarded_headers(request.headers, self._service),
+            body=request.body,
+            arrived=arrived,
+            objective=arrived + (route.objective_ms - waited_ms) / 1000,
+            deadline=arrived + min(waits_ms, route.timeout_ms) / 1000,
+        )
+
+    def _estimate_waited(self, route: Route, waits_ms: float) -> float:
+        """Return how long a caller has waited already, in milliseconds.
+
+        Callers of a route wait equally long in all, so one that waits for less than the others
+        has come back after a refusal or a failure.
+        """
+        longest_ms = max(waits_ms, self._longest_ms.get(route.name, 0.0))
+        self._longest_ms[route.name] = longest_ms
+        return longest_ms - waits_ms
+
+    def _take_service(self, route: Route) -> ServiceName:
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        split = self._splits.get(route.name)
+        if split is None:
+            split = self._splits[route.name] = SplitState(self._random.random())
+        return route.parts[take_part(split, [part.weight for part in route.parts])].service
+
+    def _answer(
+        self,
+        fields: CallFields,
+        reply: Response | Refusal,
+        arrived: float,
+        call: Call | None,
+        progress: Progress,
+    ) -> HttpReply:
+        if isinstance(reply, Response):
+            self._telemetry.counters.add(f"entry.answered.{reply.status // 100}xx")
+            self._log(fields, arrived, call, reply.status, "", progress)
+            return HttpReply(reply.status, reply.headers, reply.body)
+        outcome, reason = Outcome(reply.outcome), Reason(reply.reason)
+        self._telemetry.counters.add(f"entry.{outcome.value}.{reason.value}")
+        status = 503 if outcome is Outcome.NOT_RUN else _STATUSES.get(reason, 502)
+        retry_after_ms = 0.0
+        if status == 503:
+            retry_after_ms = max(MIN_RETRY_MS, reply.retry_after_ms)
+            retry_after_ms *= 1.0 + RETRY_SPREAD * self._random.random()
+        self._log(fields, arrived, call, status, reason.value, progress, retry_after_ms)
+        return HttpReply(status, build_refusal_headers(fields.call_id, retry_after_ms))
+
+    def _log(
+        self,
+        fields: CallFields,
+        arrived: float,
+        call: Call | None,
+        status: int,
+        reason: str,
+        progress: Progress,
+        retry_after_ms: float = 0.0,
+    ) -> None:
+        took_ms = (self._clock() - arrived) * 1000
+        self._telemetry.histograms.add("entry.call", took_ms)
+        version = self._configuration.current.version if self._configuration.current else 0
+        self._telemetry.events.write_call(
+            "entry",
+            status >= 500,
+            id=fields.call_id.decode("latin-1"),
+            version=version,
+            route=call.route.name if call else None,
+            service=call.service if call else None,
+            status=status,
+            reason=reason,
+            took_ms=round(took_ms, 1),
+            deadline_ms=fields.deadline_ms,
+            objective_ms=round((call.objective - arrived) * 1000) if call else None,
+            retry_after_ms=round(retry_after_ms),
+            attempts=progress.attempts,
+        )
--- /dev/null
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -0,0 +1,319 @@
+"""The gate beside the server: the only way in, so it knows what the server runs.
+
+It takes in what the server says of itself, gives the calls their turns, runs them and tells the
+entries of the load.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+from ragwort_common import CallId, Outcome, Reason
+from ragwort_flow import (
+    Decision,
+    InstanceWatch,
+    Offer,
+    Turns,
+    TurnState,
+    Verdict,
+    close_server,
+    end_call,
+    estimate_work,
+    is_ready,
+    note_slowdown,
+    offer_call,
+    report_load,
+    review_waiting,
+    set_server,
+    take_departure,
+    take_heartbeat,
+    withdraw_call,
+)
+from ragwort_model import Departure, Heartbeat
+from ragwort_platform import (
+    build_answer_headers,
+    build_server_request,
+    find_call_id,
+    make_answer_check,
+    read_server_answer,
+)
+from ragwort_protocol import LoadReport, Refusal, Request, Response
+from ragwort_transport import BAD_ANSWER, Answer, ClientPool, Failure
+
+from ragwort_mesh._telemetry import Telemetry
+
+REVIEW_INTERVAL_S = 0.01
+"""How often the waiting calls are reviewed; a fraction of the shortest objective."""
+
+SERVER_SLACK_MS = 30.0
+"""How long after the deadline the server's own answer is still awaited: its timer and a wake-up."""
+
+FRESH_IDLE_S = 1.0
+"""Longest idle time of a connection that may carry a call that must not run twice: a server may
+drop an idle connection, and then nobody knows whether the call ran."""
+
+MAX_ANSWER_BYTES = 64 << 20
+"""Longest answer; the platform's own limit on bodies."""
+
+START = Decision(Verdict.RUN)
+
+
+class Gate:
+    """Owns the state of one server and the connections to it.
+
+    Parameters
+    ----------
+    address
+        Where the server listens, ``host:port``.
+    clock
+        The node's clock, in seconds.
+    changed
+        Called when the server starts or stops taking calls.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        telemetry: Telemetry,
+        clock: Callable[[], float],
+        changed: Callable[[], None],
+    ) -> None:
+        self._pool = ClientPool(address, max_idle=64, max_answer_bytes=MAX_ANSWER_BYTES)
+        self._telemetry = telemetry
+        self._clock = clock
+        self._changed = changed
+        self._state = TurnState()
+        self._watch = InstanceWatch()
+        self._turns: dict[CallId, asyncio.Future[Decision]] = {}
+        self._review: asyncio.TimerHandle | None = None
+        self._ids = itertools.count(1)
+        self._held: set[asyncio.Task[Response | Refusal]] = set()
+
+    @property
+    def accepting(self) -> bool:
+        """Whether the server takes new calls."""
+        return self._state.accepting
+
+    @property
+    def has_server(self) -> bool:
+        """Whether a server stands beside this node, by what it says."""
+        return self._watch.current is not None
+
+    def count_calls(self) -> int:
+        """Return how many calls run or wait."""
+        return len(self._state.running) + len(self._state.waiting)
+
+    def make_report(self) -> LoadReport:
+        """Return the present load."""
+        return report_load(self._state, self._clock())
+
+    def take_server_report(self, report: Heartbeat | Departure) -> None:
+        """Take in what the server says of itself."""
+        now = self._clock()
+        before = self._watch.current
+        if isinstance(report, Departure):
+            counts = take_departure(self._watch, report)
+        else:
+            counts = take_heartbeat(self._watch, now, report)
+        if not counts:
+            self._telemetry.counters.add("gate.server_reports_ignored")
+            self._log_server("server-report-ignored", report)
+            return
+        current = self._watch.current
+        if current is None or not is_ready(self._watch):
+            self._close("leaving", report)
+            return
+        if before is None or before.instance != current.instance or not self._state.accepting:
+            self._log_server("server-ready", report)
+        was_accepting = self._state.accepting
+        set_server(self._state, now, current.slots, current.cold_ms / 1000)
+        if not was_accepting:
+            self._changed()
+
+    async def run_call(self, request: Request) -> Response | Refusal:
+        """Run one call on the server if it gets its turn, at once or after a wait."""
+        now = self._clock()
+        call_id = CallId(next(self._ids))
+        offer = Offer(
+            call_id=call_id,
+            kind=request.route,
+            rank=request.rank,
+            objective=now + request.objective_ms / 1000,
+            deadline=now + request.budget_ms / 1000,
+        )
+        decision = offer_call(self._state, now, offer)
+        if decision.verdict is Verdict.QUEUED:
+            self._telemetry.counters.add("gate.queued")
+            decision = await self._wait_turn(call_id, offer.deadline)
+        if decision.verdict is Verdict.REFUSED:
+            return self._refuse_decided(request, decision, now)
+        run = asyncio.create_task(self._run(request, offer, now))
+        if request.idempotent:
+            return await run
+        # Nobody may run it again, so it is not broken off when its caller leaves.
+        self._held.add(run)
+        run.add_done_callback(self._held.discard)
+        return await asyncio.shield(run)
+
+    async def close(self) -> None:
+        """Close the connections to the server."""
+        await self._pool.close()
+
+    def stop_taking(self) -> None:
+        """Refuse every call from now on; those that run go on."""
+        self._apply(close_server(self._state))
+        self._changed()
+
+    def _close(self, cause: str, report: object) -> None:
+        if self._state.accepting:
+            self._log_server(f"server-{cause}", report)
+            self.stop_taking()
+
+    async def _wait_turn(self, call_id: CallId, deadline: float) -> Decision:
+        turn = asyncio.get_running_loop().create_future()
+        self._turns[call_id] = turn
+        self._plan_review()
+        try:
+            return await turn
+        except asyncio.CancelledError:
+            self._apply(withdraw_call(self._state, self._clock(), call_id))
+            raise
+        finally:
+            self._turns.pop(call_id, None)
+
+    def _plan_review(self) -> None:
+        if self._review is None:
+            loop = asyncio.get_running_loop()
+            self._review = loop.call_later(REVIEW_INTERVAL_S, self._review_queue)
+
+    def _review_queue(self) -> None:
+        self._review = None
+        self._apply(review_waiting(self._state, self._clock()))
+        if self._turns:
+            self._plan_review()
+
+    async def _run(self, request: Request, offer: Offer, arrived: float) -> Response | Refusal:
+        started = self._clock()
+        succeeded = False
+        done = False
+        try:
+            result = await self._send(request, (offer.deadline - started) * 1000)
+            done = True
+            reply = self._judge(request, result, (started - arrived) * 1000)
+            succeeded = isinstance(reply, Response) and reply.status < 500
+        finally:
+            now = self._clock()
+            if done:
+                self._apply(end_call(self._state, now, offer.call_id, succeeded))
+            else:
+                self._apply(withdraw_call(self._state, now, offer.call_id))
+        self._log_run(request, reply, arrived, started, now)
+        return reply
+
+    async def _send(self, request: Request, budget_ms: float) -> Answer | Failure:
+        current = self._watch.current
+        if current is None:
+            return Failure(Outcome.NOT_RUN, Reason.LEAVING)
+        data = build_server_request(
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+            current.instance,
+            budget_ms,
+        )
+        return await self._pool.exchange(
+            data,
+            max(0.0, budget_ms + SERVER_SLACK_MS) / 1000,
+            request.method == "HEAD",
+            make_answer_check(find_call_id(request.headers)),
+            float("inf") if request.idempotent else FRESH_IDLE_S,
+        )
+
+    def _judge(
+        self, request: Request, result: Answer | Failure, waited_ms: float
+    ) -> Response | Refusal:
+        """Return what an answer of the server, or its absence, means for the call."""
+        if isinstance(result, Failure):
+            if result.reason is Reason.CONNECT_FAILED:
+                self._close("unreachable", result)
+            return self._refuse(request, result.outcome, result.reason, 0)
+        told = read_server_answer(result)
+        if told.load is not None:
+            note_slowdown(self._state, self._clock(), told.load.slowdown_percent / 100)
+        if told.instance is not None:
+            self._close("replaced", told)
+            return self._refuse(request, Outcome.NOT_RUN, Reason.MISDIRECTED, 0)
+        if told.not_run:
+            return self._refuse(request, Outcome.NOT_RUN, Reason.SHED, 0)
+        if not told.is_signed:
+            return self._refuse(request, BAD_ANSWER.outcome, BAD_ANSWER.reason, 0)
+        self._telemetry.counters.add("gate.answered")
+        return Response(
+            request.call_id,
+            result.status,
+            build_answer_headers(result.headers) if request.method != "HEAD" else result.headers,
+            result.body,
+            self.make_report(),
+            work_ms=estimate_work(self._state.work, request.route) * 1000,
+        )
+
+    def _apply(self, turns: Turns) -> None:
+        for call_id in turns.started:
+            self._give_turn(call_id, START)
+        for call_id, decision in turns.refused:
+            self._give_turn(call_id, decision)
+
+    def _give_turn(self, call_id: CallId, decision: Decision) -> None:
+        future = self._turns.get(call_id)
+        if future is not None and not future.done():
+            future.set_result(decision)
+
+    def _refuse_decided(self, request: Request, decision: Decision, arrived: float) -> Refusal:
+        refusal = self._refuse(request, Outcome.NOT_RUN, decision.reason, decision.retry_after_ms)
+        now = self._clock()
+        self._log_run(request, refusal, arrived, None, now)
+        return refusal
+
+    def _refuse(
+        self, request: Request, outcome: Outcome, reason: Reason, retry_after_ms: int
+    ) -> Refusal:
+        self._telemetry.counters.add(f"gate.{outcome.value}.{reason.value}")
+        report = self.make_report()
+        return Refusal(request.call_id, outcome.value, reason.value, retry_after_ms, report)
+
+    def _log_run(
+        self,
+        request: Request,
+        reply: Response | Refusal,
+        arrived: float,
+        started: float | None,
+        now: float,
+    ) -> None:
+        if started is not None:
+            self._telemetry.histograms.add("gate.wait", (started - arrived) * 1000)
+            self._telemetry.histograms.add("gate.run", (now - started) * 1000)
+        report = reply.report
+        is_answer = isinstance(reply, Response)
+        self._telemetry.events.write_call(
+            "gate",
+            not is_answer,
+            id=find_call_id(request.headers).decode("latin-1"),
+            route=request.route,
+            rank=request.rank,
+            outcome=Outcome.ANSWERED.value if is_answer else reply.outcome,
+            reason="" if is_answer else reply.reason,
+            status=reply.status if is_answer else 0,
+            waited_ms=round(((started or now) - arrived) * 1000, 1),
+            ran_ms=round((now - started) * 1000, 1) if started is not None else None,
+            budget_ms=round(request.budget_ms),
+            objective_ms=round(request.objective_ms),
+            running=report.in_flight,
+            waiting=report.queued,
+            limit=report.limit,
+            slowdown=report.slowdown_percent,
+            retry_after_ms=0 if is_answer else reply.retry_after_ms,
+        )
+
+    def _log_server(self, event: str, report: object) -> None:
+        self._telemetry.events.write(event, report=repr(report))
--- /dev/null
+++ b/packages/mesh/src/ragwort_mesh/_metrics.py
@@ -0,0 +1,57 @@
+"""Counters and latency histograms as text, in the exposition format of Prometheus.
+
+The prometheus-client library would render the same text, but importing it costs a node that
+restarts in the middle of a day 40 ms without service; the format is a few lines.
+"""
+
+from bisect import bisect_left
+
+from ragwort_common import Counters
+
+BUCKETS_MS = (5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 300.0, 500.0, 1_000.0, 2_000.0, 5_000.0)
+"""Upper bounds of the histograms' buckets, around the users' objectives."""
+
+PREFIX = "ragwortvalve_"
+
+
+class Histograms:
+    """Counts of durations by name and bucket since the process started."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, list[int]] = {}
+        self._sums: dict[str, float] = {}
+
+    def add(self, name: str, milliseconds: float) -> None:
+        """Count one duration."""
+        counts = self._counts.setdefault(name, [0] * (len(BUCKETS_MS) + 1))
+        counts[bisect_left(BUCKETS_MS, milliseconds)] += 1
+        self._sums[name] = self._sums.get(name, 0.0) + milliseconds
+
+    def render(self) -> list[str]:
+        """Return the lines of all histograms."""
+        lines = []
+        for name, counts in sorted(self._counts.items()):
+            full = _clean(name) + "_ms"
+            lines.append(f"# TYPE {full} histogram")
+            total = 0
+            for bound, count in zip((*BUCKETS_MS, "+Inf"), counts, strict=True):
+                total += count
+                lines.append(f'{full}_bucket{{le="{bound}"}} {total}')
+            lines.append(f"{full}_sum {self._sums[name]:.3f}")
+            lines.append(f"{full}_count {total}")
+        return lines
+
+
+def render_metrics(counters: Counters, histograms: Histograms) -> bytes:
+    """Return all counters, gauges and histograms as text."""
+    lines = []
+    for name, total in sorted(counters.totals.items()):
+        lines += [f"# TYPE {_clean(name)}_total counter", f"{_clean(name)}_total {total}"]
+    for name, value in sorted(counters.gauges.items()):
+        lines += [f"# TYPE {_clean(name)} gauge", f"{_clean(name)} {value}"]
+    lines += histograms.render()
+    return ("\n".join(lines) + "\n").encode()
+
+
+def _clean(name: str) -> str:
+    return PREFIX + "".join(letter if letter.isalnum() else "_" for letter in name)
--- /dev/null
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -0,0 +1,245 @@
+"""Wires the parts of a node, and starts and stops them."""
+
+import asyncio
+import gc
+import logging
+import random
+import signal
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+from ragwort_common import Incarnation, NodeId
+from ragwort_flow import RepeatLimits
+from ragwort_model import NodeRecord, NodeSettings
+from ragwort_protocol import (
+    Hello,
+    LoadReport,
+    Message,
+    Probe,
+    ProbeReply,
+    Request,
+    RevisionNotice,
+)
+from ragwort_transport import HttpServer, Link, PeerCalls
+
+from ragwort_mesh._caller import Caller
+from ragwort_mesh._clock import read_clock
+from ragwort_mesh._configuration import ConfigurationKeeper
+from ragwort_mesh._control import CONTROL_LIMITS, build_control, build_metrics, build_ready
+from ragwort_mesh._directory import Directory
+from ragwort_mesh._entry import Entry
+from ragwort_mesh._events import EventHandler, EventLog
+from ragwort_mesh._gate import Gate
+from ragwort_mesh._load_news import LoadNews
+from ragwort_mesh._peers import Peers
+from ragwort_mesh._store import StoreClient
+from ragwort_mesh._targets import Targets
+from ragwort_mesh._telemetry import Telemetry
+
+log = logging.getLogger(__name__)
+
+FIRST_LINKS_S = 1.0
+"""How long a starting node waits for its first links before it says that it is ready."""
+
+CALLERS_LEAVE_S = 2.2
+"""How long a stopping node still accepts callers: it is asked twice, once a second, before they
+stop coming."""
+
+LAST_ANSWERS_S = 0.5
+"""Part of the grace time that is left for closing down."""
+
+STOP_POLL_S = 0.05
+"""How often a stopping node looks whether its calls have ended."""
+
+
+class Node:
+    """The parts of one running node."""
+
+    def __init__(self, settings: NodeSettings, metrics_address: str, metrics_path: str) -> None:
+        self._settings = settings
+        self._metrics_address = metrics_address
+        self._telemetry = Telemetry(EventLog(settings.node))
+        source = random.Random()
+        telemetry, addresses = self._telemetry, settings.addresses
+        self._store = StoreClient(addresses.store, telemetry)
+        self._configuration = ConfigurationKeeper(self._store, telemetry, self._tell_revision)
+        self._gate = Gate(addresses.server, telemetry, read_clock, self._tell_load)
+        self._calls = PeerCalls(self._gate.run_call, telemetry.counters, self._receive_other)
+        hello = Hello(settings.node, Incarnation(time.time_ns() // 1_000_000))
+        self._peers = Peers(hello, self._receive, self._greet, self._calls.drop_link, telemetry)
+        self._targets = Targets(settings.failure_domain, settings.region)
+        own = NodeRecord(
+            settings.node,
+            addresses.link,
+            settings.service,
+            settings.failure_domain,
+            settings.region,
+        )
+        self._directory = Directory(own, self._store, telemetry, self._take_records)
+        self._regions = {settings.node: settings.region}
+        self._news = LoadNews(
+            self._peers,
+            self._gate.make_report,
+            lambda node: self._regions.get(node) == settings.region,
+        )
+        bounds = settings.bounds
+        caller = Caller(
+            settings.node,
+            self._gate,
+            self._peers,
+            self._targets,
+            telemetry,
+            read_clock,
+            RepeatLimits(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s),
+            source,
+        )
+        self._entry = Entry(
+            settings.service, self._configuration, caller, telemetry, read_clock, source
+        )
+        self._entry_server = HttpServer(self._entry.handle, self._entry.get_limits)
+        self._control_server = HttpServer(
+            build_control(self._gate, telemetry), lambda: CONTROL_LIMITS
+        )
+        self._ready_server = HttpServer(build_ready(self._is_ready), lambda: CONTROL_LIMITS)
+        self._metrics_server = HttpServer(
+            build_metrics(telemetry, metrics_path.encode()), lambda: CONTROL_LIMITS
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._started_at = read_clock()
+        self._stopping = False
+
+    async def start(self) -> None:
+        """Listen and start every task.
+
+        Raises
+        ------
+        OSError
+            When an address of the settings can't be listened on.
+        """
+        self._telemetry.events.start()
+        logging.basicConfig(
+            level=logging.INFO, handlers=[EventHandler(self._telemetry.events)], force=True
+        )
+        addresses = self._settings.addresses
+        await self._control_server.listen(addresses.control)
+        await self._peers.listen(addresses.link)
+        await self._entry_server.listen(addresses.entry)
+        await self._ready_server.listen(addresses.ready)
+        if self._metrics_address:
+            await self._metrics_server.listen(self._metrics_address)
+        for coroutine in (
+            self._configuration.run(),
+            self._directory.run(),
+            self._directory.run_publisher(),
+            self._peers.run(),
+            self._news.run(),
+        ):
+            self._spawn(coroutine)
+        self._telemetry.events.write("start", settings=repr(self._settings))
+        # What exists now lives as long as the process: the collector need not look at it again.
+        gc.collect()
+        gc.freeze()
+
+    async def stop(self) -> None:
+        """Let the callers leave, let the calls under way end, and close everything."""
+        self._stopping = True
+        began = read_clock()
+        events = self._telemetry.events
+        events.write("stop", running=self._gate.count_calls())
+        self._entry_server.start_closing()
+        leaves_for_good = not self._gate.has_server
+        if leaves_for_good:
+            await self._directory.withdraw()
+        await asyncio.sleep(max(0.0, began + CALLERS_LEAVE_S - read_clock()))
+        self._entry_server.stop_listening()
+        self._gate.stop_taking()
+        last = began + self._settings.bounds.grace_s - LAST_ANSWERS_S
+        while read_clock() < last and self._count_work():
+            await asyncio.sleep(STOP_POLL_S)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._peers.close()
+        for server in (self._entry_server, self._control_server, self._ready_server):
+            server.abort()
+        self._metrics_server.abort()
+        await self._gate.close()
+        await self._store.close()
+        events.write("stopped", unfinished=self._count_work())
+        events.stop()
+
+    def _count_work(self) -> int:
+        return self._gate.count_calls() + self._entry_server.count_running()
+
+    def _is_ready(self) -> bool:
+        if self._stopping or self._configuration.current is None or not self._directory.listed:
+            return False
+        waited_s = read_clock() - self._started_at
+        return waited_s > FIRST_LINKS_S or self._peers.count_missing() == 0
+
+    def _take_records(self, records: dict[NodeId, NodeRecord]) -> None:
+        self._regions = {node: record.region for node, record in records.items()}
+        self._targets.set_records(records)
+        self._peers.set_records(records)
+        self._peers.open_missing()
+
+    def _greet(self, link: Link) -> None:
+        """Tell a new peer of this node's load and configuration."""
+        link.send(self._gate.make_report())
+        current = self._configuration.current
+        if current is not None:
+            link.send(RevisionNotice(current.version, 0))
+
+    def _tell_load(self) -> None:
+        self._news.tell_all()
+
+    def _tell_revision(self) -> None:
+        """Nothing is told: every node watches the store itself."""
+
+    def _receive(self, link: Link, message: Message) -> None:
+        if type(message) is Request:
+            self._news.note_call(link.peer)
+        self._calls.receive(link, message)
+
+    def _receive_other(self, link: Link, message: Message) -> None:
+        kind = type(message)
+        if kind is Probe:
+            link.send(ProbeReply(message.probe_id, self._gate.make_report()))
+        elif kind is ProbeReply:
+            self._take_report(link, message.report)
+        elif kind is LoadReport:
+            self._take_report(link, message)
+
+    def _take_report(self, link: Link, report: LoadReport) -> None:
+        if link.peer is not None:
+            self._targets.take_report(link.peer, read_clock(), report)
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(_stop_process_on_failure)
+        self._tasks.append(task)
+
+
+def _stop_process_on_failure(task: asyncio.Task[None]) -> None:
+    """End the process when a task ended by an exception: that is a broken invariant."""
+    if task.cancelled() or task.exception() is None:
+        return
+    log.critical("a task has failed; the node ends", exc_info=task.exception())
+    signal.raise_signal(signal.SIGTERM)
+
+
+async def run_node(settings: NodeSettings, metrics_address: str, metrics_path: str) -> str:
+    """Run a node until it gets SIGTERM or SIGINT; return why it could not start, if so."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    node = Node(settings, metrics_address, metrics_path)
+    try:
+        await node.start()
+    except OSError as error:
+        return str(error)
+    await stopped.wait()
+    await node.stop()
+    return ""
--- /dev/null
+++ b/packages/mesh/src/ragwort_mesh/_peers.py
@@ -0,0 +1,207 @@
+"""The links to other nodes: opens them, keeps them, and gives up those that have gone silent."""
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+from ragwort_common import NodeId
+from ragwort_model import NodeRecord
+from ragwort_protocol import Hello, Message, Probe
+from ragwort_transport import Handler, Link, bind_socket, set_silence_limit
+
+from ragwort_mesh._telemetry import Telemetry
+
+CONNECT_TIMEOUT_S = 1.0
+"""Time for a link to open: several round trips between regions."""
+
+FIRST_RETRY_S = 0.1
+"""Pause before a failed link is tried again; it doubles with each failure."""
+
+LAST_RETRY_S = 2.0
+"""Longest pause between two tries, so that a returned node is found in time for its calls."""
+
+SWEEP_INTERVAL_S = 0.2
+"""How often the links are looked at."""
+
+BUSY_PROBE_S = 0.5
+"""A link with calls under way on which nothing arrives for this long is probed."""
+
+IDLE_PROBE_S = 3.0
+"""A link without calls is probed so often, so that a call does not meet a dead one."""
+
+PROBES_PER_S = 20.0
+"""Most probes of idle links a second: at 60 bytes there and back, 1.2 KB of 14."""
+
+SILENT_S = 1.5
+"""A probed link on which nothing arrives for this long is given up: over twenty round trips
+between regions, and one retransmission."""
+
+MAX_UNACKNOWLEDGED_MS = 2_500
+"""How long the kernel waits for a peer's acknowledgement."""
+
+
+class Peers:
+    """Owns the links of a node.
+
+    Parameters
+    ----------
+    hello
+        The node's greeting.
+    handle
+        Gets every message that is not the reply to a call.
+    opened, closed
+        Told of each link that is open and greeted, or has ended.
+    """
+
+    def __init__(
+        self,
+        hello: Hello,
+        handle: Handler,
+        opened: Callable[[Link], None],
+        closed: Callable[[Link], None],
+        telemetry: Telemetry,
+    ) -> None:
+        self._hello = hello
+        self._handle = handle
+        self._told_opened = opened
+        self._told_closed = closed
+        self._telemetry = telemetry
+        self._records: dict[NodeId, NodeRecord] = {}
+        self._links: dict[NodeId, Link] = {}
+        self._all: set[Link] = set()
+        self._dials: dict[NodeId, asyncio.Task[None]] = {}
+        self._retries: dict[NodeId, tuple[float, float]] = {}
+        self._probed: dict[Link, float] = {}
+        self._server: asyncio.Server | None = None
+        self._probe_ids = 0
+
+    async def listen(self, address: str) -> int:
+        """Accept links on an address, ``host:port``, and return the port."""
+        sock = bind_socket(address)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._make_link, sock=sock)
+        return sock.getsockname()[1]
+
+    def set_records(self, records: dict[NodeId, NodeRecord]) -> None:
+        """Set the nodes to which links are kept."""
+        for node, record in records.items():
+            if self._records.get(node) != record:
+                self._retries.pop(node, None)
+        self._records = {
+            node: record for node, record in records.items() if node != self._hello.node_id
+        }
+
+    def find_link(self, node: NodeId) -> Link | None:
+        """Return the open link to a node, if there is one that takes in what is sent."""
+        link = self._links.get(node)
+        if link is None or not link.is_open or link.clogged:
+            return None
+        return link
+
+    def list_links(self) -> list[tuple[NodeId, Link]]:
+        """Return the open links by node."""
+        return list(self._links.items())
+
+    def count_missing(self) -> int:
+        """Return how many known nodes have no link and have not been tried yet."""
+        return sum(node not in self._links and node not in self._retries for node in self._records)
+
+    async def run(self) -> None:
+        """Open missing links and give up silent ones, until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            now = loop.time()
+            self._open_missing(now)
+            for link in list(self._all):
+                self._check_link(link, now)
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+
+    def close(self) -> None:
+        """Stop accepting and close every link."""
+        if self._server is not None:
+            self._server.close()
+        for dial in list(self._dials.values()):
+            dial.cancel()
+        for link in list(self._all):
+            link.close()
+
+    def open_missing(self) -> None:
+        """Open the links that are missing now."""
+        self._open_missing(asyncio.get_running_loop().time())
+
+    def _open_missing(self, now: float) -> None:
+        for node, record in self._records.items():
+            if node in self._links or node in self._dials:
+                continue
+            if now < self._retries.get(node, (0.0, 0.0))[0]:
+                continue
+            dial = asyncio.create_task(self._dial(node, record.link_address))
+            self._dials[node] = dial
+            dial.add_done_callback(lambda _, node=node: self._dials.pop(node, None))
+
+    async def _dial(self, node: NodeId, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        link: Link | None = None
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                transport, link = await loop.create_connection(self._make_link, host, int(port))
+                set_silence_limit(transport, MAX_UNACKNOWLEDGED_MS)
+                await link.greeted
+        except (OSError, TimeoutError) as error:
+            self._note_failure(node, repr(error))
+            if link is not None:
+                link.abort()
+            return
+        if link.peer != node:
+            # Another node has taken over the address; it must not get this node's calls.
+            self._note_failure(node, f"the address belongs to {link.peer}")
+            link.close()
+
+    def _note_failure(self, node: NodeId, cause: str) -> None:
+        now = asyncio.get_running_loop().time()
+        pause_s = min(LAST_RETRY_S, self._retries.get(node, (0.0, FIRST_RETRY_S / 2))[1] * 2)
+        self._retries[node] = (now + pause_s, pause_s)
+        self._telemetry.counters.add("link.connect_failures")
+        self._telemetry.events.write("peer-unreachable", peer=node, cause=cause)
+
+    def _make_link(self) -> Link:
+        counters = self._telemetry.counters
+        return Link(self._hello, self._handle, self._add, self._remove, counters)
+
+    def _add(self, link: Link) -> None:
+        self._all.add(link)
+        node = cast(NodeId, link.peer)
+        self._links[node] = link
+        self._retries.pop(node, None)
+        self._telemetry.events.write("peer-linked", peer=node)
+        self._told_opened(link)
+
+    def _remove(self, link: Link) -> None:
+        self._all.discard(link)
+        self._probed.pop(link, None)
+        if link.peer is not None and self._links.get(link.peer) is link:
+            del self._links[link.peer]
+            self._telemetry.events.write("peer-lost", peer=link.peer)
+        self._told_closed(link)
+
+    def _check_link(self, link: Link, now: float) -> None:
+        silent_s = now - link.received_at
+        probed_at = self._probed.get(link)
+        if probed_at is not None:
+            if link.received_at >= probed_at:
+                del self._probed[link]
+            elif now - probed_at > SILENT_S:
+                self._telemetry.counters.add("link.silent")
+                link.abort()
+            return
+        idle_s = max(IDLE_PROBE_S, len(self._all) / PROBES_PER_S)
+        if silent_s > (BUSY_PROBE_S if link.count_pending() else idle_s):
+            self._probe_ids += 1
+            link.send(Probe(self._probe_ids))
+            self._probed[link] = now
+
+
+def is_probe(message: Message) -> bool:
+    """Tell whether a message asks for an answer that shows that the link works."""
+    return type(message) is Probe
--- /dev/null
+++ b/packages/mesh/src/ragwort_mesh/_store.py
@@ -0,0 +1,106 @@
+"""The client of the platform's store."""
+
+import asyncio
+from dataclasses import dataclass
+
+from ragwort_model import ErrorKind, StoreError
+from ragwort_platform import StoreRequest
+from ragwort_transport import ClientPool, Failure
+
+from ragwort_mesh._telemetry import Telemetry
+
+CALL_TIMEOUT_S = 1.0
+"""Time for the reply to a call; the store answers in milliseconds."""
+
+WATCH_SLACK_S = 0.6
+"""Time for the reply to a watch beyond the time that it waits."""
+
+MAX_REPLY_BYTES = 8 << 20
+"""Longest reply: several pages of objects of a megabyte."""
+
+SILENCE_MS = 2_000
+"""How long the kernel waits for the store's acknowledgement."""
+
+_KINDS = {
+    404: ErrorKind.NOT_FOUND,
+    409: ErrorKind.CONFLICT,
+    410: ErrorKind.COMPACTED,
+    429: ErrorKind.UNAVAILABLE,
+    503: ErrorKind.UNAVAILABLE,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class StoreReply:
+    """The body of a successful reply."""
+
+    body: bytes
+
+
+class StoreClient:
+    """Sends requests to the store; each outcome is a value, and nothing is sent twice.
+
+    Parameters
+    ----------
+    address
+        Where the store listens, ``host:port``.
+    """
+
+    def __init__(self, address: str, telemetry: Telemetry) -> None:
+        self._host = address
+        self._telemetry = telemetry
+        self._pool = ClientPool(address, 2, MAX_REPLY_BYTES, SILENCE_MS)
+        self._reachable = True
+
+    async def call(self, request: StoreRequest, wait_s: float = 0.0) -> StoreReply | StoreError:
+        """Send a request and return the reply's body, or why there is none.
+
+        Parameters
+        ----------
+        wait_s
+            How long the store itself may wait before it replies, in seconds.
+        """
+        timeout_s = wait_s + WATCH_SLACK_S if wait_s else CALL_TIMEOUT_S
+        self._telemetry.counters.add("store.calls")
+        result = await self._pool.exchange(self._encode(request), timeout_s)
+        if isinstance(result, Failure):
+            is_write = request.method != "GET"
+            kind = ErrorKind.UNCERTAIN if is_write else ErrorKind.UNAVAILABLE
+            return self._fail(kind, result.reason.value)
+        if result.status in (200, 201, 204):
+            self._note_reachable(True, "")
+            return StoreReply(result.body)
+        kind = _KINDS.get(result.status, ErrorKind.INVALID)
+        return self._fail(kind, f"status {result.status}")
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._pool.close()
+
+    def _encode(self, request: StoreRequest) -> bytes:
+        lines = [f"{request.method} {request.target} HTTP/1.1", f"host: {self._host}"]
+        if request.method != "GET":
+            lines.append("content-type: application/json")
+            lines.append(f"content-length: {len(request.body)}")
+        return "\r\n".join([*lines, "", ""]).encode() + request.body
+
+    def _fail(self, kind: ErrorKind, message: str) -> StoreError:
+        self._telemetry.counters.add(f"store.{kind.value}")
+        if kind in (ErrorKind.UNAVAILABLE, ErrorKind.UNCERTAIN):
+            self._note_reachable(False, message)
+        return StoreError(kind, message)
+
+    def _note_reachable(self, reachable: bool, cause: str) -> None:
+        if reachable != self._reachable:
+            self._reachable = reachable
+            event = "store-regained" if reachable else "store-lost"
+            self._telemetry.events.write(event, cause=cause)
+
+
+async def pause_before_retry(failures: int, jitter: float) -> None:
+    """Wait after failed calls in a row: 0.1 s doubled with each, up to 1.5 s, by half at random.
+
+    The longest pause leaves time to read a new configuration within its bound after an outage.
+    """
+    pause_s = min(1.5, 0.1 * 2.0 ** min(failures, 10))
+    await asyncio.sleep(pause_s * (0.5 + 0.5 * jitter))
--- /dev/null
+++ b/packages/mesh/src/ragwort_mesh/_targets.py
@@ -0,0 +1,46 @@
+"""What this entry knows of the servers of each service."""
+
+from collections.abc import Iterable
+
+from ragwort_common import FailureDomain, NodeId, Region, ServiceName
+from ragwort_flow import Target, find_distance, take_report
+from ragwort_model import NodeRecord
+from ragwort_protocol import LoadReport
+
+
+class Targets:
+    """Owns the knowledge of every server; what is known of one that stays is kept."""
+
+    def __init__(self, failure_domain: FailureDomain, region: Region) -> None:
+        self._place = (failure_domain, region)
+        self._nodes: dict[NodeId, tuple[NodeRecord, Target]] = {}
+        self._services: dict[ServiceName, list[Target]] = {}
+
+    def set_records(self, records: dict[NodeId, NodeRecord]) -> None:
+        """Set the nodes beside whose servers calls may run."""
+        nodes: dict[NodeId, tuple[NodeRecord, Target]] = {}
+        self._services = {}
+        for node, record in records.items():
+            known = self._nodes.get(node)
+            if known is not None and known[0] == record:
+                target = known[1]
+            else:
+                place = (record.failure_domain, record.region)
+                target = Target(node, find_distance(self._place, place))
+            nodes[node] = (record, target)
+            self._services.setdefault(record.service, []).append(target)
+        self._nodes = nodes
+
+    def list_targets(self, service: ServiceName) -> Iterable[Target]:
+        """Return the servers of a service."""
+        return self._services.get(service, ())
+
+    def count_nodes(self) -> int:
+        """Return how many nodes are known."""
+        return len(self._nodes)
+
+    def take_report(self, node: NodeId, now: float, report: LoadReport) -> None:
+        """Take in a gate's report."""
+        known = self._nodes.get(node)
+        if known is not None:
+            take_report(known[1], now, report)
--- /dev/null
+++ b/packages/mesh/src/ragwort_mesh/main.py
@@ -0,0 +1,55 @@
+"""The command of the node of a deployment on the platform."""
+
+import argparse
+import sys
+from pathlib import Path
+
+import uvloop
+from ragwort_model import Mistake, NodeSettings
+from ragwort_platform import decode_settings
+
+from ragwort_mesh._node import run_node
+
+FAILED = 1
+USER_MISTAKE = 2
+
+
+def run() -> None:
+    """Run the command and exit with its status."""
+    sys.exit(_main(sys.argv[1:]))
+
+
+def _main(arguments: list[str]) -> int:
+    options = _parse(arguments)
+    settings = load_settings(Path(options.settings))
+    if isinstance(settings, Mistake):
+        print(settings, file=sys.stderr)
+        return USER_MISTAKE
+    if options.check:
+        return 0
+    metrics_address = ""
+    if options.metrics_port:
+        host = settings.addresses.entry.rpartition(":")[0]
+        metrics_address = f"{host}:{options.metrics_port}"
+    failure = uvloop.run(run_node(settings, metrics_address, options.metrics_path))
+    if failure:
+        print(f"ragwort_mesh: {failure}", file=sys.stderr)
+    return FAILED if failure else 0
+
+
+def load_settings(path: Path) -> NodeSettings | Mistake:
+    """Return the settings in a file, or what is wrong with it."""
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        return Mistake(str(path), error.strerror or repr(error))
+    return decode_settings(data, str(path))
+
+
+def _parse(arguments: list[str]) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="ragwort_mesh", description=__doc__)
+    parser.add_argument("--settings", required=True, metavar="FILE", help="the settings file")
+    parser.add_argument("--check", action="store_true", help="check the settings and exit")
+    parser.add_argument("--metrics-port", type=int, default=0, help="port of the metrics; 0: none")
+    parser.add_argument("--metrics-path", default="/metrics", help="path of the metrics")
+    return parser.parse_args(arguments)
--- /dev/null
+++ b/packages/model/src/ragwort_model/__init__.py
@@ -0,0 +1,37 @@
+"""What a deployment is made of: routes, servers, nodes and settings."""
+
+from ragwort_model._configuration import (
+    CallerLimits,
+    Configuration,
+    ConfigurationVersion,
+    Part,
+    Route,
+    RouteName,
+)
+from ragwort_model._instance import Departure, Heartbeat, InstanceId, InstanceState
+from ragwort_model._mistake import Mistake
+from ragwort_model._node import Addresses, Bounds, NodeRecord, NodeSettings
+from ragwort_model._routing import FindRoute, build_route_finder
+from ragwort_model._store_error import ErrorKind, StoreError
+
+__all__ = [
+    "Addresses",
+    "Bounds",
+    "CallerLimits",
+    "Configuration",
+    "ConfigurationVersion",
+    "Departure",
+    "ErrorKind",
+    "FindRoute",
+    "Heartbeat",
+    "InstanceId",
+    "InstanceState",
+    "Mistake",
+    "NodeRecord",
+    "NodeSettings",
+    "Part",
+    "Route",
+    "RouteName",
+    "StoreError",
+    "build_route_finder",
+]
--- a/packages/platform/src/ragwort_platform/_error.py
+++ b/packages/model/src/ragwort_model/_store_error.py
@@ -1,4 +1,4 @@
-"""The errors of calls to the platform's object API, as values."""
+"""The errors of calls to the store, as values."""
 
 from dataclasses import dataclass
 from enum import Enum
--- a/packages/node/src/ragwort_node/_announcements.py
+++ b/packages/node/src/ragwort_node/_announcements.py
@@ -7,7 +7,9 @@
 
 from expression import Error, Ok, Result
 from ragwort_common import Incarnation, NodeId
-from ragwort_platform import (
+from ragwort_policy import Peer
+from ragwort_protocol import News, PeerState, Profile
+from ragwort_store import (
     NODES_PREFIX,
     Announcement,
     ErrorKind,
@@ -17,8 +19,6 @@
     decode_announcement,
     encode_announcement,
 )
-from ragwort_policy import Peer
-from ragwort_protocol import News, PeerState, Profile
 
 log = logging.getLogger(__name__)
 
--- a/packages/node/src/ragwort_node/_answer.py
+++ b/packages/node/src/ragwort_node/_answer.py
@@ -5,11 +5,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ragwort_common import Outcome, Reason
+from ragwort_common import Counters, Outcome, Reason
 from ragwort_protocol import Refusal, Response
 
-from ragwort_node._metrics import Counters
-
 OUTCOME_HEADER = b"ragwort-outcome"
 REASON_HEADER = b"ragwort-reason"
 
--- a/packages/node/src/ragwort_node/_caller.py
+++ b/packages/node/src/ragwort_node/_caller.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ragwort_common import CallId, Epoch, NodeId, Outcome, Reason, ServiceName
+from ragwort_common import CallId, Counters, Epoch, NodeId, Outcome, Reason, ServiceName
 from ragwort_policy import (
     Attempt,
     choose_server,
@@ -21,10 +21,9 @@
 )
 from ragwort_protocol import Cancel, LoadReport, Refusal, Request, Response
 from ragwort_rules import Priority, Treatment
+from ragwort_transport import Link, LinkLost, Reply
 
 from ragwort_node._gate import Gate
-from ragwort_node._link import Link, LinkLost, Reply
-from ragwort_node._metrics import Counters
 from ragwort_node._pool import LinkPool
 from ragwort_node._prober import Prober
 from ragwort_node._services import Services, ServiceState
--- a/packages/node/src/ragwort_node/_claim_exchange.py
+++ b/packages/node/src/ragwort_node/_claim_exchange.py
@@ -3,11 +3,10 @@
 import asyncio
 
 from expression import Error, Ok, Result
-from ragwort_common import NodeId
+from ragwort_common import Counters, NodeId
 from ragwort_protocol import ClaimReply, ClaimRequest, ClaimResult
+from ragwort_transport import Link
 
-from ragwort_node._link import Link
-from ragwort_node._metrics import Counters
 from ragwort_node._once import ClaimError
 from ragwort_node._owner import KeyOwner
 from ragwort_node._pool import LinkPool
--- a/packages/node/src/ragwort_node/_composition/_inbox.py
+++ b/packages/node/src/ragwort_node/_composition/_inbox.py
@@ -1,5 +1,6 @@
 """Hands each message from a peer that is no call to the part that it is for."""
 
+from ragwort_common import Counters
 from ragwort_protocol import (
     ClaimReply,
     ClaimRequest,
@@ -10,13 +11,12 @@
     ProbeReply,
     RevisionNotice,
 )
+from ragwort_transport import Link
 
 from ragwort_node._composition._keys import KeyParts
 from ragwort_node._composition._path import PathParts
 from ragwort_node._composition._watching import WatchingParts
 from ragwort_node._gossip import PeerMessage, put_event
-from ragwort_node._link import Link
-from ragwort_node._metrics import Counters
 
 
 def route_message(
--- a/packages/node/src/ragwort_node/_composition/_keys.py
+++ b/packages/node/src/ragwort_node/_composition/_keys.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 
 from ragwort_common import NodeId
-from ragwort_platform import LeaseClient, read_boot_clock
 from ragwort_policy import Membership, OwnerMap, is_current, list_alive
+from ragwort_store import LeaseClient, read_boot_clock
 
 from ragwort_node._claim_exchange import ClaimExchange
 from ragwort_node._composition._path import PathParts
--- a/packages/node/src/ragwort_node/_composition/_node.py
+++ b/packages/node/src/ragwort_node/_composition/_node.py
@@ -11,6 +11,7 @@
 from ragwort_policy import Membership, is_current
 from ragwort_protocol import Message, PeerState
 from ragwort_protocol.control import FetchRulesReply
+from ragwort_transport import Link
 
 from ragwort_node._admin import AdminPorts, build_admin
 from ragwort_node._composition._inbox import route_message
@@ -35,7 +36,6 @@
 )
 from ragwort_node._http import RunningServer, start_http
 from ragwort_node._intake import EntryLimits
-from ragwort_node._link import Link
 from ragwort_node._metrics import flush_metrics
 from ragwort_node._settings import Exporter, Settings
 from ragwort_node._status import (
--- a/packages/node/src/ragwort_node/_composition/_path.py
+++ b/packages/node/src/ragwort_node/_composition/_path.py
@@ -6,11 +6,11 @@
 from ragwort_common import FailureDomain, NodeId, Region
 from ragwort_policy import ChoiceSettings, EpochFence, GateLimits, make_probe_budget
 from ragwort_protocol import Hello, Probe
+from ragwort_transport import PeerCalls, Receiver
 
 from ragwort_node._caller import Caller
 from ragwort_node._composition._shared import MEMBERSHIP_SHARE, Shared
 from ragwort_node._gate import Gate
-from ragwort_node._peers import PeerCalls, Receiver
 from ragwort_node._pool import LinkPool, Resolve
 from ragwort_node._prober import Prober
 from ragwort_node._server import ServerClient
@@ -56,7 +56,7 @@
         slots=bounds.slots, queue_wait_ms=bounds.queue_wait_ms, warm_ms=bounds.warm_ms
     )
     gate = Gate(server, gate_limits, counters, shared.clock, tracer, fence)
-    peer_calls = PeerCalls(gate, counters, receive_other)
+    peer_calls = PeerCalls(gate.run_call, counters, receive_other)
     pool = LinkPool(
         Hello(shared.node_id, shared.incarnation),
         resolve,
--- a/packages/node/src/ragwort_node/_composition/_shared.py
+++ b/packages/node/src/ragwort_node/_composition/_shared.py
@@ -5,11 +5,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ragwort_common import Incarnation, NodeId
-from ragwort_platform import CallBudget, ObjectStore
+from ragwort_common import Counters, Incarnation, NodeId
 from ragwort_policy import first_incarnation
+from ragwort_store import CallBudget, ObjectStore
 
-from ragwort_node._metrics import Counters
 from ragwort_node._settings import Settings
 
 MEMBERSHIP_SHARE = 0.6
--- a/packages/node/src/ragwort_node/_configuration.py
+++ b/packages/node/src/ragwort_node/_configuration.py
@@ -9,7 +9,6 @@
 from collections import Counter
 
 from ragwort_common import NodeId, Revision
-from ragwort_platform import RULES_PATH, ObjectStore, decode_document
 from ragwort_policy import (
     UNKNOWN_DIGEST,
     PlacedPeer,
@@ -27,6 +26,7 @@
     refuse_revision,
 )
 from ragwort_protocol import RevisionNotice
+from ragwort_store import RULES_PATH, ObjectStore, decode_document
 
 from ragwort_node._first_rules import fetch_newer
 from ragwort_node._rules_messages import (
--- a/packages/node/src/ragwort_node/_control_client.py
+++ b/packages/node/src/ragwort_node/_control_client.py
@@ -1,11 +1,9 @@
 """Asks a peer for its rules over gRPC."""
 
 import grpc
-from ragwort_common import Revision
+from ragwort_common import Counters, Revision
 from ragwort_protocol.control import ControlStub, FetchRulesRequest
 
-from ragwort_node._metrics import Counters
-
 _CHANNEL_OPTIONS = (("grpc.enable_http_proxy", 0),)
 """Keeps proxy settings of the environment away from the addresses of peers."""
 
--- a/packages/node/src/ragwort_node/_entry.py
+++ b/packages/node/src/ragwort_node/_entry.py
@@ -5,13 +5,12 @@
 from dataclasses import replace
 from typing import Any
 
-from ragwort_common import Outcome, Reason
+from ragwort_common import Counters, Outcome, Reason
 from ragwort_protocol import Refusal, Response
 
 from ragwort_node._answer import Rejection, Send, send_rejection, send_reply
 from ragwort_node._caller import Call
 from ragwort_node._intake import CallerGoneError, EntryLimits, Receive, read_call
-from ragwort_node._metrics import Counters
 from ragwort_node._rules import RulesInForce
 from ragwort_node._tracing import Tracer
 
--- a/packages/node/src/ragwort_node/_gate.py
+++ b/packages/node/src/ragwort_node/_gate.py
@@ -5,8 +5,9 @@
 from collections import Counter
 from collections.abc import Callable
 
-from ragwort_common import CallId, Member, Outcome, Reason
+from ragwort_common import CallId, Counters, Member, Outcome, Reason
 from ragwort_policy import (
+    EXPIRED,
     Arrival,
     Decision,
     EpochFence,
@@ -24,9 +25,9 @@
     stop_leaving,
 )
 from ragwort_protocol import LoadReport, Refusal, Request, Response, replace_fields
+from ragwort_transport import Answer, Failure
 
-from ragwort_node._metrics import Counters
-from ragwort_node._server import DEADLINE_HEADER, Answer, Failure, ServerClient, is_shed
+from ragwort_node._server import DEADLINE_HEADER, ServerClient, is_shed
 from ragwort_node._tracing import Tracer
 
 SHED_RETRY_AFTER_MS = 1000
@@ -43,7 +44,6 @@
 """How often the queue is reviewed while calls wait in it."""
 
 START = Decision(Verdict.RUN)
-EXPIRED = Decision(Verdict.REFUSED, Reason.DEADLINE)
 
 
 class Gate:
--- a/packages/node/src/ragwort_node/_gauges.py
+++ b/packages/node/src/ragwort_node/_gauges.py
@@ -7,14 +7,14 @@
 from dataclasses import asdict, dataclass
 from enum import Enum
 
-from ragwort_platform import ObjectStore
+from ragwort_common import Counters
 from ragwort_policy import Budget, GossipCounters, Membership, measure_level
 from ragwort_protocol import ClaimVerdict, PeerState
+from ragwort_store import ObjectStore
 
 from ragwort_node._directory import list_peers
 from ragwort_node._gate import Gate
 from ragwort_node._gossip import Gossip
-from ragwort_node._metrics import Counters
 from ragwort_node._once import KeyClaims
 from ragwort_node._owner import KeyOwner
 from ragwort_node._pool import LinkPool
--- a/packages/node/src/ragwort_node/_gossip.py
+++ b/packages/node/src/ragwort_node/_gossip.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 
 from ragwort_common import NodeId, Revision
-from ragwort_platform import ObjectStore, StoreError
 from ragwort_policy import (
     Change,
     Membership,
@@ -28,6 +27,7 @@
     tick_membership,
 )
 from ragwort_protocol import Message, News, PeerState
+from ragwort_store import ObjectStore, StoreError
 
 from ragwort_node._announcements import (
     list_announced,
--- a/packages/node/src/ragwort_node/_http.py
+++ b/packages/node/src/ragwort_node/_http.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import uvicorn
+from ragwort_transport import bind_socket
 
 
 class HttpServer(uvicorn.Server):
@@ -46,28 +47,9 @@
         await self._task
 
 
-def bind_socket(host: str, port: int) -> socket.socket:
-    """Return a socket that is bound to an address and does not listen yet.
-
-    Raises
-    ------
-    OSError
-        When the address is taken or is none of this host's.
-    """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        sock.bind((host, port))
-    except OSError as error:
-        sock.close()
-        raise OSError(f"{host}:{port}: {error.strerror}") from error
-    return sock
-
-
 async def start_http(app: Any, address: str, grace_ms: int) -> RunningServer:
     """Serve an application on an address, ``host:port``; port 0 takes a free one."""
-    host, _, port = address.rpartition(":")
-    sock = bind_socket(host, int(port))
+    sock = bind_socket(address)
     config = uvicorn.Config(
         app,
         http="httptools",
--- a/packages/node/src/ragwort_node/_intake.py
+++ b/packages/node/src/ragwort_node/_intake.py
@@ -6,11 +6,12 @@
 
 from ragwort_common import Reason, ServiceName
 from ragwort_policy import MAX_KEY_BYTES
+from ragwort_transport import HOP_BY_HOP
 
 from ragwort_node._answer import OUTCOME_HEADER, REASON_HEADER, Rejection
 from ragwort_node._caller import Call
 from ragwort_node._rules import RulesInForce
-from ragwort_node._server import DEADLINE_HEADER, HOP_BY_HOP
+from ragwort_node._server import DEADLINE_HEADER
 
 KEY_HEADER = b"idempotency-key"
 DEPTH_HEADER = b"ragwort-depth"
--- a/packages/node/src/ragwort_node/_journal_store.py
+++ b/packages/node/src/ragwort_node/_journal_store.py
@@ -5,7 +5,6 @@
 from typing import Protocol
 
 from expression import Result
-from ragwort_platform import ErrorKind, Listing, Stored, StoreError
 from ragwort_policy import (
     CloseSegment,
     JournalHead,
@@ -14,6 +13,7 @@
     decode_head,
     encode_head,
 )
+from ragwort_store import ErrorKind, Listing, Stored, StoreError
 
 log = logging.getLogger(__name__)
 
--- a/packages/node/src/ragwort_node/_keyed_call.py
+++ b/packages/node/src/ragwort_node/_keyed_call.py
@@ -4,12 +4,11 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
-from ragwort_common import Outcome, Reason
+from ragwort_common import Counters, Outcome, Reason
 from ragwort_policy import choose_range, hash_call, hash_key, read_minted_ms
 from ragwort_protocol import Answer, Refusal, Response
 
 from ragwort_node._caller import NO_REPORT, Call, Claim, refuse_call
-from ragwort_node._metrics import Counters
 from ragwort_node._once import Grant, KeyClaims, KeyedCall, OnceResult, RunReport
 
 MAX_KEPT_ANSWER_BYTES = 64 << 10
--- a/packages/node/src/ragwort_node/_metrics.py
+++ b/packages/node/src/ragwort_node/_metrics.py
@@ -1,4 +1,4 @@
-"""Counters and timings, kept in memory and sent to statsd in batches off the request path."""
+"""Sends counters and timings to statsd in batches, off the request path."""
 
 import asyncio
 import logging
@@ -6,46 +6,13 @@
 from collections.abc import Callable
 
 import statsd
+from ragwort_common import Counters
 
 log = logging.getLogger(__name__)
 
 MAX_DATAGRAM_BYTES = 1432
 """Largest statsd datagram, so that it fits an Ethernet frame."""
 
-MAX_TIMINGS = 200
-"""Most timings kept of one name between two flushes; more are counted and left out."""
-
-
-class Counters:
-    """Counts by name since the process started, and timings since the last flush."""
-
-    def __init__(self) -> None:
-        self.totals: Counter[str] = Counter()
-        self.gauges: dict[str, float] = {}
-        self._timings: dict[str, list[float]] = {}
-
-    def add(self, name: str, count: int = 1) -> None:
-        """Add to a counter."""
-        self.totals[name] += count
-
-    def set_gauge(self, name: str, value: float) -> None:
-        """Set a gauge to its present value."""
-        self.gauges[name] = value
-
-    def add_timing(self, name: str, milliseconds: float) -> None:
-        """Keep a timing until the next flush."""
-        timings = self._timings.setdefault(name, [])
-        if len(timings) < MAX_TIMINGS:
-            timings.append(milliseconds)
-        else:
-            self.totals["metrics.timings_left_out"] += 1
-
-    def take_timings(self) -> dict[str, list[float]]:
-        """Return the timings since the last call, by name."""
-        timings = self._timings
-        self._timings = {}
-        return timings
-
 
 async def flush_metrics(
     counters: Counters,
--- a/packages/node/src/ragwort_node/_owner.py
+++ b/packages/node/src/ragwort_node/_owner.py
@@ -8,9 +8,9 @@
 
 from expression import Result
 from ragwort_common import Epoch, NodeId
-from ragwort_platform import Lease, LeaseError, LeaseErrorKind
 from ragwort_policy import KEY_RANGES, NOBODY, OwnerMap, choose_owner, count_excess
 from ragwort_protocol import ClaimReply, ClaimRequest, ClaimResult, ClaimVerdict, OwnerNotice
+from ragwort_store import Lease, LeaseError, LeaseErrorKind
 
 from ragwort_node._journal_store import JournalStore, format_lease_path
 from ragwort_node._owner_limits import OwnerClocks, OwnerLimits
--- a/packages/node/src/ragwort_node/_owner_news.py
+++ b/packages/node/src/ragwort_node/_owner_news.py
@@ -6,13 +6,12 @@
 from collections.abc import Callable
 
 from expression import Result
-from ragwort_common import Epoch, NodeId
-from ragwort_platform import ObjectStore, StoreError, read_holder
+from ragwort_common import Counters, Epoch, NodeId
 from ragwort_policy import EpochFence, OwnerMap
 from ragwort_protocol import Message, OwnerNotice
+from ragwort_store import ObjectStore, StoreError, read_holder
 
 from ragwort_node._journal_store import LEASES_PREFIX
-from ragwort_node._metrics import Counters
 
 log = logging.getLogger(__name__)
 
--- a/packages/node/src/ragwort_node/_pool.py
+++ b/packages/node/src/ragwort_node/_pool.py
@@ -5,12 +5,9 @@
 import socket
 from collections.abc import Callable
 
-from ragwort_common import NodeId
+from ragwort_common import Counters, NodeId
 from ragwort_protocol import Hello, Message, encode_frame
-
-from ragwort_node._http import bind_socket
-from ragwort_node._link import Handler, Link
-from ragwort_node._metrics import Counters
+from ragwort_transport import Handler, Link, bind_socket
 
 log = logging.getLogger(__name__)
 
@@ -66,7 +63,7 @@
 
     def bind(self, host: str, port: int) -> int:
         """Bind the address at which links will be accepted, and return the port."""
-        self._socket = bind_socket(host, port)
+        self._socket = bind_socket(f"{host}:{port}")
         return self._socket.getsockname()[1]
 
     async def listen(self) -> None:
--- a/packages/node/src/ragwort_node/_prober.py
+++ b/packages/node/src/ragwort_node/_prober.py
@@ -3,7 +3,7 @@
 import itertools
 from collections.abc import Callable
 
-from ragwort_common import NodeId
+from ragwort_common import Counters, NodeId
 from ragwort_policy import (
     ProbeBudget,
     ProbeSettings,
@@ -11,7 +11,6 @@
 )
 from ragwort_protocol import Probe, ProbeReply
 
-from ragwort_node._metrics import Counters
 from ragwort_node._services import Services, ServiceState
 
 SendProbe = Callable[[NodeId, Probe], int]
--- a/packages/node/src/ragwort_node/_range_owner.py
+++ b/packages/node/src/ragwort_node/_range_owner.py
@@ -10,7 +10,6 @@
 from collections import Counter
 
 from ragwort_common import Epoch
-from ragwort_platform import ErrorKind
 from ragwort_policy import (
     ClaimDecision,
     ClaimTable,
@@ -26,6 +25,7 @@
     split_marks,
 )
 from ragwort_protocol import ClaimReply, ClaimRequest, ClaimResult, ClaimVerdict
+from ragwort_store import ErrorKind
 
 from ragwort_node._journal_store import (
     JournalStore,
--- a/packages/node/src/ragwort_node/_rules.py
+++ b/packages/node/src/ragwort_node/_rules.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 
 from ragwort_common import Revision, ServiceName
-from ragwort_platform import RulesDocument
 from ragwort_rules import Rules, Treatment, build_matcher, list_services, parse_rules
+from ragwort_store import RulesDocument
 
 log = logging.getLogger(__name__)
 
--- a/packages/node/src/ragwort_node/_rules_ports.py
+++ b/packages/node/src/ragwort_node/_rules_ports.py
@@ -5,9 +5,9 @@
 from enum import Enum
 
 from ragwort_common import NodeId, Revision
-from ragwort_platform import RulesDocument
 from ragwort_policy import NOTICE_FANOUT, WATCHERS_PER_DOMAIN, PlacedPeer, Stamp
 from ragwort_protocol import RevisionNotice
+from ragwort_store import RulesDocument
 
 from ragwort_node._rules_watch import WatchSettings
 
--- a/packages/node/src/ragwort_node/_rules_watch.py
+++ b/packages/node/src/ragwort_node/_rules_watch.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from expression import Error, Ok, Result
-from ragwort_platform import RULES_PATH, ObjectStore, StoreError
+from ragwort_store import RULES_PATH, ObjectStore, StoreError
 
 from ragwort_node._rules_messages import PlatformRead
 
--- a/packages/node/src/ragwort_node/_status.py
+++ b/packages/node/src/ragwort_node/_status.py
@@ -4,13 +4,12 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
-from ragwort_common import Revision
+from ragwort_common import Counters, Revision
 from ragwort_policy import Arrival, Budget, Membership, is_current, measure_level
 from ragwort_protocol.control import GetStatusReply, Peer
 
 from ragwort_node._directory import describe_peer, list_peers
 from ragwort_node._gate import Gate
-from ragwort_node._metrics import Counters
 from ragwort_node._pool import LinkPool
 from ragwort_node._rules_ports import CurrentRules
 from ragwort_node._services import Services
--- a/packages/node/src/ragwort_node/_tracing.py
+++ b/packages/node/src/ragwort_node/_tracing.py
@@ -13,8 +13,7 @@
 from opentelemetry.sdk.trace.export import ConsoleSpanExporter, SpanExporter
 from opentelemetry.trace import SpanContext, TraceFlags
 from opentelemetry.trace.status import Status, StatusCode
-
-from ragwort_node._metrics import Counters
+from ragwort_common import Counters
 
 TRACEPARENT = b"traceparent"
 MAX_WAITING_SPANS = 2000
--- a/packages/policy/src/ragwort_policy/__init__.py
+++ b/packages/policy/src/ragwort_policy/__init__.py
@@ -1,12 +1,12 @@
 """The decisions of the load balancer, as pure code."""
 
+from ragwort_flow import EXPIRED, Decision, Verdict
+
 from ragwort_policy._admission import (
     Arrival,
-    Decision,
     GateLimits,
     GateState,
     Shed,
-    Verdict,
     arrive,
     cancel,
     expire,
@@ -132,6 +132,7 @@
     "ClaimTable",
     "CloseSegment",
     "Decision",
+    "EXPIRED",
     "EpochFence",
     "GateLimits",
     "GateState",
--- a/packages/policy/src/ragwort_policy/_admission.py
+++ b/packages/policy/src/ragwort_policy/_admission.py
@@ -6,9 +6,9 @@
 """
 
 from dataclasses import dataclass, field
-from enum import Enum
 
 from ragwort_common import CallId, Member, Reason
+from ragwort_flow import QUEUED, RUN, Decision, Verdict
 from ragwort_protocol import LoadReport
 
 from ragwort_policy._breaker import (
@@ -43,26 +43,6 @@
     make_service_time,
 )
 
-
-class Verdict(Enum):
-    """What the gate does with a call that arrives."""
-
-    RUN = "run"
-    QUEUED = "queued"
-    REFUSED = "refused"
-
-
-@dataclass(slots=True, frozen=True)
-class Decision:
-    """The gate's answer to an arrival."""
-
-    verdict: Verdict
-    reason: Reason = Reason.NONE
-    retry_after_ms: int = 0
-
-
-RUN = Decision(Verdict.RUN)
-QUEUED = Decision(Verdict.QUEUED)
 SHED_FACTOR = 1.5
 """Queued calls are refused when the expected wait is over the queue's bound by this factor."""
 
--- a/packages/policy/src/ragwort_policy/_estimate.py
+++ b/packages/policy/src/ragwort_policy/_estimate.py
@@ -7,8 +7,10 @@
 
 from math import exp, sqrt
 
+from ragwort_flow import Distance
+
 from ragwort_policy._faith import get_faith
-from ragwort_policy._servers import ChoiceState, Distance, ServerView
+from ragwort_policy._servers import ChoiceState, ServerView
 from ragwort_policy._service_time import estimate_time
 from ragwort_policy._trust import get_error_cost
 
--- a/packages/policy/src/ragwort_policy/_evidence.py
+++ b/packages/policy/src/ragwort_policy/_evidence.py
@@ -1,11 +1,12 @@
 """Takes in what an entry learns of servers: reports, and how its own calls ended."""
 
 from ragwort_common import CallId, NodeId, Outcome, Reason
+from ragwort_flow import Distance
 from ragwort_protocol import LoadReport
 
 from ragwort_policy._estimate import MOST_DELAY, foretell_delay
 from ragwort_policy._faith import record_delay
-from ragwort_policy._servers import ChoiceState, Distance, Sent, ServerView, set_accepting
+from ragwort_policy._servers import ChoiceState, Sent, ServerView, set_accepting
 from ragwort_policy._service_time import add_call, end_call
 from ragwort_policy._trust import (
     end_trial,
--- a/packages/policy/src/ragwort_policy/_probing.py
+++ b/packages/policy/src/ragwort_policy/_probing.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass
 
 from ragwort_common import NodeId
+from ragwort_flow import Distance
 
-from ragwort_policy._servers import ChoiceState, Distance, ServerView
+from ragwort_policy._servers import ChoiceState, ServerView
 
 BURST_S = 0.25
 
--- a/packages/policy/src/ragwort_policy/_servers.py
+++ b/packages/policy/src/ragwort_policy/_servers.py
@@ -5,10 +5,9 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from enum import Enum
-from typing import Protocol
 
 from ragwort_common import CallId, FailureDomain, NodeId, Region
+from ragwort_flow import Distance, find_distance
 
 from ragwort_policy._faith import Faith
 from ragwort_policy._service_time import ServiceTime, make_service_time
@@ -17,21 +16,6 @@
 CLOSED_S = 2.0
 
 
-class RandomSource(Protocol):
-    """The part of ``random.Random`` that the policy uses."""
-
-    def random(self) -> float:
-        """Return a number in [0, 1)."""
-
-
-class Distance(Enum):
-    """How far a server is from the entry."""
-
-    SAME_DOMAIN = "same-domain"
-    SAME_REGION = "same-region"
-    OTHER_REGION = "other-region"
-
-
 @dataclass(slots=True, frozen=True)
 class ServerPlace:
     """A server of the service and where it stands."""
@@ -130,12 +114,15 @@
 
 def _make_view(state: ChoiceState, place: ServerPlace, now: float) -> ServerView:
     settings = state.settings
-    if place.region != state.region:
-        distance, round_trip_ms = Distance.OTHER_REGION, settings.other_region_ms
-    elif place.failure_domain != state.failure_domain:
-        distance, round_trip_ms = Distance.SAME_REGION, settings.same_region_ms
-    else:
-        distance, round_trip_ms = Distance.SAME_DOMAIN, settings.same_domain_ms
+    distance = find_distance(
+        (state.failure_domain, state.region), (place.failure_domain, place.region)
+    )
+    round_trips_ms = {
+        Distance.SAME_DOMAIN: settings.same_domain_ms,
+        Distance.SAME_REGION: settings.same_region_ms,
+        Distance.OTHER_REGION: settings.other_region_ms,
+    }
+    round_trip_ms = round_trips_ms[distance]
     expected_s = settings.expected_ms / 1e3
     limit = float(settings.expected_limit)
     return ServerView(
--- a/packages/protocol/src/ragwort_protocol/_calls.py
+++ b/packages/protocol/src/ragwort_protocol/_calls.py
@@ -33,6 +33,12 @@
         True when ``Data`` messages with the rest of the body follow.
     epoch, key_range
         Proof of the claim that allows a non-idempotent call with a key; zero without one.
+    route
+        Name of the route that the call matched; the gate learns the work of each.
+    rank
+        Urgency of the call; 0 is the highest.
+    objective_ms
+        Time left in which an answer is worth most, in milliseconds; negative once it is over.
     """
 
     call_id: int
@@ -49,6 +55,9 @@
     more: bool = False
     epoch: int = 0
     key_range: int = 0
+    route: str = ""
+    rank: int = 0
+    objective_ms: float = 0.0
 
 
 class Data(Message, tag=2):
@@ -66,7 +75,8 @@
 class Response(Message, tag=3):
     """Ends a call with the server's answer.
 
-    ``more`` is set when ``Data`` messages with the rest of the body follow.
+    ``more`` is set when ``Data`` messages with the rest of the body follow; ``work_ms`` is what
+    the gate has learned of the work of the call's route, zero when it learns none.
     """
 
     call_id: int
@@ -75,6 +85,7 @@
     body: bytes
     report: LoadReport
     more: bool = False
+    work_ms: float = 0.0
 
 
 class Refusal(Message, tag=4):
--- a/packages/protocol/src/ragwort_protocol/_load.py
+++ b/packages/protocol/src/ragwort_protocol/_load.py
@@ -21,6 +21,12 @@
         False while the server leaves or the gate refuses everything.
     warm_percent
         Share of the full limit that a freshly started server may take, 0 to 100.
+    slowdown_percent
+        How long work takes on the server's host at this moment; 100 is as usual.
+    wait_ms
+        How long a call that came now would wait for its turn, in milliseconds.
+    failing_percent
+        Share of the server's recent calls that failed.
     """
 
     in_flight: int
@@ -29,6 +35,9 @@
     service_time_us: int
     accepting: bool = True
     warm_percent: int = 100
+    slowdown_percent: int = 100
+    wait_ms: int = 0
+    failing_percent: int = 0
 
 
 class Probe(Message, tag=11):
--- a/packages/platform/src/ragwort_platform/__init__.py
+++ b/packages/store/src/ragwort_store/__init__.py
@@ -1,7 +1,9 @@
 """The client of the platform object API, and the documents and leases kept there."""
 
-from ragwort_platform._budget import CallBudget
-from ragwort_platform._document import (
+from ragwort_model import ErrorKind, StoreError
+
+from ragwort_store._budget import CallBudget
+from ragwort_store._document import (
     NODES_PREFIX,
     RULES_PATH,
     Announcement,
@@ -13,8 +15,7 @@
     encode_document,
     history_path,
 )
-from ragwort_platform._error import ErrorKind, StoreError
-from ragwort_platform._lease import (
+from ragwort_store._lease import (
     DEFAULT_MARGIN_MS,
     DEFAULT_TTL_MS,
     Lease,
@@ -26,8 +27,8 @@
     read_boot_clock,
     read_holder,
 )
-from ragwort_platform._record import Change, Changes, Listing, Stored
-from ragwort_platform._store import (
+from ragwort_store._record import Change, Changes, Listing, Stored
+from ragwort_store._store import (
     DEFAULT_BURST_CALLS,
     DEFAULT_CALLS_PER_S,
     MAX_OBJECT_BYTES,
--- a/packages/platform/src/ragwort_platform/_lease.py
+++ b/packages/store/src/ragwort_store/_lease.py
@@ -16,10 +16,10 @@
 
 from expression import Error, Ok, Result
 from ragwort_common import Epoch, NodeId
+from ragwort_model import ErrorKind, StoreError
 
-from ragwort_platform._error import ErrorKind, StoreError
-from ragwort_platform._record import Stored
-from ragwort_platform._store import ObjectStore
+from ragwort_store._record import Stored
+from ragwort_store._store import ObjectStore
 
 DEFAULT_TTL_MS = 10_000
 DEFAULT_MARGIN_MS = 1_000
--- a/packages/platform/src/ragwort_platform/_reply.py
+++ b/packages/store/src/ragwort_store/_reply.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from expression import Error, Ok, Result
+from ragwort_model import ErrorKind, StoreError
 
-from ragwort_platform._error import ErrorKind, StoreError
-from ragwort_platform._record import Change, Changes, Listing, Stored
+from ragwort_store._record import Change, Changes, Listing, Stored
 
 _ETAG = re.compile(r'"([0-9]{1,19})"')
 _KINDS = {
--- a/packages/platform/src/ragwort_platform/_store.py
+++ b/packages/store/src/ragwort_store/_store.py
@@ -11,12 +11,12 @@
 
 import aiohttp
 from expression import Error, Ok, Result
+from ragwort_model import ErrorKind, StoreError
 from yarl import URL
 
-from ragwort_platform._budget import CallBudget
-from ragwort_platform._error import ErrorKind, StoreError
-from ragwort_platform._record import Changes, Listing, Stored
-from ragwort_platform._reply import (
+from ragwort_store._budget import CallBudget
+from ragwort_store._record import Changes, Listing, Stored
+from ragwort_store._reply import (
     format_version,
     parse_version,
     read_changes,
--- /dev/null
+++ b/packages/transport/src/ragwort_transport/__init__.py
@@ -0,0 +1,48 @@
+"""Links between nodes and HTTP/1.1 connections, as protocols of the event loop."""
+
+from ragwort_transport._client import (
+    BAD_ANSWER,
+    CONNECT_FAILED,
+    CONNECTION_LOST,
+    LATE,
+    Answer,
+    ClientPool,
+    Failure,
+    set_silence_limit,
+)
+from ragwort_transport._link import Handler, Link, LinkLost, Reply, send_in_parts
+from ragwort_transport._message import HOP_BY_HOP, Headers, find_header
+from ragwort_transport._peer_calls import PeerCalls, Receiver
+from ragwort_transport._server import (
+    HttpLimits,
+    HttpReply,
+    HttpRequest,
+    HttpServer,
+    bind_socket,
+)
+
+__all__ = [
+    "Answer",
+    "BAD_ANSWER",
+    "CONNECTION_LOST",
+    "CONNECT_FAILED",
+    "ClientPool",
+    "Failure",
+    "HOP_BY_HOP",
+    "Handler",
+    "Headers",
+    "HttpLimits",
+    "HttpReply",
+    "HttpRequest",
+    "HttpServer",
+    "LATE",
+    "Link",
+    "LinkLost",
+    "PeerCalls",
+    "Receiver",
+    "Reply",
+    "bind_socket",
+    "find_header",
+    "send_in_parts",
+    "set_silence_limit",
+]
--- a/packages/node/src/ragwort_node/_link.py
+++ b/packages/transport/src/ragwort_transport/_link.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import cast
 
-from ragwort_common import NodeId
+from ragwort_common import Counters, NodeId
 from ragwort_protocol import (
     BODY_PART_BYTES,
     Data,
@@ -21,8 +21,6 @@
     replace_fields,
 )
 
-from ragwort_node._metrics import Counters
-
 log = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 64 << 20
@@ -63,6 +61,7 @@
     ) -> None:
         self.peer: NodeId | None = None
         self.clogged = False
+        self.received_at = asyncio.get_running_loop().time()
         self.greeted: asyncio.Future[NodeId] = asyncio.get_running_loop().create_future()
         self._hello = hello
         self._handle = handle
@@ -85,6 +84,7 @@
     def data_received(self, data: bytes) -> None:
         """Take in bytes and act on each complete message; a bad frame ends the link."""
         self._counters.add("link.bytes_in", len(data))
+        self.received_at = asyncio.get_running_loop().time()
         try:
             for message in self._reader.feed(data):
                 self._receive(message)
@@ -125,6 +125,15 @@
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close the link at once; what has been written may be lost."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def count_pending(self) -> int:
+        """Return how many calls wait for their reply."""
+        return len(self._pending)
+
     def send(self, message: Message) -> int:
         """Write one message and return its size on the link in bytes; 0 when it is closed."""
         if self._transport is None:
--- a/packages/node/src/ragwort_node/_peers.py
+++ b/packages/transport/src/ragwort_transport/_peer_calls.py
@@ -1,23 +1,30 @@
 """Serves the calls that peers send over links, and hands their other messages on."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
-from ragwort_common import Outcome, Reason
+from ragwort_common import Counters, Outcome, Reason
 from ragwort_protocol import Cancel, Message, ProtocolError, Refusal, Request, Response
 
-from ragwort_node._gate import Gate
-from ragwort_node._link import Link, send_in_parts
-from ragwort_node._metrics import Counters
+from ragwort_transport._link import Link, send_in_parts
 
 Receiver = Callable[[Link, Message], None]
+RunCall = Callable[[Request], Awaitable[Response | Refusal]]
 
 
 class PeerCalls:
-    """Owns the tasks that run peers' calls at the local gate."""
+    """Owns the tasks that run peers' calls at the local gate.
 
-    def __init__(self, gate: Gate, counters: Counters, receive_other: Receiver) -> None:
-        self._gate = gate
+    Parameters
+    ----------
+    run_call
+        Runs a call and returns what ends it.
+    receive_other
+        Gets the messages that are no calls.
+    """
+
+    def __init__(self, run_call: RunCall, counters: Counters, receive_other: Receiver) -> None:
+        self._run_call = run_call
         self._counters = counters
         self._receive_other = receive_other
         self._tasks: dict[tuple[Link, int], asyncio.Task[None]] = {}
@@ -54,7 +61,7 @@
             task.cancel()
 
     async def _serve(self, link: Link, request: Request) -> None:
-        reply = await self._gate.run_call(request)
+        reply = await self._run_call(request)
         try:
             _send_reply(link, reply)
         except ProtocolError:
--- /dev/null
+++ b/packages/transport/src/ragwort_transport/_server.py
@@ -0,0 +1,391 @@
+"""The server side of HTTP/1.1: reads requests whole, within limits, and writes whole answers.
+
+uvicorn was weighed for it (docs/design/deployment.md): it starts four times slower, and it leaves
+no say over slow headers, idle connections and what a closing connection still answers.
+"""
+
+import asyncio
+import contextlib
+import logging
+import socket
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import cast
+
+import httptools
+
+from ragwort_transport._message import REASON_PHRASES, Headers, find_header, has_no_body
+
+log = logging.getLogger(__name__)
+
+SWEEP_INTERVAL_S = 0.25
+"""How often the connections' time limits are looked at."""
+
+LINGER_S = 1.0
+"""How long a connection that is closed after an early answer still takes in bytes, so that the
+answer isn't lost to a reset; a few round trips to a caller."""
+
+MAX_PIPELINED = 8
+"""Requests read ahead on one connection; further bytes wait in the kernel."""
+
+BACKLOG = 1024
+"""Connections that may wait to be accepted; a full queue costs a caller seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A caller's request, read whole; header names are in lower case."""
+
+    method: str
+    target: bytes
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """The answer to a request.
+
+    ``content-length`` is set by the connection, but for the answer to a HEAD request.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """What a caller may send, and how long it may take or stay idle.
+
+    Attributes
+    ----------
+    max_header_bytes, max_body_bytes
+        Longest head and body.
+    header_timeout_s
+        Time from the first byte of a head to its last.
+    idle_timeout_s
+        Time without any byte, between requests or within a body.
+    """
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpReply]]
+"""Answers a request; it is cancelled when the caller closes its connection first."""
+
+
+class _Phase(Enum):
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+    RUNNING = "running"
+    LINGERING = "lingering"
+
+
+class HttpServer:
+    """Accepts connections on one address and answers their requests.
+
+    Parameters
+    ----------
+    handle
+        Answers a request.
+    get_limits
+        Returns the limits in force.
+    """
+
+    def __init__(self, handle: Handler, get_limits: Callable[[], HttpLimits]) -> None:
+        self.handle = handle
+        self.get_limits = get_limits
+        self.closing = False
+        self.connections: set[_ServerConnection] = set()
+        self._server: asyncio.Server | None = None
+        self._sweep: asyncio.TimerHandle | None = None
+
+    async def listen(self, address: str) -> int:
+        """Accept connections on an address, ``host:port``, and return the port.
+
+        Raises
+        ------
+        OSError
+            When the address is taken or is none of this host's.
+        """
+        sock = bind_socket(address)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _ServerConnection(self), sock=sock, backlog=BACKLOG
+        )
+        self._plan_sweep()
+        return sock.getsockname()[1]
+
+    def count_running(self) -> int:
+        """Return how many connections have a request that is not answered."""
+        return sum(connection.is_busy for connection in self.connections)
+
+    def start_closing(self) -> None:
+        """Answer what comes, and close each connection after its answer."""
+        self.closing = True
+
+    def stop_listening(self) -> None:
+        """Accept no further connection, and close the idle ones."""
+        self.closing = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    def abort(self) -> None:
+        """Close every connection at once."""
+        self.stop_listening()
+        if self._sweep is not None:
+            self._sweep.cancel()
+        for connection in list(self.connections):
+            connection.abort()
+
+    def _plan_sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._sweep = loop.call_later(SWEEP_INTERVAL_S, self._check_times)
+
+    def _check_times(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for connection in list(self.connections):
+            connection.check_time(now)
+        self._plan_sweep()
+
+
+class _ServerConnection(asyncio.Protocol):
+    """One caller's connection; httptools calls the methods that start with ``on_``."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._phase = _Phase.IDLE
+        self._since = self._loop.time()
+        self._limits = server.get_limits()
+        self._ready: deque[tuple[HttpRequest, bool]] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._failure = 0
+        self._start_request()
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being answered or waits to be."""
+        return self._task is not None or bool(self._ready)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is under way on it."""
+        if self._transport is not None and not self.is_busy and self._phase is _Phase.IDLE:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def check_time(self, now: float) -> None:
+        """Close the connection when it has outlived the limit of its phase."""
+        waited_s = now - self._since
+        if self._transport is None or self._phase is _Phase.RUNNING:
+            return
+        if self._phase is _Phase.HEAD:
+            if waited_s > self._limits.header_timeout_s:
+                self._refuse(408)
+        elif self._phase is _Phase.LINGERING:
+            if waited_s > LINGER_S:
+                self._transport.abort()
+        elif waited_s > self._limits.idle_timeout_s:
+            if self._phase is _Phase.BODY:
+                self._refuse(408)
+            else:
+                self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        # uvloop's transport is not a subclass of asyncio.Transport, only of the same shape.
+        self._transport = cast(asyncio.Transport, transport)
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel what runs for the caller, who can't be answered any more."""
+        self._transport = None
+        self._server.connections.discard(self)
+        self._ready.clear()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Take a caller that has closed its side for one that has left."""
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what the caller sends."""
+        if self._phase is _Phase.LINGERING:
+            return
+        if self._phase is _Phase.IDLE:
+            self._limits = self._server.get_limits()
+            self._enter(_Phase.HEAD)
+        elif self._phase is _Phase.BODY:
+            self._since = self._loop.time()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._failure = 400
+        except httptools.HttpParserError:
+            self._failure = self._failure or 400
+        if self._phase is _Phase.HEAD:
+            self._header_bytes += len(data)
+            if self._header_bytes > self._limits.max_header_bytes:
+                self._failure = self._failure or 431
+        if self._failure:
+            self._refuse(self._failure)
+        elif len(self._ready) > MAX_PIPELINED and self._transport is not None:
+            self._transport.pause_reading()
+
+    def on_message_begin(self) -> None:
+        """Start to read a request."""
+        self._start_request()
+        self._enter(_Phase.HEAD)
+
+    def on_url(self, url: bytes) -> None:
+        """Keep a part of the request's target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header field."""
+        self._field_bytes += len(name) + len(value)
+        if self._field_bytes > self._limits.max_header_bytes:
+            self._fail(431)
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Check the length that is announced, and ask for the body if the caller waits."""
+        self._enter(_Phase.BODY)
+        length = find_header(self._headers, b"content-length")
+        if length is not None and int(length) > self._limits.max_body_bytes:
+            self._fail(413)
+        expected = find_header(self._headers, b"expect")
+        if expected is not None and expected.lower() == b"100-continue":
+            assert self._transport is not None
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, part: bytes) -> None:
+        """Keep a part of the body."""
+        self._body_bytes += len(part)
+        if self._body_bytes > self._limits.max_body_bytes:
+            self._fail(413)
+        self._body.append(part)
+
+    def on_message_complete(self) -> None:
+        """Answer the request after those that came before it."""
+        method = self._parser.get_method().decode("ascii")
+        request = HttpRequest(method, self._target, self._headers, b"".join(self._body))
+        keep_open = self._parser.should_keep_alive()
+        self._enter(_Phase.RUNNING)
+        self._ready.append((request, keep_open))
+        if self._task is None:
+            self._run_next()
+
+    def _start_request(self) -> None:
+        self._target = b""
+        self._headers: Headers = []
+        self._header_bytes = 0
+        self._field_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def _fail(self, status: int) -> None:
+        """Stop parsing; the request is refused once the parser has returned."""
+        self._failure = status
+        raise ValueError(f"refused with status {status}")
+
+    def _enter(self, phase: _Phase) -> None:
+        self._phase = phase
+        self._since = self._loop.time()
+
+    def _run_next(self) -> None:
+        request, keep_open = self._ready.popleft()
+        self._task = self._loop.create_task(self._serve(request, keep_open))
+
+    async def _serve(self, request: HttpRequest, keep_open: bool) -> None:
+        try:
+            reply = await self._server.handle(request)
+        except asyncio.CancelledError:
+            self._task = None
+            raise
+        except Exception:
+            # A broken invariant of one request must not leave its caller without an answer.
+            log.exception("the handler of a request has failed")
+            reply, keep_open = HttpReply(500, []), False
+        self._task = None
+        keep_open = keep_open and not self._server.closing
+        self._write(reply, keep_open, request.method == "HEAD")
+        if not keep_open:
+            self._linger()
+        elif self._ready:
+            self._run_next()
+        elif self._phase is _Phase.RUNNING:
+            self._enter(_Phase.IDLE)
+        if self._transport is not None and not self._transport.is_reading():
+            with contextlib.suppress(RuntimeError):
+                self._transport.resume_reading()
+
+    def _refuse(self, status: int) -> None:
+        """Answer a request that breaks the protocol or a limit, and close the connection."""
+        if self._task is not None or self._ready:
+            # An earlier request on this connection still runs: close without an answer to this.
+            self._enter(_Phase.LINGERING)
+            return
+        self._write(HttpReply(status, []), False, False)
+        self._linger()
+
+    def _write(self, reply: HttpReply, keep_open: bool, is_head: bool) -> None:
+        if self._transport is None:
+            return
+        phrase = REASON_PHRASES.get(reply.status, b"Unknown")
+        lines = [b"HTTP/1.1 %d %s\r\n" % (reply.status, phrase)]
+        lines += [
+            b"%s: %s\r\n" % (name, value)
+            for name, value in reply.headers
+            if is_head or name != b"content-length"
+        ]
+        if not is_head and not has_no_body(reply.status):
+            lines.append(b"content-length: %d\r\n" % len(reply.body))
+        if not keep_open:
+            lines.append(b"connection: close\r\n")
+        lines.append(b"\r\n")
+        if not is_head:
+            lines.append(reply.body)
+        self._transport.write(b"".join(lines))
+
+    def _linger(self) -> None:
+        """Close the sending side; the caller closes the rest, or the time limit does."""
+        self._ready.clear()
+        self._enter(_Phase.LINGERING)
+        if self._transport is not None and self._transport.can_write_eof():
+            self._transport.write_eof()
+
+
+def bind_socket(address: str) -> socket.socket:
+    """Return a socket that is bound to an address, ``host:port``, and does not listen yet.
+
+    Raises
+    ------
+    OSError
+        When the address is taken or is none of this host's.
+    """
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host, int(port)))
+    except OSError as error:
+        sock.close()
+        raise OSError(f"{address}: {error.strerror}") from error
+    return sock
--- a/tests/control/test_main.py
+++ b/tests/control/test_main.py
@@ -6,8 +6,8 @@
 from fake_store import FakeStore, Fault
 from ragwort_control._store import open_platform
 from ragwort_control.main import COMMANDS, run_command
-from ragwort_platform import RULES_PATH, RulesDocument, encode_document
 from ragwort_standins.platform import PlatformStandIn
+from ragwort_store import RULES_PATH, RulesDocument, encode_document
 
 ONE = "drums GET /a idempotent  # hanbit: lookups\n"
 TWO = ONE + "drums * /** deadline=3s  # hanbit: everything else\n"
--- a/tests/control/test_replacement.py
+++ b/tests/control/test_replacement.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from ragwort_control._replacement import Replacement, Verdict, replace_rules
 from ragwort_control._revision import Current
-from ragwort_platform import (
+from ragwort_store import (
     RULES_PATH,
     RulesDocument,
     decode_document,
--- a/tests/control/test_status.py
+++ b/tests/control/test_status.py
@@ -6,8 +6,6 @@
 import pytest
 from fake_store import FakeStore, Fault
 from ragwort_control.main import run_command
-from ragwort_platform import RULES_PATH, Announcement, RulesDocument, encode_announcement
-from ragwort_platform import encode_document as encode
 from ragwort_protocol.control import (
     ControlServicer,
     GetStatusReply,
@@ -15,6 +13,8 @@
     SetDrainReply,
     add_ControlServicer_to_server,
 )
+from ragwort_store import RULES_PATH, Announcement, RulesDocument, encode_announcement
+from ragwort_store import encode_document as encode
 
 TOKEN = "s3cret"
 FLAGS = ["--platform=http://fake", "--timeout-ms=20000"]
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -5,7 +5,7 @@
 from enum import Enum
 
 from expression import Error, Ok
-from ragwort_platform import RULES_PATH, ErrorKind, Listing, Stored, StoreError, decode_document
+from ragwort_store import RULES_PATH, ErrorKind, Listing, Stored, StoreError, decode_document
 
 
 class Fault(Enum):
--- a/tests/node/test_admin.py
+++ b/tests/node/test_admin.py
@@ -8,6 +8,7 @@
 import pytest
 from ragwort_common import (
     CallId,
+    Counters,
     FailureDomain,
     Incarnation,
     Member,
@@ -20,14 +21,12 @@
 from ragwort_node._entry import build_entry
 from ragwort_node._http import start_http
 from ragwort_node._intake import EntryLimits
-from ragwort_node._metrics import Counters
 from ragwort_node._rules import RulesInForce
 from ragwort_node._rules_ports import CurrentRules
 from ragwort_node._services import Services
 from ragwort_node._settings import LimitSettings
 from ragwort_node._status import StatusSources, read_peers, read_rules, read_state
 from ragwort_node._tracing import Tracer
-from ragwort_platform import RulesDocument
 from ragwort_policy import (
     Arrival,
     ChoiceSettings,
@@ -37,6 +36,7 @@
     make_budget,
 )
 from ragwort_protocol import LoadReport, Profile
+from ragwort_store import RulesDocument
 
 TEXT = b"tracking GET /** idempotent  # hanbit: lookups\n"
 LIMITS = LimitSettings(
--- a/tests/node/test_caller.py
+++ b/tests/node/test_caller.py
@@ -3,9 +3,8 @@
 
 import pytest
 from helper import wait_until
-from ragwort_common import Member, NodeId, Outcome, Reason, ServiceName
+from ragwort_common import Counters, Member, NodeId, Outcome, Reason, ServiceName
 from ragwort_node._caller import Call, Caller, Claim, refuse_call
-from ragwort_node._metrics import Counters
 from ragwort_node._prober import Prober
 from ragwort_node._services import Services
 from ragwort_policy import ChoiceSettings, ServerPlace, make_probe_budget
--- a/tests/node/test_configuration.py
+++ b/tests/node/test_configuration.py
@@ -13,7 +13,10 @@
     ConfigurationTask,
 )
 from ragwort_node._rules_watch import WatchSettings
-from ragwort_platform import (
+from ragwort_policy import digest_document
+from ragwort_protocol import RevisionNotice
+from ragwort_standins.platform import PlatformStandIn
+from ragwort_store import (
     RULES_PATH,
     CallBudget,
     ObjectStore,
@@ -21,9 +24,6 @@
     decode_document,
     encode_document,
 )
-from ragwort_policy import digest_document
-from ragwort_protocol import RevisionNotice
-from ragwort_standins.platform import PlatformStandIn
 
 SETTINGS = ConfigurationSettings(
     watchers_per_domain=1,
--- a/tests/node/test_entry.py
+++ b/tests/node/test_entry.py
@@ -6,12 +6,11 @@
 import aiohttp
 import pytest
 from helper import wait_until
-from ragwort_common import Member, Outcome, Reason
+from ragwort_common import Counters, Member, Outcome, Reason
 from ragwort_node._caller import refuse_call
 from ragwort_node._entry import build_entry
 from ragwort_node._http import start_http
 from ragwort_node._intake import EntryLimits
-from ragwort_node._metrics import Counters
 from ragwort_node._rules import RulesInForce
 from ragwort_node._tracing import Tracer
 from ragwort_protocol import LoadReport, Response
--- a/tests/node/test_gate.py
+++ b/tests/node/test_gate.py
@@ -3,13 +3,12 @@
 
 import pytest
 from helper import wait_until
-from ragwort_common import Outcome, Reason
+from ragwort_common import Counters, Outcome, Reason
 from ragwort_node._gate import Gate
-from ragwort_node._metrics import Counters
-from ragwort_node._server import CONNECT_FAILED, CONNECTION_LOST, Answer
 from ragwort_node._tracing import Tracer
 from ragwort_policy import EpochFence, GateLimits
 from ragwort_protocol import Refusal, Request, Response, replace_fields
+from ragwort_transport import CONNECT_FAILED, CONNECTION_LOST, Answer
 
 
 class FakeServer:
--- a/tests/node/test_gossip.py
+++ b/tests/node/test_gossip.py
@@ -25,15 +25,6 @@
     run_seeds,
     withdraw,
 )
-from ragwort_platform import (
-    NODES_PREFIX,
-    ErrorKind,
-    Listing,
-    Stored,
-    StoreError,
-    decode_announcement,
-    encode_announcement,
-)
 from ragwort_policy import (
     MembershipSettings,
     create_membership,
@@ -43,6 +34,15 @@
     make_budget,
 )
 from ragwort_protocol import PeerState, Ping
+from ragwort_store import (
+    NODES_PREFIX,
+    ErrorKind,
+    Listing,
+    Stored,
+    StoreError,
+    decode_announcement,
+    encode_announcement,
+)
 
 from bench.fleet import DOMAINS, make_profile
 
--- a/tests/node/test_keyed_call.py
+++ b/tests/node/test_keyed_call.py
@@ -1,10 +1,9 @@
 import asyncio
 
 import pytest
-from ragwort_common import Epoch, Member, Outcome, Reason, ServiceName
+from ragwort_common import Counters, Epoch, Member, Outcome, Reason, ServiceName
 from ragwort_node._caller import Call, Claim, refuse_call
 from ragwort_node._keyed_call import MAX_KEPT_ANSWER_BYTES, KeyedCalls
-from ragwort_node._metrics import Counters
 from ragwort_node._once import Grant, OnceResult
 from ragwort_protocol import Answer, LoadReport, Response
 from ragwort_rules import Treatment
--- a/tests/node/test_metrics.py
+++ b/tests/node/test_metrics.py
@@ -6,14 +6,22 @@
 from types import SimpleNamespace
 
 import pytest
-from ragwort_common import FailureDomain, Incarnation, NodeId, Region, ServiceName
+from ragwort_common import (
+    MAX_TIMINGS,
+    Counters,
+    FailureDomain,
+    Incarnation,
+    NodeId,
+    Region,
+    ServiceName,
+)
 from ragwort_node._gauges import CountSources, collect_counts
 from ragwort_node._gossip import Gossip
-from ragwort_node._metrics import MAX_DATAGRAM_BYTES, MAX_TIMINGS, Counters, flush_metrics
+from ragwort_node._metrics import MAX_DATAGRAM_BYTES, flush_metrics
 from ragwort_node._rules_ports import ConfigurationEvent
-from ragwort_platform import CallKind, ErrorKind
 from ragwort_policy import MembershipSettings, Traffic, create_membership, make_budget
 from ragwort_protocol import ClaimVerdict, LoadReport, Profile
+from ragwort_store import CallKind, ErrorKind
 
 
 class Statsd:
--- a/tests/node/test_owner.py
+++ b/tests/node/test_owner.py
@@ -5,10 +5,10 @@
 from ragwort_common import Epoch, NodeId
 from ragwort_node._owner import LEASE_MARGIN_MS, LEASE_TTL_MS, KeyOwner
 from ragwort_node._owner_limits import OwnerClocks, OwnerLimits
-from ragwort_platform import CallBudget, LeaseClient, ObjectStore, read_boot_clock
 from ragwort_policy import JournalHead, OwnerMap, encode_head
 from ragwort_protocol import Answer, ClaimRequest, ClaimResult, ClaimVerdict
 from ragwort_standins.platform import PlatformStandIn
+from ragwort_store import CallBudget, LeaseClient, ObjectStore, read_boot_clock
 
 from bench.virtual import (
     LeaseTable,
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -3,7 +3,8 @@
 
 import pytest
 from ragwort_common import Outcome, Reason
-from ragwort_node._server import Answer, Failure, ServerClient
+from ragwort_node._server import ServerClient
+from ragwort_transport import Answer, Failure
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
--- a/tests/node/test_settings_page.py
+++ b/tests/node/test_settings_page.py
@@ -8,9 +8,9 @@
 import ragwort_node
 from ragwort_node._rules_ports import ConfigurationEvent
 from ragwort_node._settings import _load_defaults, load_settings
-from ragwort_platform import CallKind, ErrorKind
 from ragwort_policy import GossipCounters, Traffic
 from ragwort_protocol import ClaimVerdict, PeerState
+from ragwort_store import CallKind, ErrorKind
 
 DOCS = Path(__file__).parents[2] / "docs"
 SOURCES = sorted(Path(ragwort_node.__file__).parent.rglob("*.py"))
--- a/tests/node/test_tracing.py
+++ b/tests/node/test_tracing.py
@@ -7,10 +7,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from opentelemetry.sdk.resources import Resource
+from ragwort_common import Counters
 from ragwort_node import _tracing
 from ragwort_node._gate import Gate
-from ragwort_node._metrics import Counters
-from ragwort_node._server import Answer
 from ragwort_node._tracing import (
     MAX_WAITING_SPANS,
     Tracer,
@@ -20,6 +19,7 @@
 )
 from ragwort_policy import EpochFence, GateLimits
 from ragwort_protocol import Request
+from ragwort_transport import Answer
 
 TRACE, PARENT = "0af7651916cd43dd8448eb211c80319c", "b7ad6b7169203331"
 SAMPLED = f"00-{TRACE}-{PARENT}-01".encode()
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -9,7 +9,7 @@
 import aiohttp
 from helper import wait_until
 from ragwort_common import Revision
-from ragwort_platform import (
+from ragwort_store import (
     RULES_PATH,
     ObjectStore,
     RulesDocument,
--- a/tests/platform/test_document.py
+++ b/tests/store/test_document.py
@@ -3,7 +3,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from ragwort_platform import (
+from ragwort_store import (
     Announcement,
     RulesDocument,
     decode_announcement,
--- a/tests/platform/test_lease.py
+++ b/tests/store/test_lease.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from ragwort_common import Epoch, NodeId
-from ragwort_platform import (
+from ragwort_standins.platform import PlatformStandIn
+from ragwort_store import (
     CallBudget,
     ErrorKind,
     Lease,
@@ -19,7 +20,6 @@
     StoreError,
     holds,
 )
-from ragwort_standins.platform import PlatformStandIn
 
 PATH = "leases/a"
 TTL_S = 10.0
--- a/tests/platform/test_store.py
+++ b/tests/store/test_store.py
@@ -4,8 +4,8 @@
 import aiohttp
 import pytest
 from helper import wait_until
-from ragwort_platform import CallBudget, CallKind, ErrorKind, ObjectStore
 from ragwort_standins.platform import PlatformStandIn
+from ragwort_store import CallBudget, CallKind, ErrorKind, ObjectStore
 
 UNLIMITED = 1e9
 
--- a/tests/node/test_link.py
+++ b/tests/transport/test_link.py
@@ -3,10 +3,10 @@
 
 import pytest
 from helper import wait_until
-from ragwort_node._link import LinkLost, send_in_parts
-from ragwort_node._metrics import Counters
+from ragwort_common import Counters
 from ragwort_node._pool import LinkPool
 from ragwort_protocol import Cancel, Hello, LoadReport, Request, Response
+from ragwort_transport import LinkLost, send_in_parts
 
 REPORT = LoadReport(0, 1, 0, 0)
 
--- a/tests/node/test_peers.py
+++ b/tests/transport/test_peer_calls.py
@@ -1,9 +1,9 @@
 import asyncio
 
 import pytest
-from ragwort_node._metrics import Counters
-from ragwort_node._peers import PeerCalls
+from ragwort_common import Counters
 from ragwort_protocol import Cancel, LoadReport, Probe, ProtocolError, Request, Response
+from ragwort_transport import PeerCalls
 
 REPORT = LoadReport(0, 1, 0, 0)
 
@@ -42,7 +42,7 @@
 def run_calls(scenario):
     async def run():
         gate, others = FakeGate(), []
-        calls = PeerCalls(gate, Counters(), lambda link, message: others.append(message))
+        calls = PeerCalls(gate.run_call, Counters(), lambda link, message: others.append(message))
         first, second = FakeLink(), FakeLink()
         for call_id in (1, 2):
             calls.receive(first, make_request(call_id))
