Send late calls that may run twice to a second server; halve the budget of repeats

Each service's own repeats now use half of the ratio and 0.35 of the fixed number. One call in seven was late from neighbours' noise in the middle of its run; it is sent again at the last moment at which a second server can be in time.

Ruled out: telling nested calls by their address (they come from the same one as callers do).

--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -2,6 +2,7 @@
 
 from ragwort_flow._decision import EXPIRED, QUEUED, RUN, Decision, Verdict
 from ragwort_flow._distance import Distance, RandomSource, find_distance
+from ragwort_flow._hedging import SECOND_SLOWDOWN, get_hedge_delay
 from ragwort_flow._instance_watch import (
     InstanceWatch,
     is_ready,
@@ -9,6 +10,7 @@
     take_heartbeat,
 )
 from ragwort_flow._placement import (
+    USUAL_SLOWDOWN,
     Fit,
     Placement,
     Target,
@@ -57,10 +59,12 @@
     "RandomSource",
     "RepeatBudget",
     "RepeatLimits",
+    "SECOND_SLOWDOWN",
     "SplitState",
     "Target",
     "TurnState",
     "Turns",
+    "USUAL_SLOWDOWN",
     "Verdict",
     "WorkClock",
     "WorkEstimates",
@@ -75,6 +79,7 @@
     "fade_slowdown",
     "find_best_limit",
     "find_distance",
+    "get_hedge_delay",
     "is_ready",
     "learn_work",
     "note_slowdown",
--- a/packages/flow/src/ragwort_flow/_placement.py
+++ b/packages/flow/src/ragwort_flow/_placement.py
@@ -36,6 +36,9 @@
 FAR_MARGIN = 0.9
 """Part of the time left within which the other region has to answer, for a call to go there."""
 
+USUAL_SLOWDOWN = 2.0
+"""Slowdown of a host on average, from the users' sheets: a quarter of the time fivefold."""
+
 FIRST_LIMIT = 4
 """Calls at once of a server that has not reported yet."""
 
@@ -112,16 +115,19 @@
     target.sent.append(now)
 
 
-def estimate_finish(target: Target, now: float, work_s: float) -> float:
-    """Return the time until the answer of a call of this work, in seconds."""
+def estimate_finish(
+    target: Target, now: float, work_s: float, usual: float = USUAL_SLOWDOWN
+) -> float:
+    """Return the time until the answer of a call of this work, in seconds.
+
+    ``usual`` is the slowdown that is expected once the reported one has passed.
+    """
     base_s = ROUND_TRIPS_S[target.distance] + CROSSING_COST_S[target.distance]
     report = target.report
     if report is None:
         over = max(0, len(target.sent) + 1 - FIRST_LIMIT)
         return base_s + work_s * (1.0 + over / FIRST_LIMIT)
     age_s = max(0.0, now - target.reported_at)
-    usual = max(1.0, report.service_time_us / 1e6 / work_s) if work_s > 0 else 1.0
-    usual = min(usual, USUAL_SLOWDOWN)
     slowdown = fade_slowdown(report.slowdown_percent / 100, age_s, usual)
     taken = report.in_flight + report.queued + len(target.sent)
     over = max(0, taken + 1 - report.limit)
@@ -132,10 +138,6 @@
     return base_s + wait_s + expect_run(work_s, slowdown, usual) + failure_s
 
 
-USUAL_SLOWDOWN = 2.0
-"""Slowdown of a host on average, from the users' sheets: a quarter of the time fivefold."""
-
-
 def choose_target(
     targets: Iterable[Target],
     now: float,
@@ -143,6 +145,7 @@
     exclude: Collection[NodeId],
     work_s: float,
     left_s: float,
+    usual: float = USUAL_SLOWDOWN,
 ) -> Placement | None:
     """Return the server whose answer is expected soonest, or None when there is none.
 
@@ -154,6 +157,8 @@
         Expected work of the call, in seconds.
     left_s
         Time left until the end of its objective, in seconds.
+    usual
+        Slowdown that is expected of a server once the reported one has passed.
     """
     near: list[Target] = []
     far: list[Target] = []
@@ -161,22 +166,27 @@
         if now < target.closed_until or target.node in exclude:
             continue
         (far if target.distance is Distance.OTHER_REGION else near).append(target)
-    best = _find_best(near, now, random, work_s, left_s)
+    best = _find_best(near, now, random, work_s, left_s, usual)
     if best is not None and best.fit is Fit.IN_TIME:
         return best
-    best_far = _find_best(far, now, random, work_s, left_s * FAR_MARGIN)
+    best_far = _find_best(far, now, random, work_s, left_s * FAR_MARGIN, usual)
     if best is None or (best_far is not None and best_far.fit is Fit.IN_TIME):
         return best_far or best
     return best
 
 
 def _find_best(
-    targets: list[Target], now: float, random: RandomSource, work_s: float, left_s: float
+    targets: list[Target],
+    now: float,
+    random: RandomSource,
+    work_s: float,
+    left_s: float,
+    usual: float,
 ) -> Placement | None:
     best: Target | None = None
     best_rank = best_s = 0.0
     for target in _draw(targets, random):
-        finish_s = estimate_finish(target, now, work_s)
+        finish_s = estimate_finish(target, now, work_s, usual)
         rank = finish_s * (1.0 + JITTER_PART * random.random())
         if best is None or rank < best_rank:
             best, best_rank, best_s = target, rank, finish_s
--- a/packages/flow/src/ragwort_flow/_repeats.py
+++ b/packages/flow/src/ragwort_flow/_repeats.py
@@ -8,8 +8,14 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-SAFETY = 0.7
-"""Part of the bounds that is used: nodes that restart have forgotten what they spent."""
+RATIO_PART = 0.5
+"""Part of the ratio that a service's own repeats use. The calls that a repeated run makes are
+repeats too, at the services that it calls, and nobody can tell them from others: the other half
+of the ratio is theirs."""
+
+EXTRA_PART = 0.35
+"""Part of the fixed number that is used; as above, and nodes that restart have forgotten what
+they spent."""
 
 BUCKETS = 10
 """Parts of a window in which calls are counted."""
@@ -44,21 +50,23 @@
             budget.calls.popleft()
 
 
-def take_repeat(budget: RepeatBudget, now: float, nodes: int) -> bool:
+def take_repeat(budget: RepeatBudget, now: float, nodes: int, share: float = 1.0) -> bool:
     """Tell whether a call may arrive at one more server, and count it if so.
 
     Parameters
     ----------
     nodes
         Nodes that share the fixed number.
+    share
+        Part of the budget up to which this kind of repeat may use it.
     """
     limits = budget.limits
     while budget.repeats and budget.repeats[0] <= now - limits.window_s:
         budget.repeats.popleft()
     first = int(now * BUCKETS / limits.window_s) - BUCKETS
     calls = sum(count for bucket, count in budget.calls if bucket > first)
-    allowed = SAFETY * (limits.ratio * calls + limits.extra / max(1, nodes))
-    if len(budget.repeats) + 1 > allowed:
+    allowed = RATIO_PART * limits.ratio * calls + EXTRA_PART * limits.extra / max(1, nodes)
+    if len(budget.repeats) + 1 > share * allowed:
         return False
     budget.repeats.append(now)
     return True
--- a/packages/mesh/src/ragwort_mesh/_caller.py
+++ b/packages/mesh/src/ragwort_mesh/_caller.py
@@ -7,6 +7,9 @@
 
 from ragwort_common import NodeId, Outcome, Reason, ServiceName
 from ragwort_flow import (
+    SECOND_SLOWDOWN,
+    USUAL_SLOWDOWN,
+    Fit,
     Placement,
     RepeatBudget,
     RepeatLimits,
@@ -16,12 +19,13 @@
     close_target,
     count_call,
     estimate_work,
+    get_hedge_delay,
     record_sent,
     take_repeat,
     take_report,
 )
 from ragwort_protocol import Cancel, LoadReport, Refusal, Request, Response
-from ragwort_transport import Link, LinkLost
+from ragwort_transport import Link, LinkLost, take_first_answer
 
 from ragwort_mesh._call import Attempt, Call
 from ragwort_mesh._gate import Gate
@@ -39,6 +43,9 @@
 UNKNOWN_SERVICE_RETRY_MS = 300
 """When a caller may come back for a service without a server: about a server's next report."""
 
+HEDGE_SHARE = 0.8
+"""Part of the budget of further arrivals that second sends may use; failures need the rest."""
+
 NO_REPORT = LoadReport(0, 0, 0, 0, accepting=False)
 
 _REACHED_SERVER = frozenset({Reason.SHED, Reason.MISDIRECTED})
@@ -114,11 +121,13 @@
             placement = self._choose(call, progress, now)
             if placement is None:
                 return self._end(progress, Reason.NO_SERVER)
-            reply = await self._try_target(call, placement, progress)
+            reply = await self._try_hedged(call, placement, progress)
             if self._is_final(call, reply, progress):
                 return reply if isinstance(reply, Response) else self._end(progress, Reason.NONE)
 
-    def _choose(self, call: Call, progress: Progress, now: float) -> Placement | None:
+    def _choose(
+        self, call: Call, progress: Progress, now: float, usual: float = USUAL_SLOWDOWN
+    ) -> Placement | None:
         if len(progress.tried) >= MAX_GATES:
             return None
         return choose_target(
@@ -128,6 +137,7 @@
             progress.tried,
             estimate_work(self._work, call.route.name),
             call.objective - now,
+            usual,
         )
 
     def _list_usable(self, service: ServiceName, now: float) -> Iterator[Target]:
@@ -138,6 +148,49 @@
                 continue
             yield target
 
+    async def _try_hedged(
+        self, call: Call, placement: Placement, progress: Progress
+    ) -> Response | Refusal:
+        """Offer a call to a server, and to a second one when the first would answer too late."""
+        delay_s = self._get_hedge_delay(call)
+        if delay_s is None:
+            return await self._try_target(call, placement, progress)
+        first = asyncio.ensure_future(self._try_target(call, placement, progress))
+        tries = {first}
+        try:
+            await asyncio.wait(tries, timeout=delay_s)
+            if first.done():
+                return first.result()
+            second = self._choose_second(call, progress)
+            if second is None:
+                return await first
+            self._telemetry.counters.add("entry.hedges")
+            tries.add(asyncio.ensure_future(self._try_target(call, second, progress)))
+            return await take_first_answer(tries)
+        finally:
+            for other in tries:
+                other.cancel()
+
+    def _get_hedge_delay(self, call: Call) -> float | None:
+        if not call.route.idempotent or call.route.max_servers < 2:
+            return None
+        work_s = estimate_work(self._work, call.route.name)
+        return get_hedge_delay(call.objective - self._clock(), work_s)
+
+    def _choose_second(self, call: Call, progress: Progress) -> Placement | None:
+        now = self._clock()
+        if progress.sent + 1 >= call.route.max_servers:
+            return None
+        placement = self._choose(call, progress, now, SECOND_SLOWDOWN)
+        if placement is None or placement.fit is not Fit.IN_TIME:
+            self._telemetry.counters.add("entry.hedges_too_late")
+            return None
+        budget = self._get_budget(call.service)
+        if not take_repeat(budget, now, self._targets.count_nodes(), HEDGE_SHARE):
+            self._telemetry.counters.add("entry.hedges_over_budget")
+            return None
+        return placement
+
     async def _try_target(
         self, call: Call, placement: Placement, progress: Progress
     ) -> Response | Refusal:
--- a/packages/mesh/src/ragwort_mesh/_directory.py
+++ b/packages/mesh/src/ragwort_mesh/_directory.py
@@ -27,6 +27,10 @@
 """How long one watch waits; a new node also links to the others by itself."""
 
 
+WATCH_PAUSE_S = 0.5
+"""How long to gather changes: many nodes start at once, and each would wake all the others."""
+
+
 class Directory:
     """Owns the records of the nodes, and this node's own object.
 
@@ -54,7 +58,7 @@
         self._stored_own: StoredObject | None = None
         self._random = random.Random()
         self._missing = asyncio.Event()
-        settings = WatchSettings(NODES_KIND, WATCH_WAIT_S, stale_start=True)
+        settings = WatchSettings(NODES_KIND, WATCH_WAIT_S, stale_start=True, pause_s=WATCH_PAUSE_S)
         watch = KindWatch(settings, store, telemetry, self._take_listed, self._take_change)
         self.run = watch.run
 
--- a/packages/mesh/src/ragwort_mesh/_watch.py
+++ b/packages/mesh/src/ragwort_mesh/_watch.py
@@ -1,5 +1,6 @@
 """Follows the objects of one kind in the store: lists them once, then watches for changes."""
 
+import asyncio
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -30,11 +31,15 @@
         How long one watch waits for a change, in seconds.
     stale_start
         Whether the first listing may be old; what it lacks comes with the first watch.
+    pause_s
+        How long to wait after a change before the next watch, so that changes that come
+        together cost one call, in seconds.
     """
 
     kind: str
     wait_s: float
     stale_start: bool
+    pause_s: float = 0.0
 
 
 class KindWatch:
@@ -116,6 +121,8 @@
         self._revision = changes.revision
         for change in changes.changes:
             self._changed(change)
+        if changes.changes and self._settings.pause_s:
+            await asyncio.sleep(self._settings.pause_s)
         return None
 
     def _reject(self, mistake: Mistake) -> StoreError:
--- a/packages/node/src/ragwort_node/_caller.py
+++ b/packages/node/src/ragwort_node/_caller.py
@@ -21,7 +21,7 @@
 )
 from ragwort_protocol import Cancel, LoadReport, Refusal, Request, Response
 from ragwort_rules import Priority, Treatment
-from ragwort_transport import Link, LinkLost, Reply
+from ragwort_transport import Link, LinkLost, Reply, take_first_answer
 
 from ragwort_node._gate import Gate
 from ragwort_node._pool import LinkPool
@@ -149,7 +149,7 @@
                 return await first
             self._counters.add("entry.hedges")
             attempts.add(asyncio.ensure_future(self._try_server(state, second, call)))
-            return await _take_first_answer(attempts)
+            return await take_first_answer(attempts)
         finally:
             for attempt in attempts:
                 attempt.cancel()
@@ -244,18 +244,3 @@
     if isinstance(result, LinkLost):
         return refuse_call(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
     return result
-
-
-async def _take_first_answer(
-    attempts: set["asyncio.Task[Response | Refusal]"],
-) -> Response | Refusal:
-    """Return the first answer; a refusal only when no attempt is left that may answer."""
-    pending = set(attempts)
-    while True:
-        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-        replies = [task.result() for task in done]
-        for reply in replies:
-            if isinstance(reply, Response):
-                return reply
-        if not pending:
-            return replies[-1]
--- a/packages/transport/src/ragwort_transport/__init__.py
+++ b/packages/transport/src/ragwort_transport/__init__.py
@@ -13,6 +13,7 @@
 from ragwort_transport._link import Handler, Link, LinkLost, Reply, send_in_parts
 from ragwort_transport._message import HOP_BY_HOP, Headers, find_header
 from ragwort_transport._peer_calls import PeerCalls, Receiver
+from ragwort_transport._race import take_first_answer
 from ragwort_transport._server import (
     HttpLimits,
     HttpReply,
@@ -45,4 +46,5 @@
     "find_header",
     "send_in_parts",
     "set_silence_limit",
+    "take_first_answer",
 ]
--- a/packages/transport/src/ragwort_transport/_server.py
+++ b/packages/transport/src/ragwort_transport/_server.py
@@ -321,7 +321,7 @@
             raise
         except Exception:
             # A broken invariant of one request must not leave its caller without an answer.
-            log.exception("the handler of a request has failed")
+            log.error("the handler of a request has failed", exc_info=True)
             reply, keep_open = HttpReply(500, []), False
         self._task = None
         keep_open = keep_open and not self._server.closing
