Learn the knee, refuse for good while stopping, share the configuration over links

(3) A node that the store turns away for 9 s could not learn of a configuration; peers hand it on. (4) Far gates were asked again and again while overloaded, at the price of the link; one that refused is left alone for 0.25 s, and second sends go only where slots are spare.

--- a/packages/flow/src/ragwort_flow/_placement.py
+++ b/packages/flow/src/ragwort_flow/_placement.py
@@ -33,6 +33,9 @@
 FAILURE_COST_S = 0.6
 """Time that a failed call is worth: about the objective of the users' slower kinds of calls."""
 
+SPARE_SHARE = 0.75
+"""Share of its limit up to which a server has slots to spare."""
+
 FAR_MARGIN = 0.9
 """Part of the time left within which the other region has to answer, for a call to go there."""
 
@@ -138,6 +141,15 @@
     return base_s + wait_s + expect_run(work_s, slowdown, usual) + failure_s
 
 
+def has_room(target: Target) -> bool:
+    """Tell whether a server has slots to spare, so that a second send displaces no other call."""
+    report = target.report
+    if report is None:
+        return False
+    taken = report.in_flight + report.queued + len(target.sent)
+    return taken + 1 <= report.limit * SPARE_SHARE
+
+
 def choose_target(
     targets: Iterable[Target],
     now: float,
--- a/packages/flow/src/ragwort_flow/_turns.py
+++ b/packages/flow/src/ragwort_flow/_turns.py
@@ -13,6 +13,7 @@
 from ragwort_protocol import LoadReport
 
 from ragwort_flow._decision import EXPIRED, QUEUED, RUN, Decision, Verdict
+from ragwort_flow._knee import KneeState, find_limit, is_beyond_knee, learn_knee
 from ragwort_flow._slowdown import expect_run, fade_slowdown
 from ragwort_flow._work import (
     WorkClock,
@@ -23,18 +24,17 @@
     state_slowdown,
 )
 
-KNEE_SHARE = 0.8
-"""Share of its slots up to which a server runs at full speed; from the users' sheets."""
-
-FULL_SLOWDOWN = 1.7
-"""Slowdown of a server whose slots are all taken; from the users' sheets."""
-
 COLD_SLOWDOWN = 2.0
 """Slowdown of a server that has just started; from the users' sheets."""
 
 LATE_WAIT_S = 0.03
 """Longest wait with which a call is queued that can't be in time any more."""
 
+IN_TIME_PART = 1.1
+"""Part of the time left to the objective within which the answer of a call that waits has to be
+expected. A little over 1: a refused call is worth nothing, and half of the calls are faster than
+expected; at 0.85 and at 1.4 callers got less (docs/design/limits.md)."""
+
 MIN_REMAINING_SHARE = 0.2
 """Least part of its work that a running call is expected to have left."""
 
@@ -78,12 +78,14 @@
     running: dict[CallId, "_Running"] = field(default_factory=dict)
     waiting: list["_Waiting"] = field(default_factory=list)
     failing: float = 0.0
+    knee: KneeState = field(default_factory=KneeState)
 
 
 @dataclass(slots=True, frozen=True)
 class _Running:
     offer: Offer
     started_work_s: float
+    beyond_knee: bool
 
 
 @dataclass(slots=True, frozen=True, order=True)
@@ -102,16 +104,17 @@
     refused: list[tuple[CallId, Decision]] = field(default_factory=list)
 
 
-def find_best_limit(slots: int) -> int:
-    """Return the number of calls at once with which a server gets most work done."""
-    return max(range(1, slots + 1), key=lambda running: running / _get_knee_factor(running, slots))
+def start_server(state: TurnState) -> None:
+    """Forget what was learned of the server; another one has taken its place."""
+    state.knee = KneeState()
+    state.failing = 0.0
 
 
 def set_server(state: TurnState, now: float, slots: int, cold_s: float) -> None:
     """Take in that the server takes calls, how many at once and for how long it is slow."""
     state.accepting = True
     state.slots = slots
-    state.limit = find_best_limit(slots)
+    state.limit = find_limit(state.knee, slots)
     state.cold_until = now + cold_s
 
 
@@ -142,7 +145,8 @@
     ahead = [call.offer for call in state.waiting if call < entry]
     wait_s = _expect_wait(state, now, ahead, 0.0)
     finish = now + _expect_wait(state, now, ahead, work_s)
-    if finish > offer.deadline or (finish > offer.objective and wait_s > LATE_WAIT_S):
+    in_time = finish - now <= (offer.objective - now) * IN_TIME_PART
+    if finish > offer.deadline or (not in_time and wait_s > LATE_WAIT_S):
         return Decision(Verdict.REFUSED, Reason.OVERLOADED, max(1, int(wait_s * 1e3)))
     state.waiting.append(entry)
     state.waiting.sort()
@@ -154,7 +158,11 @@
     running = state.running.pop(call_id)
     if succeeded:
         work_s = read_work_clock(state.clock, now) - running.started_work_s
-        learn_work(state.work, running.offer.kind, work_s)
+        if running.beyond_knee:
+            learn_knee(state.knee, work_s / estimate_work(state.work, running.offer.kind))
+            state.limit = find_limit(state.knee, state.slots)
+        else:
+            learn_work(state.work, running.offer.kind, work_s)
     state.failing += ((not succeeded) - state.failing) * ERROR_MEMORY
     return _start_waiting(state, now)
 
@@ -210,11 +218,6 @@
     return Decision(Verdict.REFUSED, Reason.LEAVING)
 
 
-def _get_knee_factor(running: int, slots: int) -> float:
-    over = max(0.0, running / slots - KNEE_SHARE) / (1.0 - KNEE_SHARE)
-    return 1.0 + (FULL_SLOWDOWN - 1.0) * over
-
-
 def _get_slowdown(state: TurnState, now: float) -> float:
     age_s = now - state.clock.stated_at
     slowdown = fade_slowdown(state.clock.slowdown, age_s, state.clock.usual)
@@ -244,7 +247,8 @@
 
 
 def _start(state: TurnState, now: float, offer: Offer) -> None:
-    state.running[offer.call_id] = _Running(offer, read_work_clock(state.clock, now))
+    beyond_knee = is_beyond_knee(len(state.running) + 1, state.slots)
+    state.running[offer.call_id] = _Running(offer, read_work_clock(state.clock, now), beyond_knee)
 
 
 def _start_waiting(state: TurnState, now: float) -> Turns:
--- a/packages/mesh/src/ragwort_mesh/_caller.py
+++ b/packages/mesh/src/ragwort_mesh/_caller.py
@@ -9,6 +9,7 @@
 from ragwort_flow import (
     SECOND_SLOWDOWN,
     USUAL_SLOWDOWN,
+    Distance,
     Fit,
     Placement,
     RepeatBudget,
@@ -20,6 +21,7 @@
     count_call,
     estimate_work,
     get_hedge_delay,
+    has_room,
     record_sent,
     take_repeat,
     take_report,
@@ -43,9 +45,13 @@
 UNKNOWN_SERVICE_RETRY_MS = 300
 """When a caller may come back for a service without a server: about a server's next report."""
 
-HEDGE_SHARE = 0.8
+HEDGE_SHARE = 0.6
 """Part of the budget of further arrivals that second sends may use; failures need the rest."""
 
+FAR_PAUSE_S = 0.25
+"""How long a server of the other region that refused a call for its load is left alone: its load
+is heard of only with its replies, and each question costs bytes that are paid for."""
+
 NO_REPORT = LoadReport(0, 0, 0, 0, accepting=False)
 
 _REACHED_SERVER = frozenset({Reason.SHED, Reason.MISDIRECTED})
@@ -182,7 +188,7 @@
         if progress.sent + 1 >= call.route.max_servers:
             return None
         placement = self._choose(call, progress, now, SECOND_SLOWDOWN)
-        if placement is None or placement.fit is not Fit.IN_TIME:
+        if placement is None or placement.fit is not Fit.IN_TIME or not has_room(placement.target):
             self._telemetry.counters.add("entry.hedges_too_late")
             return None
         budget = self._get_budget(call.service)
@@ -203,8 +209,8 @@
         now = self._clock()
         if reply.report is not NO_REPORT:
             take_report(target, now, reply.report)
-        elif isinstance(reply, Refusal) and reply.reason == Reason.CONNECTION_LOST.value:
-            close_target(target, now)
+        if isinstance(reply, Refusal):
+            self._note_refusal(target, now, Reason(reply.reason))
         self._note_result(call, reply, progress)
         progress.attempts.append(
             Attempt(
@@ -217,6 +223,12 @@
         )
         return reply
 
+    def _note_refusal(self, target: Target, now: float, reason: Reason) -> None:
+        if reason is Reason.CONNECTION_LOST:
+            close_target(target, now)
+        elif reason is Reason.OVERLOADED and target.distance is Distance.OTHER_REGION:
+            close_target(target, now, FAR_PAUSE_S)
+
     def _note_result(self, call: Call, reply: Response | Refusal, progress: Progress) -> None:
         if isinstance(reply, Response):
             progress.sent += 1
--- a/packages/mesh/src/ragwort_mesh/_configuration.py
+++ b/packages/mesh/src/ragwort_mesh/_configuration.py
@@ -23,6 +23,13 @@
 class ConfigurationKeeper:
     """Owns the configuration in force and its route finder.
 
+    Attributes
+    ----------
+    current, limits
+        The configuration, None before the first, and its limits on callers.
+    revision, content
+        The store's revision of it, 0 before the first, and its bytes.
+
     Parameters
     ----------
     changed
@@ -35,7 +42,8 @@
         self.current: Configuration | None = None
         self.limits = CallerLimits()
         self._find_route: FindRoute | None = None
-        self._revision = 0
+        self.revision = 0
+        self.content = b""
         self._telemetry = telemetry
         self._changed = changed
         settings = WatchSettings(CONFIGURATION_KIND, WATCH_WAIT_S, stale_start=False)
@@ -55,28 +63,31 @@
             self._take_object(change.stored)
 
     def _take_object(self, stored: StoredObject) -> None:
-        if stored.name != CONFIGURATION_NAME or stored.revision <= self._revision:
+        if stored.name == CONFIGURATION_NAME:
+            self.take_document(stored.revision, stored.content, "store")
+
+    def take_document(self, revision: int, content: bytes, source: str) -> None:
+        """Bring a configuration into force if it is newer; ``source`` tells where it is from."""
+        if revision <= self.revision:
             return
-        configuration = decode_configuration(stored.content)
+        configuration = decode_configuration(content)
         events = self._telemetry.events
         if isinstance(configuration, Mistake):
-            events.write(
-                "configuration-unreadable", revision=stored.revision, mistake=str(configuration)
-            )
+            events.write("configuration-unreadable", revision=revision, mistake=str(configuration))
             return
         if self.current is not None and configuration.version < self.current.version:
-            events.write(
-                "configuration-older", version=configuration.version, revision=stored.revision
-            )
+            events.write("configuration-older", version=configuration.version, revision=revision)
             return
-        self._revision = stored.revision
+        self.revision = revision
+        self.content = content
         self.current = configuration
         self.limits = configuration.limits
         self._find_route = build_route_finder(configuration)
         events.write(
             "configuration-in-force",
             version=configuration.version,
-            revision=stored.revision,
+            revision=revision,
             routes=len(configuration.routes),
+            source=source,
         )
         self._changed()
--- a/packages/mesh/src/ragwort_mesh/_directory.py
+++ b/packages/mesh/src/ragwort_mesh/_directory.py
@@ -55,6 +55,7 @@
         self._telemetry = telemetry
         self._changed = changed
         self._records: dict[NodeId, NodeRecord] = {}
+        self._heard: dict[NodeId, NodeRecord] = {}
         self._stored_own: StoredObject | None = None
         self._random = random.Random()
         self._missing = asyncio.Event()
@@ -99,6 +100,12 @@
     def _is_published(self) -> bool:
         return self._stored_own is not None and decode_node(self._stored_own) == self._own
 
+    def learn(self, record: NodeRecord) -> None:
+        """Take in what a peer says of itself; what it has stored goes before."""
+        if self._heard.get(record.node) != record:
+            self._heard[record.node] = record
+            self._tell_changed()
+
     async def withdraw(self) -> None:
         """Remove this node's record; done when its host leaves for good."""
         stored, self._stored_own = self._stored_own, None
@@ -113,6 +120,9 @@
             if not isinstance(stored, Mistake):
                 self._stored_own = stored
 
+    def _tell_changed(self) -> None:
+        self._changed({**self._heard, **self._records})
+
     def _take_listed(self, objects: list[StoredObject]) -> None:
         self._records = {}
         self._stored_own = None
@@ -121,18 +131,19 @@
         self.listed = True
         if not self._is_published():
             self._missing.set()
-        self._changed(self._records)
+        self._tell_changed()
 
     def _take_change(self, change: Change) -> None:
         if change.removed:
             self._records.pop(NodeId(change.stored.name), None)
+            self._heard.pop(NodeId(change.stored.name), None)
             self._telemetry.events.write("record-removed", peer=change.stored.name)
             if change.stored.name == self._own.node:
                 self._stored_own = None
                 self._missing.set()
         else:
             self._take_object(change.stored)
-        self._changed(self._records)
+        self._tell_changed()
 
     def _take_object(self, stored: StoredObject) -> None:
         if stored.name == self._own.node:
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -25,6 +25,7 @@
     report_load,
     review_waiting,
     set_server,
+    start_server,
     take_departure,
     take_heartbeat,
     withdraw_call,
@@ -38,7 +39,7 @@
     read_server_answer,
 )
 from ragwort_protocol import LoadReport, Refusal, Request, Response
-from ragwort_transport import BAD_ANSWER, Answer, ClientPool, Failure
+from ragwort_transport import BAD_ANSWER, Answer, ClientPool, Failure, WorkCount
 
 from ragwort_mesh._telemetry import Telemetry
 
@@ -69,6 +70,11 @@
         The node's clock, in seconds.
     changed
         Called when the server starts or stops taking calls.
+
+    Attributes
+    ----------
+    work
+        Calls that wait or run here.
     """
 
     def __init__(
@@ -84,10 +90,12 @@
         self._changed = changed
         self._state = TurnState()
         self._watch = InstanceWatch()
+        self._stopping = False
         self._turns: dict[CallId, asyncio.Future[Decision]] = {}
         self._review: asyncio.TimerHandle | None = None
         self._ids = itertools.count(1)
         self._held: set[asyncio.Task[Response | Refusal]] = set()
+        self.work = WorkCount()
 
     @property
     def accepting(self) -> bool:
@@ -99,10 +107,6 @@
         """Whether a server stands beside this node, by what it says."""
         return self._watch.current is not None
 
-    def count_calls(self) -> int:
-        """Return how many calls run or wait."""
-        return len(self._state.running) + len(self._state.waiting)
-
     def make_report(self) -> LoadReport:
         """Return the present load."""
         return report_load(self._state, self._clock())
@@ -123,8 +127,16 @@
         if current is None or not is_ready(self._watch):
             self._close("leaving", report)
             return
-        if before is None or before.instance != current.instance or not self._state.accepting:
+        is_new = before is None or (before.instance, before.born_ms) != (
+            current.instance,
+            current.born_ms,
+        )
+        if is_new:
+            start_server(self._state)
+        if is_new or not self._state.accepting:
             self._log_server("server-ready", report)
+        if self._stopping:
+            return
         was_accepting = self._state.accepting
         set_server(self._state, now, current.slots, current.cold_ms / 1000)
         if not was_accepting:
@@ -132,6 +144,13 @@
 
     async def run_call(self, request: Request) -> Response | Refusal:
         """Run one call on the server if it gets its turn, at once or after a wait."""
+        self.work.add()
+        try:
+            return await self._admit(request)
+        finally:
+            self.work.remove()
+
+    async def _admit(self, request: Request) -> Response | Refusal:
         now = self._clock()
         call_id = CallId(next(self._ids))
         offer = Offer(
@@ -152,7 +171,8 @@
             return await run
         # Nobody may run it again, so it is not broken off when its caller leaves.
         self._held.add(run)
-        run.add_done_callback(self._held.discard)
+        self.work.add()
+        run.add_done_callback(self._end_held)
         return await asyncio.shield(run)
 
     async def close(self) -> None:
@@ -160,14 +180,22 @@
         await self._pool.close()
 
     def stop_taking(self) -> None:
-        """Refuse every call from now on; those that run go on."""
+        """Refuse every call for good, since the node stops; those that run go on."""
+        self._stopping = True
+        self._shut()
+
+    def _shut(self) -> None:
         self._apply(close_server(self._state))
         self._changed()
 
     def _close(self, cause: str, report: object) -> None:
         if self._state.accepting:
             self._log_server(f"server-{cause}", report)
-            self.stop_taking()
+            self._shut()
+
+    def _end_held(self, run: "asyncio.Task[Response | Refusal]") -> None:
+        self._held.discard(run)
+        self.work.remove()
 
     async def _wait_turn(self, call_id: CallId, deadline: float) -> Decision:
         turn = asyncio.get_running_loop().create_future()
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -1,6 +1,7 @@
 """Wires the parts of a node, and starts and stops them."""
 
 import asyncio
+import contextlib
 import gc
 import logging
 import random
@@ -19,7 +20,6 @@
     Probe,
     ProbeReply,
     Request,
-    RevisionNotice,
 )
 from ragwort_transport import HttpServer, Link, PeerCalls
 
@@ -33,6 +33,7 @@
 from ragwort_mesh._gate import Gate
 from ragwort_mesh._load_news import LoadNews
 from ragwort_mesh._peers import Peers
+from ragwort_mesh._sharing import Sharing
 from ragwort_mesh._store import StoreClient
 from ragwort_mesh._targets import Targets
 from ragwort_mesh._telemetry import Telemetry
@@ -49,9 +50,6 @@
 LAST_ANSWERS_S = 0.5
 """Part of the grace time that is left for closing down."""
 
-STOP_POLL_S = 0.05
-"""How often a stopping node looks whether its calls have ended."""
-
 
 class Node:
     """The parts of one running node."""
@@ -77,6 +75,7 @@
             settings.region,
         )
         self._directory = Directory(own, self._store, telemetry, self._take_records)
+        self._sharing = Sharing(own, self._configuration, self._directory, self._peers, telemetry)
         self._regions = {settings.node: settings.region}
         self._news = LoadNews(
             self._peers,
@@ -146,7 +145,7 @@
         self._stopping = True
         began = read_clock()
         events = self._telemetry.events
-        events.write("stop", running=self._gate.count_calls())
+        events.write("stop", running=self._gate.work.present)
         self._entry_server.start_closing()
         leaves_for_good = not self._gate.has_server
         if leaves_for_good:
@@ -154,9 +153,13 @@
         await asyncio.sleep(max(0.0, began + CALLERS_LEAVE_S - read_clock()))
         self._entry_server.stop_listening()
         self._gate.stop_taking()
-        last = began + self._settings.bounds.grace_s - LAST_ANSWERS_S
-        while read_clock() < last and self._count_work():
-            await asyncio.sleep(STOP_POLL_S)
+        left_s = began + self._settings.bounds.grace_s - LAST_ANSWERS_S - read_clock()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, left_s)):
+                # The entry's calls may still run here, and peers' calls run here alone.
+                await self._entry_server.work.wait_none()
+                await self._gate.work.wait_none()
+        unfinished = self._entry_server.work.present + self._gate.work.present
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -166,17 +169,15 @@
         self._metrics_server.abort()
         await self._gate.close()
         await self._store.close()
-        events.write("stopped", unfinished=self._count_work())
+        events.write("stopped", unfinished=unfinished)
         events.stop()
 
-    def _count_work(self) -> int:
-        return self._gate.count_calls() + self._entry_server.count_running()
-
     def _is_ready(self) -> bool:
-        if self._stopping or self._configuration.current is None or not self._directory.listed:
+        if self._stopping or self._configuration.current is None:
             return False
         waited_s = read_clock() - self._started_at
-        return waited_s > FIRST_LINKS_S or self._peers.count_missing() == 0
+        known = self._directory.listed and self._peers.count_missing() == 0
+        return known or waited_s > FIRST_LINKS_S
 
     def _take_records(self, records: dict[NodeId, NodeRecord]) -> None:
         self._regions = {node: record.region for node, record in records.items()}
@@ -187,15 +188,13 @@
     def _greet(self, link: Link) -> None:
         """Tell a new peer of this node's load and configuration."""
         link.send(self._gate.make_report())
-        current = self._configuration.current
-        if current is not None:
-            link.send(RevisionNotice(current.version, 0))
+        self._sharing.greet(link)
 
     def _tell_load(self) -> None:
         self._news.tell_all()
 
     def _tell_revision(self) -> None:
-        """Nothing is told: every node watches the store itself."""
+        self._sharing.tell_revision()
 
     def _receive(self, link: Link, message: Message) -> None:
         if type(message) is Request:
@@ -210,6 +209,8 @@
             self._take_report(link, message.report)
         elif kind is LoadReport:
             self._take_report(link, message)
+        else:
+            self._sharing.receive(link, message)
 
     def _take_report(self, link: Link, report: LoadReport) -> None:
         if link.peer is not None:
--- a/packages/mesh/src/ragwort_mesh/_peers.py
+++ b/packages/mesh/src/ragwort_mesh/_peers.py
@@ -17,6 +17,10 @@
 FIRST_RETRY_S = 0.1
 """Pause before a failed link is tried again; it doubles with each failure."""
 
+LEAVE_TO_PEER_S = 0.15
+"""How long a node leaves the first dial to a peer whose name comes first, so that two nodes that
+learn of each other together don't open two links."""
+
 LAST_RETRY_S = 2.0
 """Longest pause between two tries, so that a returned node is found in time for its calls."""
 
@@ -71,6 +75,7 @@
         self._all: set[Link] = set()
         self._dials: dict[NodeId, asyncio.Task[None]] = {}
         self._retries: dict[NodeId, tuple[float, float]] = {}
+        self._not_before: dict[NodeId, float] = {}
         self._probed: dict[Link, float] = {}
         self._server: asyncio.Server | None = None
         self._probe_ids = 0
@@ -84,9 +89,11 @@
 
     def set_records(self, records: dict[NodeId, NodeRecord]) -> None:
         """Set the nodes to which links are kept."""
+        later = asyncio.get_running_loop().time() + LEAVE_TO_PEER_S
         for node, record in records.items():
             if self._records.get(node) != record:
                 self._retries.pop(node, None)
+                self._not_before[node] = later if node < self._hello.node_id else 0.0
         self._records = {
             node: record for node, record in records.items() if node != self._hello.node_id
         }
@@ -133,7 +140,8 @@
         for node, record in self._records.items():
             if node in self._links or node in self._dials:
                 continue
-            if now < self._retries.get(node, (0.0, 0.0))[0]:
+            not_before = max(self._not_before[node], self._retries.get(node, (0.0, 0.0))[0])
+            if now < not_before:
                 continue
             dial = asyncio.create_task(self._dial(node, record.link_address))
             self._dials[node] = dial
--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -38,7 +38,7 @@
 )
 from ragwort_protocol._load import LoadReport, Probe, ProbeReply
 from ragwort_protocol._message import Message, replace_fields
-from ragwort_protocol._revision import RevisionNotice
+from ragwort_protocol._revision import Document, DocumentRequest, NodeNotice, RevisionNotice
 
 __all__ = [
     "Answer",
@@ -50,6 +50,8 @@
     "ClaimVerdict",
     "Data",
     "Digest",
+    "Document",
+    "DocumentRequest",
     "FrameReader",
     "Hello",
     "LoadNotice",
@@ -57,6 +59,7 @@
     "MAX_FRAME_BYTES",
     "Message",
     "News",
+    "NodeNotice",
     "Notice",
     "OwnerNotice",
     "PROTOCOL_VERSION",
--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -47,6 +47,9 @@
     | _claims.Answer
     | _claims.OwnerNotice
     | _revision.RevisionNotice
+    | _revision.DocumentRequest
+    | _revision.Document
+    | _revision.NodeNotice
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_MESSAGES)
--- a/packages/protocol/src/ragwort_protocol/_revision.py
+++ b/packages/protocol/src/ragwort_protocol/_revision.py
@@ -1,4 +1,4 @@
-"""The message that tells peers of a new revision of the rules."""
+"""The messages by which nodes tell each other of the rules and of themselves."""
 
 from ragwort_protocol._message import Message
 
@@ -16,3 +16,37 @@
 
     revision: int
     digest: int
+
+
+class DocumentRequest(Message, tag=41):
+    """Asks the peer for the document that it has in force, if that is newer than a revision."""
+
+    revision: int
+
+
+class Document(Message, tag=42):
+    """Hands on a document as the platform's store holds it.
+
+    Attributes
+    ----------
+    revision
+        The store's revision of it.
+    content
+        Its bytes, as they were read from the store.
+    """
+
+    revision: int
+    content: bytes
+
+
+class NodeNotice(Message, tag=43):
+    """Tells a peer where the sender is reached and what it serves.
+
+    A node that starts while the store is away learns of the others in this way.
+    """
+
+    node_id: str
+    link_address: str
+    service: str
+    failure_domain: str
+    region: str
--- a/packages/transport/src/ragwort_transport/__init__.py
+++ b/packages/transport/src/ragwort_transport/__init__.py
@@ -21,6 +21,7 @@
     HttpServer,
     bind_socket,
 )
+from ragwort_transport._work_count import WorkCount
 
 __all__ = [
     "Answer",
@@ -42,6 +43,7 @@
     "PeerCalls",
     "Receiver",
     "Reply",
+    "WorkCount",
     "bind_socket",
     "find_header",
     "send_in_parts",
--- a/packages/transport/src/ragwort_transport/_server.py
+++ b/packages/transport/src/ragwort_transport/_server.py
@@ -17,6 +17,7 @@
 import httptools
 
 from ragwort_transport._message import REASON_PHRASES, Headers, find_header, has_no_body
+from ragwort_transport._work_count import WorkCount
 
 log = logging.getLogger(__name__)
 
@@ -97,12 +98,20 @@
         Answers a request.
     get_limits
         Returns the limits in force.
+
+    Attributes
+    ----------
+    closing
+        Whether each connection is closed after its answer.
+    work
+        Requests that are being answered.
     """
 
     def __init__(self, handle: Handler, get_limits: Callable[[], HttpLimits]) -> None:
         self.handle = handle
         self.get_limits = get_limits
         self.closing = False
+        self.work = WorkCount()
         self.connections: set[_ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweep: asyncio.TimerHandle | None = None
@@ -123,10 +132,6 @@
         self._plan_sweep()
         return sock.getsockname()[1]
 
-    def count_running(self) -> int:
-        """Return how many connections have a request that is not answered."""
-        return sum(connection.is_busy for connection in self.connections)
-
     def start_closing(self) -> None:
         """Answer what comes, and close each connection after its answer."""
         self.closing = True
@@ -311,7 +316,9 @@
 
     def _run_next(self) -> None:
         request, keep_open = self._ready.popleft()
+        self._server.work.add()
         self._task = self._loop.create_task(self._serve(request, keep_open))
+        self._task.add_done_callback(lambda _: self._server.work.remove())
 
     async def _serve(self, request: HttpRequest, keep_open: bool) -> None:
         try:
