Test whole nodes against stand-ins of the store and of servers

Found on the way: a peer's first report was lost when it came before its record, so a second send had no room to go to; the knee was learned from calls that had started at an idle server and ended at a full one.

Ruled out for the hedging test: the budget and the placement, by the log.

--- a/packages/flow/src/ragwort_flow/_turns.py
+++ b/packages/flow/src/ragwort_flow/_turns.py
@@ -18,6 +18,7 @@
 from ragwort_flow._work import (
     WorkClock,
     WorkEstimates,
+    count_learned,
     estimate_work,
     learn_work,
     read_work_clock,
@@ -35,6 +36,9 @@
 expected. A little over 1: a refused call is worth nothing, and half of the calls are faster than
 expected; at 0.85 and at 1.4 callers got less (docs/design/limits.md)."""
 
+MIN_LEARNED = 5
+"""Calls of a kind after which its estimate is good enough to tell the knee by it."""
+
 MIN_REMAINING_SHARE = 0.2
 """Least part of its work that a running call is expected to have left."""
 
@@ -155,14 +159,11 @@
 
 def end_call(state: TurnState, now: float, call_id: CallId, succeeded: bool) -> Turns:
     """Take in the end of a running call."""
+    ends_beyond_knee = is_beyond_knee(len(state.running), state.slots)
     running = state.running.pop(call_id)
     if succeeded:
         work_s = read_work_clock(state.clock, now) - running.started_work_s
-        if running.beyond_knee:
-            learn_knee(state.knee, work_s / estimate_work(state.work, running.offer.kind))
-            state.limit = find_limit(state.knee, state.slots)
-        else:
-            learn_work(state.work, running.offer.kind, work_s)
+        _learn(state, running, work_s, ends_beyond_knee)
     state.failing += ((not succeeded) - state.failing) * ERROR_MEMORY
     return _start_waiting(state, now)
 
@@ -214,6 +215,18 @@
     )
 
 
+def _learn(state: TurnState, running: _Running, work_s: float, ends_beyond_knee: bool) -> None:
+    """Take in the work of a call; what it shows of the knee depends on how full the server was."""
+    kind = running.offer.kind
+    if running.beyond_knee and ends_beyond_knee and count_learned(state.work, kind) >= MIN_LEARNED:
+        learn_knee(state.knee, work_s / estimate_work(state.work, kind))
+        state.limit = find_limit(state.knee, state.slots)
+    elif not (running.beyond_knee or ends_beyond_knee) or (
+        count_learned(state.work, kind) < MIN_LEARNED
+    ):
+        learn_work(state.work, kind, work_s)
+
+
 def _refuse_closed() -> Decision:
     return Decision(Verdict.REFUSED, Reason.LEAVING)
 
--- a/packages/flow/src/ragwort_flow/_work.py
+++ b/packages/flow/src/ragwort_flow/_work.py
@@ -72,3 +72,8 @@
 def estimate_work(estimates: WorkEstimates, kind: str) -> float:
     """Return the expected work of a call, in seconds."""
     return estimates.mean_s.get(kind, FIRST_WORK_S)
+
+
+def count_learned(estimates: WorkEstimates, kind: str) -> int:
+    """Return how many calls of a kind its estimate rests on."""
+    return estimates.calls.get(kind, 0)
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -54,12 +54,18 @@
 class Node:
     """The parts of one running node."""
 
-    def __init__(self, settings: NodeSettings, metrics_address: str, metrics_path: str) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        telemetry: Telemetry,
+        metrics_address: str = "",
+        metrics_path: str = "",
+    ) -> None:
         self._settings = settings
         self._metrics_address = metrics_address
-        self._telemetry = Telemetry(EventLog(settings.node))
+        self._telemetry = telemetry
         source = random.Random()
-        telemetry, addresses = self._telemetry, settings.addresses
+        addresses = settings.addresses
         self._store = StoreClient(addresses.store, telemetry)
         self._configuration = ConfigurationKeeper(self._store, telemetry, self._tell_revision)
         self._gate = Gate(addresses.server, telemetry, read_clock, self._tell_load)
@@ -116,10 +122,6 @@
         OSError
             When an address of the settings can't be listened on.
         """
-        self._telemetry.events.start()
-        logging.basicConfig(
-            level=logging.INFO, handlers=[EventHandler(self._telemetry.events)], force=True
-        )
         addresses = self._settings.addresses
         await self._control_server.listen(addresses.control)
         await self._peers.listen(addresses.link)
@@ -170,7 +172,6 @@
         await self._gate.close()
         await self._store.close()
         events.write("stopped", unfinished=unfinished)
-        events.stop()
 
     def _is_ready(self) -> bool:
         if self._stopping or self._configuration.current is None:
@@ -190,6 +191,11 @@
         link.send(self._gate.make_report())
         self._sharing.greet(link)
 
+    def _drop_link(self, link: Link) -> None:
+        self._calls.drop_link(link)
+        if link.peer is not None:
+            self._targets.forget_early(link.peer)
+
     def _tell_load(self) -> None:
         self._news.tell_all()
 
@@ -236,11 +242,15 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    node = Node(settings, metrics_address, metrics_path)
+    events = EventLog(settings.node)
+    events.start()
+    logging.basicConfig(level=logging.INFO, handlers=[EventHandler(events)], force=True)
+    node = Node(settings, Telemetry(events), metrics_address, metrics_path)
     try:
         await node.start()
     except OSError as error:
         return str(error)
     await stopped.wait()
     await node.stop()
+    events.stop()
     return ""
--- a/packages/mesh/src/ragwort_mesh/_targets.py
+++ b/packages/mesh/src/ragwort_mesh/_targets.py
@@ -15,6 +15,7 @@
         self._place = (failure_domain, region)
         self._nodes: dict[NodeId, tuple[NodeRecord, Target]] = {}
         self._services: dict[ServiceName, list[Target]] = {}
+        self._early: dict[NodeId, tuple[float, LoadReport]] = {}
 
     def set_records(self, records: dict[NodeId, NodeRecord]) -> None:
         """Set the nodes beside whose servers calls may run."""
@@ -27,6 +28,8 @@
             else:
                 place = (record.failure_domain, record.region)
                 target = Target(node, find_distance(self._place, place))
+                if node in self._early:
+                    take_report(target, *self._early.pop(node))
             nodes[node] = (record, target)
             self._services.setdefault(record.service, []).append(target)
         self._nodes = nodes
@@ -40,7 +43,13 @@
         return len(self._nodes)
 
     def take_report(self, node: NodeId, now: float, report: LoadReport) -> None:
-        """Take in a gate's report."""
+        """Take in a gate's report; a peer may speak before its record is known."""
         known = self._nodes.get(node)
         if known is not None:
             take_report(known[1], now, report)
+        else:
+            self._early[node] = (now, report)
+
+    def forget_early(self, node: NodeId) -> None:
+        """Drop what a peer without a record has said, once its link has ended."""
+        self._early.pop(node, None)
--- /dev/null
+++ b/standins/src/ragwort_standins/store.py
@@ -0,0 +1,191 @@
+"""Stand-in of the users' store: objects by kind and name, conditional writes and watches.
+
+It speaks what the users' page on their store says, kept to what the nodes need, and misbehaves on
+request. Run it with ``python -m ragwort_standins.store --port 8500``.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from aiohttp import web
+
+PAGE_OBJECTS = 50
+"""Objects on one page of a listing; fewer than the users' 500, so that tests page too."""
+
+
+class Trouble(Enum):
+    """What the store does with calls while it is in trouble."""
+
+    NONE = "none"
+    BUSY = "busy"
+    MANY = "many"
+    SILENT = "silent"
+    LOSES_ANSWERS = "loses-answers"
+
+
+@dataclass
+class Store:
+    """The objects, their history and what the store does wrong at present."""
+
+    revision: int = 1
+    objects: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
+    history: list[tuple[str, dict[str, Any], bool]] = field(default_factory=list)
+    compacted: int = 0
+    trouble: Trouble = Trouble.NONE
+    calls: list[tuple[str, str]] = field(default_factory=list)
+    changed: asyncio.Condition = field(default_factory=asyncio.Condition)
+
+    async def put(self, kind: str, name: str, spec: Any) -> int:
+        """Write an object as an operator does, and return its revision."""
+        await self.record(kind, make_object(name, spec), False)
+        return self.revision
+
+    async def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        await self.record(kind, self.objects[kind, name], True)
+
+    async def record(self, kind: str, stored: dict[str, Any], removed: bool) -> None:
+        """Take in a change and wake the watches."""
+        self.revision += 1
+        stored = {**stored, "metadata": {**stored["metadata"], "revision": self.revision}}
+        key = (kind, stored["metadata"]["name"])
+        if removed:
+            self.objects.pop(key, None)
+        else:
+            self.objects[key] = stored
+        self.history.append((kind, stored, removed))
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def compact(self) -> None:
+        """Forget the history, and cut the watches that wait for more of it."""
+        self.compacted = self.revision
+        self.history.clear()
+        async with self.changed:
+            self.changed.notify_all()
+
+    def list_events(self, kind: str, after: int) -> list[dict[str, Any]]:
+        """Return the changes of a kind after a revision."""
+        return [
+            {"object": stored, "removed": removed}
+            for other, stored, removed in self.history
+            if other == kind and stored["metadata"]["revision"] > after
+        ]
+
+
+def make_object(name: str, spec: Any) -> dict[str, Any]:
+    """Return an object that has no revision yet."""
+    metadata = {"name": name, "created": 1, "finalizers": [], "deletionPending": False}
+    return {"metadata": metadata, "spec": spec, "status": None}
+
+
+def build_store(store: Store) -> web.Application:
+    """Return the application that serves a store."""
+
+    @web.middleware
+    async def misbehave(request: web.Request, handler: Any) -> web.StreamResponse:
+        store.calls.append((request.method, request.path))
+        if store.trouble is Trouble.BUSY:
+            return web.Response(status=503)
+        if store.trouble is Trouble.MANY:
+            return web.Response(status=429)
+        if store.trouble is Trouble.SILENT:
+            await asyncio.sleep(3600)
+        reply = await handler(request)
+        if store.trouble is Trouble.LOSES_ANSWERS and request.method != "GET":
+            assert request.transport is not None
+            request.transport.abort()
+        return reply
+
+    async def get_kind(request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        if "watch" in request.query:
+            return await watch(kind, int(request.query["watch"]), int(request.query["waitMs"]))
+        after = request.query.get("after", "")
+        names = sorted(name for other, name in store.objects if other == kind and name > after)
+        page = [store.objects[kind, name] for name in names[:PAGE_OBJECTS]]
+        more = len(names) > PAGE_OBJECTS
+        return _reply({"items": page, "hasMore": more, "asOf": store.revision})
+
+    async def watch(kind: str, after: int, wait_ms: int) -> web.Response:
+        def is_over() -> bool:
+            return after < store.compacted or bool(store.list_events(kind, after))
+
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_ms / 1000), store.changed:
+                await store.changed.wait_for(is_over)
+        if after < store.compacted:
+            return web.Response(status=410)
+        return _reply({"events": store.list_events(kind, after), "asOf": store.revision})
+
+    async def get_object(request: web.Request) -> web.Response:
+        stored = store.objects.get((request.match_info["kind"], request.match_info["name"]))
+        return web.Response(status=404) if stored is None else _reply(stored)
+
+    async def create(request: web.Request) -> web.Response:
+        kind, body = request.match_info["kind"], await request.json()
+        name = body["metadata"]["name"]
+        present = store.objects.get((kind, name))
+        if present is not None:
+            return _reply(present, 409)
+        await store.record(kind, make_object(name, body["spec"]), False)
+        return _reply(store.objects[kind, name])
+
+    async def replace(request: web.Request) -> web.Response:
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        body = await request.json()
+        present = store.objects.get((kind, name))
+        if present is None:
+            return web.Response(status=404)
+        expected = body["metadata"].get("revision")
+        if expected is not None and expected != present["metadata"]["revision"]:
+            return _reply(present, 409)
+        if body["spec"] != present["spec"]:
+            await store.record(kind, {**present, "spec": body["spec"]}, False)
+        return _reply(store.objects[kind, name])
+
+    async def delete(request: web.Request) -> web.Response:
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        present = store.objects.get((kind, name))
+        if present is None:
+            return web.Response(status=404)
+        expected = request.query.get("revision")
+        if expected is not None and int(expected) != present["metadata"]["revision"]:
+            return _reply(present, 409)
+        await store.remove(kind, name)
+        return _reply(present)
+
+    application = web.Application(middlewares=[misbehave])
+    application.add_routes(
+        [
+            web.get("/-/objects/{kind}", get_kind),
+            web.get("/-/objects/{kind}/{name}", get_object),
+            web.post("/-/objects/{kind}", create),
+            web.put("/-/objects/{kind}/{name}", replace),
+            web.delete("/-/objects/{kind}/{name}", delete),
+        ]
+    )
+    return application
+
+
+def _reply(content: Any, status: int = 200) -> web.Response:
+    return web.Response(
+        status=status, body=json.dumps(content).encode(), content_type="application/json"
+    )
+
+
+def run() -> None:
+    """Run the stand-in until it is interrupted."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True, help="port on 127.0.0.1")
+    options = parser.parse_args()
+    web.run_app(build_store(Store()), host="127.0.0.1", port=options.port, print=None)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/tests/flow/test_placement.py
@@ -0,0 +1,104 @@
+import random
+
+from ragwort_common import NodeId
+from ragwort_flow import (
+    Distance,
+    Fit,
+    Target,
+    choose_target,
+    close_target,
+    estimate_finish,
+    has_room,
+    record_sent,
+    take_report,
+)
+from ragwort_protocol import LoadReport
+
+SOURCE = random.Random(5)
+
+
+def make_target(name, distance=Distance.SAME_REGION, now=0.0, **report):
+    target = Target(NodeId(name), distance)
+    fields = {"in_flight": 0, "limit": 10, "queued": 0, "service_time_us": 100_000, **report}
+    take_report(target, now, LoadReport(**fields))
+    return target
+
+
+def choose(targets, now=0.0, exclude=(), work_s=0.1, left_s=0.5):
+    placement = choose_target(targets, now, SOURCE, exclude, work_s, left_s)
+    return placement and placement.target.node
+
+
+def test_the_host_that_is_not_slowed_down_is_chosen():
+    slow = make_target("slow", slowdown_percent=500)
+    quiet = make_target("quiet")
+    assert {choose([slow, quiet]) for _ in range(20)} == {"quiet"}
+
+
+def test_an_old_report_of_a_slowed_host_counts_for_little():
+    slow = make_target("slow", slowdown_percent=500)
+    fresh = estimate_finish(slow, 0.0, 0.1)
+    assert estimate_finish(slow, 1.0, 0.1) < fresh
+
+
+def test_calls_sent_since_the_report_count_until_the_next():
+    target = make_target("a", in_flight=9)
+    before = estimate_finish(target, 0.0, 0.1)
+    for _ in range(5):
+        record_sent(target, 0.0)
+    assert estimate_finish(target, 0.0, 0.1) > before
+    take_report(target, 0.1, target.report)
+    assert estimate_finish(target, 0.1, 0.1) == before
+
+
+def test_a_call_leaves_its_region_only_when_that_alone_serves_it_in_time():
+    near = make_target("near", in_flight=10, queued=5, wait_ms=600)
+    far = make_target("far", Distance.OTHER_REGION)
+    assert choose([near, far]) == "far"
+    assert choose([make_target("near"), far]) == "near"
+    # Neither is in time: the bytes of the link are saved.
+    late_far = make_target("far", Distance.OTHER_REGION, in_flight=10, wait_ms=900)
+    assert choose([near, late_far]) == "near"
+
+
+def test_a_server_that_takes_no_calls_is_left_alone_until_it_says_otherwise():
+    target = make_target("a", accepting=False)
+    assert choose([target]) is None
+    take_report(target, 0.1, LoadReport(0, 10, 0, 100_000, accepting=True))
+    assert choose([target], now=0.1) == "a"
+
+
+def test_a_server_that_could_not_be_reached_is_tried_again_after_its_pause():
+    target = make_target("a")
+    close_target(target, 0.0, 0.25)
+    assert choose([target], now=0.2) is None
+    assert choose([target], now=0.3) == "a"
+
+
+def test_a_server_that_fails_its_calls_is_passed_over():
+    failing = make_target("failing", failing_percent=40)
+    assert {choose([failing, make_target("sound", in_flight=5)]) for _ in range(20)} == {"sound"}
+
+
+def test_a_newly_known_server_gets_calls_before_it_has_reported():
+    new = Target(NodeId("new"), Distance.SAME_REGION)
+    busy = make_target("busy", in_flight=10, wait_ms=50)
+    assert choose([busy, new]) == "new"
+
+
+def test_many_servers_share_the_calls_of_entries_with_the_same_reports():
+    targets = [make_target(str(number)) for number in range(30)]
+    chosen = {choose(targets) for _ in range(300)}
+    assert len(chosen) == 30
+
+
+def test_every_tried_server_is_left_out():
+    assert choose([make_target("a")], exclude={"a"}) is None
+    placement = choose_target([make_target("b")], 0.0, SOURCE, {"a"}, 0.1, 0.01)
+    assert placement.fit is Fit.LATE
+
+
+def test_a_second_send_needs_a_server_with_slots_to_spare():
+    assert has_room(make_target("a", in_flight=5))
+    assert not has_room(make_target("a", in_flight=9))
+    assert not has_room(Target(NodeId("new"), Distance.SAME_REGION))
--- /dev/null
+++ b/tests/flow/test_repeats.py
@@ -0,0 +1,42 @@
+import random
+
+from ragwort_flow import RepeatBudget, RepeatLimits, count_call, take_repeat
+
+LIMITS = RepeatLimits(ratio=0.2, extra=60.0, window_s=10.0)
+
+
+def test_repeats_of_all_nodes_stay_within_the_bound_of_every_window():
+    # Every call wants to be repeated, at twelve nodes, for a minute.
+    nodes, calls, repeats = 12, [], []
+    budgets = [RepeatBudget(LIMITS) for _ in range(nodes)]
+    source = random.Random(3)
+    now = 1000.0
+    while now < 1060.0:
+        now += source.expovariate(300.0)
+        budget = budgets[source.randrange(nodes)]
+        count_call(budget, now)
+        calls.append(now)
+        if take_repeat(budget, now, nodes):
+            repeats.append(now)
+    for start in range(1000, 1050):
+        in_window = sum(start <= at < start + 10 for at in repeats)
+        asked = sum(start <= at < start + 10 for at in calls)
+        # Half of the bound is left for the calls that repeated runs make.
+        assert in_window <= 0.5 * (0.2 * asked + 60) + nodes
+
+
+def test_a_quiet_node_may_repeat_a_call_now_and_then():
+    budget = RepeatBudget(LIMITS)
+    count_call(budget, 5.0)
+    assert take_repeat(budget, 5.0, 12)
+    assert not take_repeat(budget, 5.1, 12)
+    assert take_repeat(budget, 15.2, 12)
+
+
+def test_a_kind_of_repeat_stops_at_its_share():
+    budget = RepeatBudget(RepeatLimits(0.2, 0.0, 10.0))
+    for _ in range(100):
+        count_call(budget, 1.0)
+    taken = sum(take_repeat(budget, 1.0, 1, 0.5) for _ in range(20))
+    assert taken == 5
+    assert take_repeat(budget, 1.0, 1)
--- /dev/null
+++ b/tests/flow/test_turns.py
@@ -0,0 +1,185 @@
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from ragwort_common import CallId, Reason
+from ragwort_flow import (
+    Offer,
+    TurnState,
+    Verdict,
+    close_server,
+    end_call,
+    learn_work,
+    note_slowdown,
+    offer_call,
+    report_load,
+    review_waiting,
+    set_server,
+    withdraw_call,
+)
+
+
+def make_state(slots=2, work_s=0.1):
+    state = TurnState()
+    set_server(state, 0.0, slots, 0.0)
+    for kind in ("a", "b"):
+        learn_work(state.work, kind, work_s)
+    return state
+
+
+def make_offer(number, now=0.0, rank=1, objective_s=1.0, deadline_s=2.0, kind="a"):
+    return Offer(CallId(number), kind, rank, now + objective_s, now + deadline_s)
+
+
+def fill(state, count=None):
+    for number in range(count or state.limit):
+        assert offer_call(state, 0.0, make_offer(1000 + number)).verdict is Verdict.RUN
+
+
+def test_calls_run_up_to_the_limit_and_then_wait():
+    state = make_state()
+    fill(state)
+    assert offer_call(state, 0.0, make_offer(1)).verdict is Verdict.QUEUED
+    assert end_call(state, 0.1, CallId(1000), True).started == [1]
+
+
+def test_a_call_that_would_be_late_is_refused_at_once_with_the_time_to_come_back():
+    state = make_state()
+    fill(state)
+    for number in range(1, 40):
+        decision = offer_call(state, 0.0, make_offer(number, objective_s=0.3))
+        if decision.verdict is Verdict.REFUSED:
+            break
+    assert decision.reason is Reason.OVERLOADED
+    assert 50 <= decision.retry_after_ms <= 500
+    assert number < 10
+
+
+def test_the_more_urgent_call_starts_first_and_then_the_one_that_has_to_start_first():
+    state = make_state()
+    fill(state)
+    offer_call(state, 0.0, make_offer(1, rank=2, objective_s=0.8))
+    offer_call(state, 0.0, make_offer(2, rank=2, objective_s=0.5))
+    offer_call(state, 0.0, make_offer(3, rank=1, objective_s=0.9))
+    assert end_call(state, 0.1, CallId(1000), True).started == [3]
+    assert end_call(state, 0.1, CallId(1001), True).started == [2]
+    assert end_call(state, 0.2, CallId(3), True).started == [1]
+
+
+def test_nothing_starts_at_a_server_that_leaves_and_what_waits_is_refused():
+    state = make_state()
+    fill(state)
+    offer_call(state, 0.0, make_offer(1))
+    turns = close_server(state)
+    assert [call_id for call_id, _ in turns.refused] == [1]
+    assert turns.refused[0][1].reason is Reason.LEAVING
+    assert offer_call(state, 0.0, make_offer(2)).reason is Reason.LEAVING
+    assert end_call(state, 0.1, CallId(1000), True).started == []
+
+
+def test_a_waiting_call_is_refused_as_soon_as_its_deadline_cannot_be_met():
+    state = make_state()
+    fill(state)
+    offer_call(state, 0.0, make_offer(1, objective_s=0.5, deadline_s=0.5))
+    assert review_waiting(state, 0.01).refused == []
+    # The calls that run hang, so the wait is expected to go on.
+    refused = review_waiting(state, 0.4).refused
+    assert [call_id for call_id, _ in refused] == [1]
+
+
+def test_a_withdrawn_call_leaves_its_turn_to_the_next():
+    state = make_state()
+    fill(state)
+    offer_call(state, 0.0, make_offer(1))
+    offer_call(state, 0.0, make_offer(2))
+    assert withdraw_call(state, 0.0, CallId(1)).started == []
+    assert withdraw_call(state, 0.0, CallId(1000)).started == [2]
+
+
+def test_a_slowed_host_refuses_what_it_would_take_at_full_speed():
+    verdicts = []
+    for slowdown in (1.0, 5.0):
+        state = make_state()
+        note_slowdown(state, 0.0, slowdown)
+        fill(state)
+        verdicts.append(offer_call(state, 0.0, make_offer(1, objective_s=0.2)).verdict)
+    assert verdicts == [Verdict.QUEUED, Verdict.REFUSED]
+
+
+def run_calls(state, now, present, calls, knee_factor, source):
+    """Keep some calls present at a server of ten slots; return when the last one ended."""
+    number = int(now * 1e6)
+    for _ in range(calls):
+        while len(state.running) < min(present, state.limit):
+            offer_call(state, now, make_offer(number, now, objective_s=9.0, deadline_s=9.0))
+            number += 1
+        full = max(0.0, len(state.running) / 10 - 0.8) / 0.2
+        call_id = next(iter(state.running))
+        took_s = 0.1 * (1.0 + (knee_factor - 1.0) * full) * source.uniform(0.8, 1.2)
+        now = max(now, state.running[call_id].started_work_s + took_s)
+        end_call(state, now, call_id, True)
+    return now
+
+
+def run_saturated(knee_factor):
+    """Use a server a little, then keep it full; return the limit that the gate has found."""
+    state = make_state(slots=10)
+    source = random.Random(1)
+    now = run_calls(state, 0.0, 3, 50, knee_factor, source)
+    run_calls(state, now, 10, 400, knee_factor, source)
+    return state.limit
+
+
+def test_the_knee_of_a_server_is_learned_and_one_without_a_knee_runs_full():
+    assert run_saturated(1.0) == 10
+    assert run_saturated(1.7) == 8
+
+
+def test_the_report_tells_of_a_full_server_and_of_failures():
+    state = make_state()
+    assert report_load(state, 0.0).wait_ms == 0
+    fill(state)
+    assert report_load(state, 0.0).wait_ms > 0
+    for call_id in (CallId(1000), CallId(1001)):
+        end_call(state, 0.1, call_id, False)
+    assert report_load(state, 0.1).failing_percent > 20
+
+
+@given(st.lists(st.sampled_from(["offer", "urgent", "end", "fail", "withdraw", "review"])))
+def test_no_step_runs_more_than_the_limit_or_loses_a_call(steps):
+    state = make_state(slots=3)
+    now, number = 0.0, 0
+    open_calls = set()
+    for step in steps:
+        now += 0.03
+        started, refused = [], []
+        if step in ("offer", "urgent"):
+            number += 1
+            rank = 0 if step == "urgent" else 2
+            verdict = offer_call(state, now, make_offer(number, now, rank)).verdict
+            if verdict is not Verdict.REFUSED:
+                open_calls.add(number)
+        elif step == "review":
+            turns = review_waiting(state, now)
+            started, refused = turns.started, [call_id for call_id, _ in turns.refused]
+        elif state.running:
+            call_id = next(iter(state.running))
+            open_calls.discard(call_id)
+            if step == "withdraw":
+                started = withdraw_call(state, now, call_id).started
+            else:
+                started = end_call(state, now, call_id, step == "end").started
+        open_calls -= set(refused)
+        present = set(state.running) | {call.call_id for call in state.waiting}
+        assert present == open_calls
+        assert len(state.running) <= state.limit
+        assert set(started) <= set(state.running)
+        assert not state.waiting or len(state.running) == state.limit
+
+
+def test_work_that_is_expected_is_never_negative():
+    state = make_state()
+    fill(state)
+    assert report_load(state, -5.0).wait_ms >= 0
+    assert report_load(state, 1e6).service_time_us == pytest.approx(100_000)
--- /dev/null
+++ b/tests/mesh_world.py
@@ -0,0 +1,188 @@
+"""A small deployment in one process: the stand-in of the store, servers, and a node for each."""
+
+import asyncio
+import contextlib
+import socket
+from dataclasses import dataclass, field
+
+import aiohttp
+from aiohttp import web
+from helper import wait_until
+from ragwort_common import FailureDomain, NodeId, Region, ServiceName
+from ragwort_mesh._events import EventLog
+from ragwort_mesh._node import Node
+from ragwort_mesh._telemetry import Telemetry
+from ragwort_model import Addresses, Bounds, NodeSettings
+from ragwort_standins.application import Application, build_application, report
+from ragwort_standins.store import Store, build_store
+
+HOST = "calls.example"
+
+
+def find_ports(count):
+    """Return ports that are free at present."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def make_route(service, prefix="/a/", kind="idempotent", **fields):
+    """Return a route as the operators write it."""
+    return {
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "timeoutMs": 2000,
+        "targetLatencyMs": 500,
+        "priority": 1,
+        "maxAttempts": 2,
+        **({} if "split" in fields else {"service": service}),
+        **fields,
+    }
+
+
+def make_configuration(version, routes):
+    """Return a configuration as the operators write it."""
+    limits = {
+        "maxHeaderBytes": 4096,
+        "maxBodyBytes": 1 << 20,
+        "headerTimeoutMs": 500,
+        "idleTimeoutMs": 5000,
+    }
+    return {"version": f"r{version}", "routes": routes, "services": {}, "limits": limits}
+
+
+@dataclass
+class Member:
+    """One host: the server and the node beside it."""
+
+    application: Application
+    settings: NodeSettings
+    node: Node
+    entry: str
+    control: str
+    ready: str
+    sequence: int = 0
+
+    async def beat(self, state="ready"):
+        self.sequence += 1
+        return await report(self.control, self.application, self.sequence, state)
+
+
+@dataclass
+class World:
+    """The store and the members."""
+
+    store: Store
+    store_address: str
+    members: list[Member] = field(default_factory=list)
+    session: aiohttp.ClientSession | None = None
+    runners: list[web.AppRunner] = field(default_factory=list)
+    number: int = 0
+
+    async def add(self, service="s", region="r1", application=None, bounds=None):
+        self.number += 1
+        name = f"n{self.number}"
+        application = application or Application(f"i-{name}", service)
+        server = await self.serve(build_application(application))
+        ports = find_ports(4)
+        link, entry, ready, control = (f"127.0.0.1:{port}" for port in ports)
+        settings = NodeSettings(
+            NodeId(name),
+            ServiceName(service),
+            FailureDomain(f"d{self.number}"),
+            Region(region),
+            Addresses(link, entry, ready, control, server, self.store_address),
+            bounds or Bounds(),
+        )
+        member = Member(
+            application, settings, Node(settings, Telemetry(EventLog(name))), entry, control, ready
+        )
+        await member.node.start()
+        await member.beat()
+        self.members.append(member)
+        return member
+
+    async def serve(self, application):
+        runner = web.AppRunner(application, handler_cancellation=True)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        self.runners.append(runner)
+        return f"127.0.0.1:{runner.addresses[0][1]}"
+
+    async def configure(self, version, **routes):
+        await self.store.put("config", "main", make_configuration(version, routes))
+
+    async def settle(self):
+        """Wait until every node knows the configuration and is linked to every other."""
+        count = len(self.members)
+        await wait_until(
+            lambda: all(
+                member.node._configuration.current is not None
+                and len(member.node._peers.list_links()) >= count - 1
+                and member.node._targets.count_nodes() >= count
+                for member in self.members
+            )
+        )
+
+    async def call(self, member, path="/a/x", method="GET", call_id="c1", headers=(), **options):
+        """Send a call, and return its status, headers and body."""
+        fields = {
+            "Host": HOST,
+            "Ragwortvalve-Attempt-Id": call_id,
+            "Ragwortvalve-Deadline-Ms": "1500",
+            **dict(headers),
+        }
+        url = f"http://{member.entry}{path}"
+        async with self.session.request(method, url, headers=fields, **options) as reply:
+            return reply.status, reply.headers, await reply.read()
+
+    def list_runs(self, call_id):
+        return sum(member.application.runs[call_id] for member in self.members)
+
+
+@contextlib.asynccontextmanager
+async def run_world(services=("s",), regions=()):
+    """Run a deployment with a member for each service named."""
+    store = Store()
+    world = World(store, "")
+    world.store_address = await world.serve(build_store(store))
+    async with aiohttp.ClientSession() as session:
+        world.session = session
+        try:
+            for index, service in enumerate(services):
+                await world.add(service, regions[index] if regions else "r1")
+            yield world
+        finally:
+            for member in world.members:
+                member.node._settings = member.settings
+                await stop_quickly(member.node)
+            await asyncio.gather(*(runner.cleanup() for runner in world.runners))
+
+
+async def stop_quickly(node):
+    """Stop a node without its waiting for callers."""
+    for task in node._tasks:
+        task.cancel()
+    await asyncio.gather(*node._tasks, return_exceptions=True)
+    node._peers.close()
+    for server in (node._entry_server, node._control_server, node._ready_server):
+        server.abort()
+    await node._gate.close()
+    await node._store.close()
+
+
+def play(scenario, services=("s",), regions=()):
+    """Run a scenario in a deployment whose nodes are settled."""
+
+    async def run():
+        async with run_world(services, regions) as world:
+            async with asyncio.timeout(30):
+                return await scenario(world)
+
+    return asyncio.run(run())
