Let calls that are late in any case give way to those that can be in time

Ruled out: refusing them outright; they still earn a part, and a caller that has come back once should not be refused again.

--- a/packages/flow/src/ragwort_flow/_turns.py
+++ b/packages/flow/src/ragwort_flow/_turns.py
@@ -31,6 +31,10 @@
 LATE_WAIT_S = 0.03
 """Longest wait with which a call is queued that can't be in time any more."""
 
+LATE_PATIENCE_S = 0.25
+"""How long a call that can't be in time any more gives way to those that can: about an objective,
+so that it is served too."""
+
 IN_TIME_PART = 1.1
 """Part of the time left to the objective within which the answer of a call that waits has to be
 expected. A little over 1: a refused call is worth nothing, and half of the calls are faster than
@@ -145,7 +149,7 @@
         _start(state, now, offer)
         return RUN
     work_s = estimate_work(state.work, offer.kind)
-    entry = _Waiting(offer.rank, offer.objective - work_s, offer.call_id, offer)
+    entry = _Waiting(offer.rank, _get_latest_start(offer, now, work_s), offer.call_id, offer)
     ahead = [call.offer for call in state.waiting if call < entry]
     wait_s = _expect_wait(state, now, ahead, 0.0)
     finish = now + _expect_wait(state, now, ahead, work_s)
@@ -227,6 +231,12 @@
         learn_work(state.work, kind, work_s)
 
 
+def _get_latest_start(offer: Offer, now: float, work_s: float) -> float:
+    """Return until when a call has to start; one that is late in any case gives way for a time."""
+    latest_start = offer.objective - work_s
+    return latest_start if latest_start >= now else now + LATE_PATIENCE_S
+
+
 def _refuse_closed() -> Decision:
     return Decision(Verdict.REFUSED, Reason.LEAVING)
 
--- a/tests/flow/test_turns.py
+++ b/tests/flow/test_turns.py
@@ -67,6 +67,15 @@
     assert end_call(state, 0.2, CallId(3), True).started == [1]
 
 
+def test_a_call_that_is_late_in_any_case_gives_way_to_those_that_can_be_in_time():
+    state = make_state(work_s=0.02)
+    fill(state)
+    assert offer_call(state, 0.0, make_offer(1, objective_s=0.0)).verdict is Verdict.QUEUED
+    assert offer_call(state, 0.0, make_offer(2, objective_s=0.2)).verdict is Verdict.QUEUED
+    assert end_call(state, 0.01, CallId(1000), True).started == [2]
+    assert end_call(state, 0.02, CallId(1001), True).started == [1]
+
+
 def test_nothing_starts_at_a_server_that_leaves_and_what_waits_is_refused():
     state = make_state()
     fill(state)
