--- /dev/null
+++ b/tests/adapter/test_names.py
@@ -0,0 +1,20 @@
+"""Only the adapter's folder and the stand-ins know how the platform spells its names."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[2]
+SOURCES = sorted((ROOT / "packages").rglob("*.py"))
+NAMES = re.compile(
+    r"(?i:ragwortvalve-)|RAGWORTVALVE_|/-/|\b(?:appAddr|listenAddrs|heartbeatAddr|coldRemainingMs|"
+    r"pathPrefix|targetLatencyMs|maxAttempts|asOf|hasMore|allowStale|waitMs|deletionPending|"
+    r"nodeName|seedNodes|budgetExtraTries|non_idempotent|sidecar)\b"
+)
+
+
+@pytest.mark.parametrize("source", SOURCES, ids=lambda path: str(path.relative_to(ROOT)))
+def test_no_other_package_knows_the_platforms_names(source):
+    found = NAMES.findall(source.read_text("utf-8"))
+    assert not found
--- /dev/null
+++ b/tests/adapter/test_objects.py
@@ -0,0 +1,53 @@
+import json
+
+from ragwort_model import Mistake, NodeRecord
+from ragwort_platform import (
+    StoredObject,
+    build_create,
+    build_list,
+    build_replace,
+    build_watch,
+    decode_node,
+    encode_node,
+    read_changes,
+    read_page,
+)
+
+RECORD = NodeRecord("n-1", "10.0.0.1:80", "s", "d", "r")
+
+
+def test_requests_are_spelled_as_the_store_wants_them():
+    assert build_list("nodes", "", False).target == "/-/objects/nodes"
+    assert build_list("nodes", "a/b", True).target == "/-/objects/nodes?after=a%2Fb&allowStale=1"
+    assert build_watch("config", 7, 5000).target == "/-/objects/config?watch=7&waitMs=5000"
+    created = json.loads(build_create("nodes", "n", b'{"a":1}').body)
+    assert created == {"metadata": {"name": "n"}, "spec": {"a": 1}}
+    replaced = build_replace("nodes", "n", b"{}", 12)
+    assert (replaced.method, replaced.target) == ("PUT", "/-/objects/nodes/n")
+    assert json.loads(replaced.body)["metadata"] == {"name": "n", "revision": 12}
+
+
+def test_a_page_and_changes_are_read():
+    item = {
+        "metadata": {"name": "n", "revision": 3, "created": 1},
+        "spec": {"x": 1},
+        "status": None,
+    }
+    page = read_page(json.dumps({"items": [item], "hasMore": True, "asOf": 9}).encode())
+    assert (page.more, page.revision, page.objects[0].name) == (True, 9, "n")
+    assert json.loads(page.objects[0].content) == {"x": 1}
+    events = {"events": [{"object": item, "removed": True}], "asOf": 10}
+    changes = read_changes(json.dumps(events).encode())
+    assert changes.changes[0].removed
+    assert changes.revision == 10
+    assert read_page(b'{"asOf":1}').objects == ()
+
+
+def test_unreadable_replies_are_mistakes():
+    assert isinstance(read_page(b"<html>"), Mistake)
+    assert isinstance(read_changes(b'{"events":[{}],"asOf":1}'), Mistake)
+    assert isinstance(decode_node(StoredObject("n", 1, b"null")), Mistake)
+
+
+def test_a_record_comes_back_as_it_was_published():
+    assert decode_node(StoredObject("n-1", 1, encode_node(RECORD))) == RECORD
--- /dev/null
+++ b/tests/adapter/test_settings.py
@@ -0,0 +1,61 @@
+import json
+
+import pytest
+from ragwort_model import Mistake, NodeSettings
+from ragwort_platform import decode_settings
+
+FILE = {
+    "nodeName": "sidecar-a-1",
+    "role": "node",
+    "zone": "a",
+    "region": "r",
+    "service": "s",
+    "appAddr": "10.1.0.8:8301",
+    "listenAddrs": {
+        "inbound": "10.1.0.8:8300",
+        "outbound": "10.1.0.8:8304",
+        "ready": "10.1.0.8:8302",
+        "control": "10.1.0.8:8306",
+    },
+    "platform": {"addr": "10.200.1.7:8309", "form": "objects", "writesPerS": 400},
+    "bounds": ["graceS=5.5", "budgetRatio=0.1", "budgetExtraTries=30", "later=true"],
+    "newField": {"ignored": True},
+}
+
+
+def decode(**changes):
+    return decode_settings(json.dumps({**FILE, **changes}).encode(), "file")
+
+
+def test_the_settings_are_read_by_what_they_mean():
+    settings = decode()
+    assert isinstance(settings, NodeSettings)
+    assert settings.addresses.entry == "10.1.0.8:8304"
+    assert settings.addresses.link == "10.1.0.8:8300"
+    assert settings.failure_domain == "a"
+    assert settings.bounds.grace_s == 5.5
+    assert settings.bounds.retry_ratio == 0.1
+    assert settings.bounds.retry_extra == 30
+    assert settings.bounds.retry_window_s == 10
+
+
+@pytest.mark.parametrize(
+    ("changes", "part"),
+    [
+        ({"appAddr": "10.1.0.8"}, "server address '10.1.0.8' is not HOST:PORT"),
+        ({"service": 3}, "$.service"),
+        ({"bounds": ["graceS"]}, "'graceS' is not NAME=VALUE"),
+        ({"bounds": ["graceS=soon"]}, "graceS is not a number: 'soon'"),
+    ],
+)
+def test_a_mistake_is_one_line_that_names_the_file_and_the_thing(changes, part):
+    mistake = decode(**changes)
+    assert isinstance(mistake, Mistake)
+    assert str(mistake).startswith("file: ")
+    assert part in str(mistake)
+    assert "\n" not in str(mistake)
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"[]", b"{"])
+def test_bytes_that_are_no_settings_are_a_mistake(data):
+    assert isinstance(decode_settings(data, "file"), Mistake)
