Serve after a start before the server's next report; fewer calls and bytes of control

Reports of a load that has hardly changed are left out.

Ruled out: serving by the settings alone; a leaving server would get calls.

--- a/packages/mesh/src/ragwort_mesh/_configuration.py
+++ b/packages/mesh/src/ragwort_mesh/_configuration.py
@@ -20,6 +20,11 @@
 over, and then 6.5 s after the silence began the newest configuration has to be in force."""
 
 
+WATCH_PAUSE_S = 0.2
+"""How long to gather changes after one: operators may write ten in a second, and each would be
+one more call to the store for each node."""
+
+
 class ConfigurationKeeper:
     """Owns the configuration in force and its route finder.
 
@@ -46,7 +51,9 @@
         self.content = b""
         self._telemetry = telemetry
         self._changed = changed
-        settings = WatchSettings(CONFIGURATION_KIND, WATCH_WAIT_S, stale_start=False)
+        settings = WatchSettings(
+            CONFIGURATION_KIND, WATCH_WAIT_S, stale_start=False, pause_s=WATCH_PAUSE_S
+        )
         watch = KindWatch(settings, store, telemetry, self._take_listed, self._take_change)
         self.run = watch.run
 
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -8,7 +8,7 @@
 import itertools
 from collections.abc import Callable
 
-from ragwort_common import CallId, Outcome, Reason
+from ragwort_common import CallId, Outcome, Reason, ServiceName
 from ragwort_flow import (
     Decision,
     InstanceWatch,
@@ -30,12 +30,14 @@
     take_heartbeat,
     withdraw_call,
 )
-from ragwort_model import Departure, Heartbeat
+from ragwort_model import Departure, Heartbeat, InstanceState
 from ragwort_platform import (
     build_answer_headers,
+    build_health_request,
     build_server_request,
     find_call_id,
     make_answer_check,
+    read_health,
     read_server_answer,
 )
 from ragwort_protocol import LoadReport, Refusal, Request, Response
@@ -53,6 +55,9 @@
 """Longest idle time of a connection that may carry a call that must not run twice: a server may
 drop an idle connection, and then nobody knows whether the call ran."""
 
+HEALTH_TIMEOUT_S = 0.5
+"""Time for the answer to the question whether the server is well; it comes at once."""
+
 MAX_ANSWER_BYTES = 64 << 20
 """Longest answer; the platform's own limit on bodies."""
 
@@ -66,6 +71,8 @@
     ----------
     address
         Where the server listens, ``host:port``.
+    service
+        What it serves.
     clock
         The node's clock, in seconds.
     changed
@@ -80,11 +87,14 @@
     def __init__(
         self,
         address: str,
+        service: ServiceName,
         telemetry: Telemetry,
         clock: Callable[[], float],
         changed: Callable[[], None],
     ) -> None:
         self._pool = ClientPool(address, max_idle=64, max_answer_bytes=MAX_ANSWER_BYTES)
+        self._address = address
+        self._service = service
         self._telemetry = telemetry
         self._clock = clock
         self._changed = changed
@@ -142,6 +152,34 @@
         if not was_accepting:
             self._changed()
 
+    async def ask_health(self, target: str) -> None:
+        """Ask the server who and how it is, unless it has told already.
+
+        A node that has just started again need not wait for the server's next report. A server
+        that leaves says that it isn't well, so nothing is sent to one that has been told goodbye.
+        """
+        if self._watch.current is not None:
+            return
+        result = await self._pool.exchange(
+            build_health_request(target, self._address), HEALTH_TIMEOUT_S
+        )
+        health = read_health(result) if isinstance(result, Answer) else None
+        if health is None:
+            self._telemetry.events.write("server-health-unknown", answer=repr(result))
+        elif self._watch.current is None and not self._watch.left:
+            self.take_server_report(
+                Heartbeat(
+                    instance=health.instance,
+                    born_ms=0,
+                    sequence=0,
+                    service=self._service,
+                    address=self._address,
+                    state=InstanceState.READY,
+                    slots=health.load.slots,
+                    cold_ms=0.0,
+                )
+            )
+
     async def run_call(self, request: Request) -> Response | Refusal:
         """Run one call on the server if it gets its turn, at once or after a wait."""
         self.work.add()
--- a/packages/mesh/src/ragwort_mesh/_load_news.py
+++ b/packages/mesh/src/ragwort_mesh/_load_news.py
@@ -18,6 +18,10 @@
 """Most messages a second: at 30 bytes, 12 KB of the 14 that control may take."""
 
 
+LEAST_CHANGES = {"in_flight": 2, "slowdown_percent": 40, "wait_ms": 20, "failing_percent": 10}
+"""Changes of a report's fields that entries are told of; smaller ones decide nothing."""
+
+
 class LoadNews:
     """Owns which entries are told of the load, and what they were told.
 
@@ -61,10 +65,20 @@
                 if now - called_at > INTEREST_S:
                     del self._called_at[node]
             report = self._make_report()
-            if report == self._told:
+            if self._told is not None and not _differs(report, self._told):
                 continue
             self._told = report
             for node in self._called_at:
                 link = self._peers.find_link(node)
                 if link is not None:
                     link.send(report)
+
+
+def _differs(report: LoadReport, told: LoadReport) -> bool:
+    """Tell whether entries would choose otherwise for a change of the report."""
+    if (report.accepting, report.limit) != (told.accepting, told.limit):
+        return True
+    return any(
+        abs(getattr(report, name) - getattr(told, name)) >= least
+        for name, least in LEAST_CHANGES.items()
+    )
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -67,8 +67,10 @@
         source = random.Random()
         addresses = settings.addresses
         self._store = StoreClient(addresses.store, telemetry)
-        self._configuration = ConfigurationKeeper(self._store, telemetry, self._tell_revision)
-        self._gate = Gate(addresses.server, telemetry, read_clock, self._tell_load)
+        self._configuration = ConfigurationKeeper(self._store, telemetry, self._take_configuration)
+        self._gate = Gate(
+            addresses.server, settings.service, telemetry, read_clock, self._tell_load
+        )
         self._calls = PeerCalls(self._gate.run_call, telemetry.counters, self._receive_other)
         hello = Hello(settings.node, Incarnation(time.time_ns() // 1_000_000))
         self._peers = Peers(hello, self._receive, self._greet, self._calls.drop_link, telemetry)
@@ -110,6 +112,7 @@
         self._metrics_server = HttpServer(
             build_metrics(telemetry, metrics_path.encode()), lambda: CONTROL_LIMITS
         )
+        self._configured = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._started_at = read_clock()
         self._stopping = False
@@ -134,6 +137,7 @@
             self._directory.run(),
             self._directory.run_publisher(),
             self._peers.run(),
+            self._ask_health(),
             self._news.run(),
         ):
             self._spawn(coroutine)
@@ -199,8 +203,17 @@
     def _tell_load(self) -> None:
         self._news.tell_all()
 
-    def _tell_revision(self) -> None:
+    def _take_configuration(self) -> None:
         self._sharing.tell_revision()
+        self._configured.set()
+
+    async def _ask_health(self) -> None:
+        """Ask the server how it is once its service's health path is known."""
+        await self._configured.wait()
+        current = self._configuration.current
+        target = current.health_paths.get(self._settings.service) if current else None
+        if target is not None:
+            await self._gate.ask_health(target)
 
     def _receive(self, link: Link, message: Message) -> None:
         if type(message) is Request:
--- a/packages/model/src/ragwort_model/_configuration.py
+++ b/packages/model/src/ragwort_model/_configuration.py
@@ -65,8 +65,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """One accepted configuration in full."""
+    """One accepted configuration in full.
+
+    ``health_paths`` are the targets at which the servers of each service tell whether they are
+    well.
+    """
 
     version: ConfigurationVersion
     routes: tuple[Route, ...] = ()
     limits: CallerLimits = field(default_factory=CallerLimits)
+    health_paths: dict[ServiceName, str] = field(default_factory=dict)
--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -419,3 +419,40 @@
             world.session = own
 
     play(scenario)
+
+
+def test_a_node_that_starts_beside_a_running_server_serves_before_its_next_report():
+    async def scenario(world):
+        health = web.Response(
+            headers={
+                "Ragwortvalve-Instance-Id": "i-n1",
+                "Ragwortvalve-Server-Load": "0,0,4,100",
+            }
+        )
+        application = world.members[0].application
+        application.behave = lambda request: health if request.path == "/healthz" else None
+        configuration = make_configuration(1, {"a": make_route("s")})
+        configuration["services"] = {"s": {"healthPath": "/healthz"}}
+        await world.store.put("config", "main", configuration)
+        restarted = await world.add("s", application=application, silent=True)
+        await wait_until(lambda: restarted.node._gate.accepting)
+        assert restarted.node._gate.make_report().limit == 4
+
+    play(scenario)
+
+
+def test_a_node_asks_no_server_that_has_reported_and_trusts_no_ill_one():
+    async def scenario(world):
+        application = world.members[0].application
+        ill = web.Response(status=503, headers={"Ragwortvalve-Instance-Id": "i-n1"})
+        application.behave = lambda request: ill if request.path == "/healthz" else None
+        configuration = make_configuration(1, {"a": make_route("s")})
+        configuration["services"] = {"s": {"healthPath": "/healthz"}}
+        await world.store.put("config", "main", configuration)
+        restarted = await world.add("s", application=application, silent=True)
+        await wait_until(lambda: len(application.requests) == 1)
+        await asyncio.sleep(0.05)
+        assert not restarted.node._gate.accepting
+        assert len(application.requests) == 1
+
+    play(scenario)
--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -84,7 +84,7 @@
     runners: list[web.AppRunner] = field(default_factory=list)
     number: int = 0
 
-    async def add(self, service="s", region="r1", application=None, bounds=None):
+    async def add(self, service="s", region="r1", application=None, bounds=None, silent=False):
         self.number += 1
         name = f"n{self.number}"
         application = application or Application(f"i-{name}", service)
@@ -103,7 +103,8 @@
             application, settings, Node(settings, Telemetry(EventLog(name))), entry, control, ready
         )
         await member.node.start()
-        await member.beat()
+        if not silent:
+            await member.beat()
         self.members.append(member)
         return member
 
