Start below the knee, count the cold start in, and carry what is known of work to new gates

A new server now runs below the knee until 30 of its calls are known, a cold start slows the work clock, and entries send their estimate of a route's work with each call (a quarter of its objective at first).

Ruled out: a slow restart; the nodes served 0.1 s after their start.

--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -9,6 +9,7 @@
     take_departure,
     take_heartbeat,
 )
+from ragwort_flow._knee import LEARNED_CALLS
 from ragwort_flow._placement import (
     USUAL_SLOWDOWN,
     Fit,
@@ -53,6 +54,7 @@
     "EXPIRED",
     "Fit",
     "InstanceWatch",
+    "LEARNED_CALLS",
     "Offer",
     "Placement",
     "QUEUED",
--- a/packages/flow/src/ragwort_flow/_knee.py
+++ b/packages/flow/src/ragwort_flow/_knee.py
@@ -1,8 +1,8 @@
 """Learns whether a server gets slower near its last slots, and how many calls it best runs.
 
-Some servers do and others don't, and none says so. The work of calls that start beyond the knee
-is compared with the estimate of their kind, which is learned below it. A new start of the server
-is taken for one without a knee until its calls show otherwise.
+Some servers do and others don't, and none says so. A new server is taken for one with a knee.
+Once the work of its calls is known from below the knee, calls beyond it are let in and their work
+is compared, until they have shown whether there is one.
 """
 
 from dataclasses import dataclass
@@ -24,30 +24,48 @@
 """Weight of the latest call in the factor."""
 
 
+LEARNED_CALLS = 30
+"""Calls below the knee after which calls beyond it are let in."""
+
+
 @dataclass(slots=True)
 class KneeState:
-    """What the calls beyond the knee have shown: their number, and how much longer they took."""
-
-    calls: int = 0
+    """What a server's calls have shown.
+
+    Attributes
+    ----------
+    below, beyond
+        Calls that ran below the knee and beyond it.
+    factor
+        How much longer than expected those beyond it took.
+    """
+
+    below: int = 0
+    beyond: int = 0
     factor: float = 1.0
 
 
-def is_beyond_knee(running: int, slots: int) -> bool:
-    """Tell whether a server that runs so many calls may be slower for it."""
-    return running > KNEE_SHARE * slots
+def find_knee_limit(slots: int) -> int:
+    """Return the number of calls at once with which a server with a knee gets most work done."""
+    return max(range(1, slots + 1), key=lambda running: running / _get_factor(running, slots))
 
 
-def learn_knee(state: KneeState, factor: float) -> None:
+def learn_below(state: KneeState) -> None:
+    """Take in the end of a call that ran below the knee."""
+    state.below += 1
+
+
+def learn_beyond(state: KneeState, factor: float) -> None:
     """Take in how much longer than expected a call beyond the knee took."""
-    state.calls += 1
-    state.factor += (factor - state.factor) * max(MEMORY, 1.0 / state.calls)
+    state.beyond += 1
+    state.factor += (factor - state.factor) * max(MEMORY, 1.0 / state.beyond)
 
 
 def find_limit(state: KneeState, slots: int) -> int:
-    """Return the number of calls at once with which a server gets most work done."""
-    if state.calls < MIN_CALLS or state.factor < SHOWN_FACTOR:
-        return slots
-    return max(range(1, slots + 1), key=lambda running: running / _get_factor(running, slots))
+    """Return the number of calls that a server may run at once."""
+    unknown = state.below < LEARNED_CALLS
+    has_knee = state.beyond >= MIN_CALLS and state.factor >= SHOWN_FACTOR
+    return find_knee_limit(slots) if unknown or has_knee else slots
 
 
 def _get_factor(running: int, slots: int) -> float:
--- a/packages/flow/src/ragwort_flow/_turns.py
+++ b/packages/flow/src/ragwort_flow/_turns.py
@@ -13,12 +13,17 @@
 from ragwort_protocol import LoadReport
 
 from ragwort_flow._decision import EXPIRED, QUEUED, RUN, Decision, Verdict
-from ragwort_flow._knee import KneeState, find_limit, is_beyond_knee, learn_knee
+from ragwort_flow._knee import (
+    KneeState,
+    find_knee_limit,
+    find_limit,
+    learn_below,
+    learn_beyond,
+)
 from ragwort_flow._slowdown import expect_run, fade_slowdown
 from ragwort_flow._work import (
     WorkClock,
     WorkEstimates,
-    count_learned,
     estimate_work,
     learn_work,
     read_work_clock,
@@ -40,9 +45,6 @@
 expected. A little over 1: a refused call is worth nothing, and half of the calls are faster than
 expected; at 0.85 and at 1.4 callers got less (docs/design/limits.md)."""
 
-MIN_LEARNED = 5
-"""Calls of a kind after which its estimate is good enough to tell the knee by it."""
-
 MIN_REMAINING_SHARE = 0.2
 """Least part of its work that a running call is expected to have left."""
 
@@ -64,6 +66,8 @@
         Until when an answer is worth most.
     deadline
         Until when an answer is of any use.
+    first_work_s
+        Work of its kind as the entry expects it, in seconds, for a gate that has seen none.
     """
 
     call_id: CallId
@@ -71,6 +75,7 @@
     rank: int
     objective: float
     deadline: float
+    first_work_s: float
 
 
 @dataclass(slots=True)
@@ -81,6 +86,7 @@
     slots: int = 1
     limit: int = 1
     cold_until: float = 0.0
+    host_slowdown: float = 1.0
     clock: WorkClock = field(default_factory=WorkClock)
     work: WorkEstimates = field(default_factory=WorkEstimates)
     running: dict[CallId, "_Running"] = field(default_factory=dict)
@@ -124,6 +130,7 @@
     state.slots = slots
     state.limit = find_limit(state.knee, slots)
     state.cold_until = now + cold_s
+    _state_slowdown(state, now)
 
 
 def close_server(state: TurnState) -> Turns:
@@ -136,7 +143,8 @@
 
 def note_slowdown(state: TurnState, now: float, slowdown: float) -> None:
     """Take in how much slower than usual the host says that it is."""
-    state_slowdown(state.clock, now, slowdown)
+    state.host_slowdown = slowdown
+    _state_slowdown(state, now)
 
 
 def offer_call(state: TurnState, now: float, offer: Offer) -> Decision:
@@ -148,7 +156,7 @@
     if len(state.running) < state.limit and not state.waiting:
         _start(state, now, offer)
         return RUN
-    work_s = estimate_work(state.work, offer.kind)
+    work_s = _get_work(state, offer)
     entry = _Waiting(offer.rank, _get_latest_start(offer, now, work_s), offer.call_id, offer)
     ahead = [call.offer for call in state.waiting if call < entry]
     wait_s = _expect_wait(state, now, ahead, 0.0)
@@ -163,7 +171,7 @@
 
 def end_call(state: TurnState, now: float, call_id: CallId, succeeded: bool) -> Turns:
     """Take in the end of a running call."""
-    ends_beyond_knee = is_beyond_knee(len(state.running), state.slots)
+    ends_beyond_knee = len(state.running) > find_knee_limit(state.slots)
     running = state.running.pop(call_id)
     if succeeded:
         work_s = read_work_clock(state.clock, now) - running.started_work_s
@@ -185,7 +193,7 @@
     kept = []
     ahead: list[Offer] = []
     for call in state.waiting:
-        work_s = estimate_work(state.work, call.offer.kind)
+        work_s = _get_work(state, call.offer)
         if call.offer.deadline <= now:
             refused.append((call.call_id, EXPIRED))
         elif now + _expect_wait(state, now, ahead, work_s) > call.offer.deadline:
@@ -203,7 +211,7 @@
 
 def report_load(state: TurnState, now: float) -> LoadReport:
     """Return what the entries are told of the server."""
-    mean_s = _average([estimate_work(state.work, kind) for kind in state.work.mean_s])
+    mean_s = _average(list(state.work.mean_s.values()))
     slowdown = _get_slowdown(state, now)
     wait_s = _expect_wait(state, now, [call.offer for call in state.waiting], 0.0)
     return LoadReport(
@@ -219,16 +227,18 @@
     )
 
 
+def _get_work(state: TurnState, offer: Offer) -> float:
+    return estimate_work(state.work, offer.kind, offer.first_work_s)
+
+
 def _learn(state: TurnState, running: _Running, work_s: float, ends_beyond_knee: bool) -> None:
     """Take in the work of a call; what it shows of the knee depends on how full the server was."""
-    kind = running.offer.kind
-    if running.beyond_knee and ends_beyond_knee and count_learned(state.work, kind) >= MIN_LEARNED:
-        learn_knee(state.knee, work_s / estimate_work(state.work, kind))
-        state.limit = find_limit(state.knee, state.slots)
-    elif not (running.beyond_knee or ends_beyond_knee) or (
-        count_learned(state.work, kind) < MIN_LEARNED
-    ):
-        learn_work(state.work, kind, work_s)
+    if running.beyond_knee and ends_beyond_knee:
+        learn_beyond(state.knee, work_s / _get_work(state, running.offer))
+    elif not (running.beyond_knee or ends_beyond_knee):
+        learn_below(state.knee)
+        learn_work(state.work, running.offer.kind, work_s)
+    state.limit = find_limit(state.knee, state.slots)
 
 
 def _get_latest_start(offer: Offer, now: float, work_s: float) -> float:
@@ -241,10 +251,18 @@
     return Decision(Verdict.REFUSED, Reason.LEAVING)
 
 
+def _state_slowdown(state: TurnState, now: float) -> None:
+    cold = COLD_SLOWDOWN if now < state.cold_until else 1.0
+    state_slowdown(state.clock, now, state.host_slowdown * cold)
+
+
 def _get_slowdown(state: TurnState, now: float) -> float:
     age_s = now - state.clock.stated_at
-    slowdown = fade_slowdown(state.clock.slowdown, age_s, state.clock.usual)
-    return slowdown * (COLD_SLOWDOWN if now < state.cold_until else 1.0)
+    return fade_slowdown(state.clock.slowdown, age_s, _get_usual(state, now))
+
+
+def _get_usual(state: TurnState, now: float) -> float:
+    return state.clock.usual * (COLD_SLOWDOWN if now < state.cold_until else 1.0)
 
 
 def _expect_wait(state: TurnState, now: float, ahead: list[Offer], work_s: float) -> float:
@@ -253,9 +271,9 @@
     if len(state.running) + len(ahead) >= state.limit:
         done_s = read_work_clock(state.clock, now)
         remaining = [_get_remaining(state, call, done_s) for call in state.running.values()]
-        ahead_s = sum(estimate_work(state.work, offer.kind) for offer in ahead)
+        ahead_s = sum(_get_work(state, offer) for offer in ahead)
         quiet_s += (_average(remaining) + ahead_s) / state.limit
-    return expect_run(quiet_s, _get_slowdown(state, now), state.clock.usual)
+    return expect_run(quiet_s, _get_slowdown(state, now), _get_usual(state, now))
 
 
 def _get_remaining(state: TurnState, call: _Running, done_s: float) -> float:
@@ -264,13 +282,13 @@
     One that has run for longer than expected is expected to go on as long again, as with a
     heavy-tailed distribution; so the wait at a server that hangs grows with time.
     """
-    work_s = estimate_work(state.work, call.offer.kind)
+    work_s = _get_work(state, call.offer)
     spent_s = done_s - call.started_work_s
     return max(work_s * MIN_REMAINING_SHARE, abs(work_s - spent_s))
 
 
 def _start(state: TurnState, now: float, offer: Offer) -> None:
-    beyond_knee = is_beyond_knee(len(state.running) + 1, state.slots)
+    beyond_knee = len(state.running) + 1 > find_knee_limit(state.slots)
     state.running[offer.call_id] = _Running(offer, read_work_clock(state.clock, now), beyond_knee)
 
 
--- a/packages/flow/src/ragwort_flow/_work.py
+++ b/packages/flow/src/ragwort_flow/_work.py
@@ -10,8 +10,8 @@
 MEMORY = 0.05
 """Weight of the latest call in a kind's estimate: about the last 20 calls count."""
 
-FIRST_WORK_S = 0.05
-"""Work of a kind that has not been seen; a lookup of medium size."""
+FIRST_USUAL = 1.5
+"""Usual slowdown of a host that has not been watched yet, between the users' quiet and noisy."""
 
 USUAL_MEMORY_S = 5.0
 """Time over which the usual slowdown is averaged: tens of changes of speed."""
@@ -34,7 +34,7 @@
     done_s: float = 0.0
     slowdown: float = 1.0
     stated_at: float = 0.0
-    usual: float = 1.0
+    usual: float = FIRST_USUAL
 
 
 @dataclass(slots=True)
@@ -69,11 +69,6 @@
     estimates.mean_s[kind] = mean_s + (work_s - mean_s) * max(MEMORY, 1.0 / calls)
 
 
-def estimate_work(estimates: WorkEstimates, kind: str) -> float:
-    """Return the expected work of a call, in seconds."""
-    return estimates.mean_s.get(kind, FIRST_WORK_S)
-
-
-def count_learned(estimates: WorkEstimates, kind: str) -> int:
-    """Return how many calls of a kind its estimate rests on."""
-    return estimates.calls.get(kind, 0)
+def estimate_work(estimates: WorkEstimates, kind: str, default_s: float) -> float:
+    """Return the expected work of a call, in seconds; ``default_s`` for a kind not yet seen."""
+    return estimates.mean_s.get(kind, default_s)
--- a/packages/mesh/src/ragwort_mesh/_caller.py
+++ b/packages/mesh/src/ragwort_mesh/_caller.py
@@ -52,6 +52,10 @@
 """How long a server of the other region that refused a call for its load is left alone: its load
 is heard of only with its replies, and each question costs bytes that are paid for."""
 
+FIRST_WORK_PART = 0.25
+"""Work of a route that has not been seen, as a part of its objective; on the users' sheets it is
+between a fifth and two fifths."""
+
 NO_REPORT = LoadReport(0, 0, 0, 0, accepting=False)
 
 _REACHED_SERVER = frozenset({Reason.SHED, Reason.MISDIRECTED})
@@ -141,7 +145,7 @@
             now,
             self._random,
             progress.tried,
-            estimate_work(self._work, call.route.name),
+            self._estimate_work(call),
             call.objective - now,
             usual,
         )
@@ -180,7 +184,7 @@
     def _get_hedge_delay(self, call: Call) -> float | None:
         if not call.route.idempotent or call.route.max_servers < 2:
             return None
-        work_s = estimate_work(self._work, call.route.name)
+        work_s = self._estimate_work(call)
         return get_hedge_delay(call.objective - self._clock(), work_s)
 
     def _choose_second(self, call: Call, progress: Progress) -> Placement | None:
@@ -304,8 +308,14 @@
             route=route.name,
             rank=route.rank,
             objective_ms=(call.objective - now) * 1000,
+            work_ms=self._estimate_work(call) * 1000,
         )
 
+    def _estimate_work(self, call: Call) -> float:
+        """Return the expected work of a call, in seconds."""
+        default_s = call.route.objective_ms * FIRST_WORK_PART / 1000
+        return estimate_work(self._work, call.route.name, default_s)
+
     def _get_budget(self, service: ServiceName) -> RepeatBudget:
         budget = self._repeats.get(service)
         if budget is None:
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -197,6 +197,7 @@
             rank=request.rank,
             objective=now + request.objective_ms / 1000,
             deadline=now + request.budget_ms / 1000,
+            first_work_s=request.work_ms / 1000,
         )
         decision = offer_call(self._state, now, offer)
         if decision.verdict is Verdict.QUEUED:
@@ -321,7 +322,7 @@
             build_answer_headers(result.headers) if request.method != "HEAD" else result.headers,
             result.body,
             self.make_report(),
-            work_ms=estimate_work(self._state.work, request.route) * 1000,
+            work_ms=estimate_work(self._state.work, request.route, 0.0) * 1000,
         )
 
     def _apply(self, turns: Turns) -> None:
--- a/packages/protocol/src/ragwort_protocol/_calls.py
+++ b/packages/protocol/src/ragwort_protocol/_calls.py
@@ -39,6 +39,8 @@
         Urgency of the call; 0 is the highest.
     objective_ms
         Time left in which an answer is worth most, in milliseconds; negative once it is over.
+    work_ms
+        Work of the route's calls as the sender has learned it, for a gate that has seen none.
     """
 
     call_id: int
@@ -58,6 +60,7 @@
     route: str = ""
     rank: int = 0
     objective_ms: float = 0.0
+    work_ms: float = 0.0
 
 
 class Data(Message, tag=2):
