Serve urgent and small calls late rather than refuse them; weigh failures by the objective

(2) Servers that lost two answers in five still got their share of the calls that must not run twice: a failure counted as 0.6 s at most. It now counts as one and a half times the time left, and fades in 2 s, so that the server is tried again.

Ruled out: telling nested calls by their rank; on the pickup service they have their parents' rank.

--- a/packages/flow/src/ragwort_flow/_placement.py
+++ b/packages/flow/src/ragwort_flow/_placement.py
@@ -30,8 +30,9 @@
 CLOSED_LIFE_S = 1.0
 """How long a server that takes no calls is left alone unless it says that it takes them again."""
 
-FAILURE_COST_S = 0.6
-"""Time that a failed call is worth: about the objective of the users' slower kinds of calls."""
+FAILURE_PART = 1.5
+"""Cost of a failed call, as a part of the time left to its objective: it earns nothing, and the
+time of its run is lost to its caller too."""
 
 SPARE_SHARE = 0.75
 """Share of its limit up to which a server has slots to spare."""
@@ -137,8 +138,7 @@
     own_over = min(over, len(target.sent) + 1) if over else 0
     fade = WAIT_LIFE_S / (WAIT_LIFE_S + age_s)
     wait_s = report.wait_ms / 1e3 * fade + own_over * report.service_time_us / 1e6 / report.limit
-    failure_s = report.failing_percent / 100 * FAILURE_COST_S
-    return base_s + wait_s + expect_run(work_s, slowdown, usual) + failure_s
+    return base_s + wait_s + expect_run(work_s, slowdown, usual)
 
 
 def has_room(target: Target) -> bool:
@@ -200,6 +200,9 @@
     for target in _draw(targets, random):
         finish_s = estimate_finish(target, now, work_s, usual)
         rank = finish_s * (1.0 + JITTER_PART * random.random())
+        if target.report is not None:
+            failing = target.report.failing_percent / 100
+            rank += failing * FAILURE_PART * max(left_s, finish_s)
         if best is None or rank < best_rank:
             best, best_rank, best_s = target, rank, finish_s
     if best is None:
--- a/packages/flow/src/ragwort_flow/_turns.py
+++ b/packages/flow/src/ragwort_flow/_turns.py
@@ -8,6 +8,7 @@
 """
 
 from dataclasses import dataclass, field
+from math import exp
 
 from ragwort_common import CallId, Reason
 from ragwort_protocol import LoadReport
@@ -51,6 +52,12 @@
 ERROR_MEMORY = 0.15
 """Weight of the latest call in the share of failed calls: about the last seven count."""
 
+FAILING_LIFE_S = 2.0
+"""Mean time for which failed calls speak against a server that gets no further ones."""
+
+SMALL_PART = 0.5
+"""Work, as a part of the average, up to which refusing a call saves hardly anything."""
+
 
 @dataclass(slots=True, frozen=True)
 class Offer:
@@ -91,7 +98,9 @@
     work: WorkEstimates = field(default_factory=WorkEstimates)
     running: dict[CallId, "_Running"] = field(default_factory=dict)
     waiting: list["_Waiting"] = field(default_factory=list)
+    last_rank: int = 0
     failing: float = 0.0
+    failing_at: float = 0.0
     knee: KneeState = field(default_factory=KneeState)
 
 
@@ -162,7 +171,8 @@
     wait_s = _expect_wait(state, now, ahead, 0.0)
     finish = now + _expect_wait(state, now, ahead, work_s)
     in_time = finish - now <= (offer.objective - now) * IN_TIME_PART
-    if finish > offer.deadline or (not in_time and wait_s > LATE_WAIT_S):
+    may_be_late = wait_s <= LATE_WAIT_S or _is_worth_a_wait(state, offer, work_s)
+    if finish > offer.deadline or not (in_time or may_be_late):
         return Decision(Verdict.REFUSED, Reason.OVERLOADED, max(1, int(wait_s * 1e3)))
     state.waiting.append(entry)
     state.waiting.sort()
@@ -176,7 +186,9 @@
     if succeeded:
         work_s = read_work_clock(state.clock, now) - running.started_work_s
         _learn(state, running, work_s, ends_beyond_knee)
+    state.failing = _get_failing(state, now)
     state.failing += ((not succeeded) - state.failing) * ERROR_MEMORY
+    state.failing_at = now
     return _start_waiting(state, now)
 
 
@@ -223,10 +235,26 @@
         warm_percent=100,
         slowdown_percent=int(slowdown * 100),
         wait_ms=int(wait_s * 1e3),
-        failing_percent=int(state.failing * 100),
+        failing_percent=int(_get_failing(state, now) * 100),
     )
 
 
+def _is_worth_a_wait(state: TurnState, offer: Offer, work_s: float) -> bool:
+    """Tell whether a call is served late rather than refused.
+
+    That is so for the more urgent ones, which are not to be served less often than others, and
+    for small ones: most are made by calls that hold a slot elsewhere and would fail with them.
+    """
+    state.last_rank = max(state.last_rank, offer.rank)
+    average_s = _average(list(state.work.mean_s.values()))
+    return offer.rank < state.last_rank or work_s <= SMALL_PART * average_s
+
+
+def _get_failing(state: TurnState, now: float) -> float:
+    """Return the share of failed calls, faded with time, so that a server is tried again."""
+    return state.failing * exp(min(0.0, state.failing_at - now) / FAILING_LIFE_S)
+
+
 def _get_work(state: TurnState, offer: Offer) -> float:
     return estimate_work(state.work, offer.kind, offer.first_work_s)
 
--- a/tests/flow/test_turns.py
+++ b/tests/flow/test_turns.py
@@ -225,3 +225,25 @@
     short = Offer(CallId(2), "new", 1, 0.3, 2.0, first_work_s=0.01)
     assert offer_call(state, 0.0, long).verdict is Verdict.REFUSED
     assert offer_call(state, 0.0, short).verdict is Verdict.QUEUED
+
+
+def test_more_urgent_and_small_calls_are_served_late_rather_than_refused():
+    state = make_state()
+    learn_work(state.work, "small", 0.01)
+    fill(state)
+    for number in range(1, 5):
+        offer_call(state, 0.0, make_offer(number, rank=2, objective_s=9.0, deadline_s=9.0))
+    verdicts = [
+        offer_call(state, 0.0, make_offer(10, rank=2, objective_s=0.05)).verdict,
+        offer_call(state, 0.0, make_offer(11, rank=1, objective_s=0.05)).verdict,
+        offer_call(state, 0.0, make_offer(12, rank=2, objective_s=0.05, kind="small")).verdict,
+    ]
+    assert verdicts == [Verdict.REFUSED, Verdict.QUEUED, Verdict.QUEUED]
+
+
+def test_failures_of_long_ago_do_not_keep_a_server_from_being_tried():
+    state = make_state()
+    fill(state)
+    end_call(state, 0.1, CallId(1000), False)
+    assert report_load(state, 0.1).failing_percent == 15
+    assert report_load(state, 9.0).failing_percent == 0
