Follow the settings file and SIGHUP, resend on forgotten idle connections, tell a call's story

Cause: SIGHUP ended the process (no handler), and a settings file that changed without a signal was never seen. A kept connection that its server had forgotten failed the call that met it, though it may run twice. Finding a call's cause took reading the logs of all nodes: ragwortctl story does it.

Ruled out: applying changed addresses without a start; the log says what needs one.

--- a/packages/control/src/ragwort_control/main.py
+++ b/packages/control/src/ragwort_control/main.py
@@ -20,6 +20,7 @@
     _history,
     _show,
     _status,
+    _story,
 )
 from ragwort_control._command import (
     Command,
@@ -47,6 +48,7 @@
         _status.COMMAND,
         _drain.DRAIN,
         _drain.UNDRAIN,
+        _story.COMMAND,
     )
 }
 _HELP_WORDS = ("help", "--help", "-h", "-help")
--- a/packages/mesh/src/ragwort_mesh/_caller.py
+++ b/packages/mesh/src/ragwort_mesh/_caller.py
@@ -121,6 +121,12 @@
         self._work = WorkEstimates()
         self._repeats: dict[ServiceName, RepeatBudget] = {}
 
+    def set_repeat_limits(self, limits: RepeatLimits) -> None:
+        """Put other limits on further arrivals into force."""
+        self._limits = limits
+        for budget in self._repeats.values():
+            budget.limits = limits
+
     async def run_call(self, call: Call, progress: Progress) -> Response | Refusal:
         """Have a call run, and return its answer or the refusal that ends it."""
         count_call(self._get_budget(call.service), self._clock())
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -295,6 +295,7 @@
             request.method == "HEAD",
             make_answer_check(find_call_id(request.headers)),
             float("inf") if request.idempotent else FRESH_IDLE_S,
+            may_resend=request.idempotent,
         )
 
     def _judge(
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -12,7 +12,7 @@
 
 from ragwort_common import Incarnation, NodeId
 from ragwort_flow import RepeatLimits
-from ragwort_model import NodeRecord, NodeSettings
+from ragwort_model import Bounds, NodeRecord, NodeSettings
 from ragwort_protocol import (
     Hello,
     LoadReport,
@@ -33,6 +33,7 @@
 from ragwort_mesh._gate import Gate
 from ragwort_mesh._load_news import LoadNews
 from ragwort_mesh._peers import Peers
+from ragwort_mesh._reload import LoadSettings, SettingsWatch
 from ragwort_mesh._sharing import Sharing
 from ragwort_mesh._store import StoreClient
 from ragwort_mesh._targets import Targets
@@ -90,19 +91,18 @@
             self._gate.make_report,
             lambda node: self._regions.get(node) == settings.region,
         )
-        bounds = settings.bounds
-        caller = Caller(
+        self._caller = Caller(
             settings.node,
             self._gate,
             self._peers,
             self._targets,
             telemetry,
             read_clock,
-            RepeatLimits(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s),
+            _make_repeat_limits(settings.bounds),
             source,
         )
         self._entry = Entry(
-            settings.service, self._configuration, caller, telemetry, read_clock, source
+            settings.service, self._configuration, self._caller, telemetry, read_clock, source
         )
         self._entry_server = HttpServer(self._entry.handle, self._entry.get_limits)
         self._control_server = HttpServer(
@@ -146,6 +146,17 @@
         gc.collect()
         gc.freeze()
 
+    def apply_settings(self, settings: NodeSettings) -> None:
+        """Put changed bounds into force."""
+        self._settings = settings
+        self._caller.set_repeat_limits(_make_repeat_limits(settings.bounds))
+
+    def follow_settings(self, load: LoadSettings) -> SettingsWatch:
+        """Start to follow the settings file, and return what a signal reloads."""
+        watch = SettingsWatch(self._settings, load, self.apply_settings, self._telemetry)
+        self._spawn(watch.run())
+        return watch
+
     async def stop(self) -> None:
         """Let the callers leave, let the calls under way end, and close everything."""
         self._stopping = True
@@ -241,6 +252,10 @@
         self._tasks.append(task)
 
 
+def _make_repeat_limits(bounds: Bounds) -> RepeatLimits:
+    return RepeatLimits(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s)
+
+
 def _stop_process_on_failure(task: asyncio.Task[None]) -> None:
     """End the process when a task ended by an exception: that is a broken invariant."""
     if task.cancelled() or task.exception() is None:
@@ -249,12 +264,21 @@
     signal.raise_signal(signal.SIGTERM)
 
 
-async def run_node(settings: NodeSettings, metrics_address: str, metrics_path: str) -> str:
-    """Run a node until it gets SIGTERM or SIGINT; return why it could not start, if so."""
+async def run_node(
+    settings: NodeSettings, load: LoadSettings, metrics_address: str, metrics_path: str
+) -> str:
+    """Run a node until it gets SIGTERM or SIGINT; return why it could not start, if so.
+
+    Parameters
+    ----------
+    load
+        Reads the settings file again, which SIGHUP asks for.
+    """
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     events = EventLog(settings.node)
     events.start()
     logging.basicConfig(level=logging.INFO, handlers=[EventHandler(events)], force=True)
@@ -263,6 +287,8 @@
         await node.start()
     except OSError as error:
         return str(error)
+    watch = node.follow_settings(load)
+    loop.add_signal_handler(signal.SIGHUP, watch.reload, "SIGHUP")
     await stopped.wait()
     await node.stop()
     events.stop()
--- /dev/null
+++ b/packages/mesh/src/ragwort_mesh/_reload.py
@@ -0,0 +1,70 @@
+"""Follows the settings file, which may change with a signal or without one."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import fields
+
+from ragwort_model import Mistake, NodeSettings
+
+from ragwort_mesh._telemetry import Telemetry
+
+POLL_INTERVAL_S = 1.0
+"""How often the file is read again; it is a few kilobytes."""
+
+APPLIED = frozenset({"bounds"})
+"""Settings that take effect at once; others need a start, which the log says."""
+
+LoadSettings = Callable[[], NodeSettings | Mistake]
+
+
+class SettingsWatch:
+    """Owns the settings in force.
+
+    Parameters
+    ----------
+    load
+        Reads the settings file.
+    apply
+        Puts changed settings into force.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        load: LoadSettings,
+        apply: Callable[[NodeSettings], None],
+        telemetry: Telemetry,
+    ) -> None:
+        self._settings = settings
+        self._load = load
+        self._apply = apply
+        self._telemetry = telemetry
+        self._mistake = ""
+
+    async def run(self) -> None:
+        """Read the file again and again, until cancelled."""
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            self.reload("poll")
+
+    def reload(self, cause: str) -> None:
+        """Read the file and apply what has changed; a file with a mistake changes nothing."""
+        loaded = self._load()
+        if isinstance(loaded, Mistake):
+            if str(loaded) != self._mistake:
+                self._mistake = str(loaded)
+                self._telemetry.events.write("settings-unreadable", mistake=self._mistake)
+            return
+        self._mistake = ""
+        changed = [
+            field.name
+            for field in fields(NodeSettings)
+            if getattr(loaded, field.name) != getattr(self._settings, field.name)
+        ]
+        if not changed and cause == "poll":
+            return
+        self._settings = loaded
+        self._apply(loaded)
+        self._telemetry.events.write(
+            "reload", cause=cause, changed=changed, need_start=sorted(set(changed) - APPLIED)
+        )
--- a/packages/mesh/src/ragwort_mesh/main.py
+++ b/packages/mesh/src/ragwort_mesh/main.py
@@ -21,7 +21,8 @@
 
 def _main(arguments: list[str]) -> int:
     options = _parse(arguments)
-    settings = load_settings(Path(options.settings))
+    path = Path(options.settings)
+    settings = load_settings(path)
     if isinstance(settings, Mistake):
         print(settings, file=sys.stderr)
         return USER_MISTAKE
@@ -31,7 +32,8 @@
     if options.metrics_port:
         host = settings.addresses.entry.rpartition(":")[0]
         metrics_address = f"{host}:{options.metrics_port}"
-    failure = uvloop.run(run_node(settings, metrics_address, options.metrics_path))
+    node = run_node(settings, lambda: load_settings(path), metrics_address, options.metrics_path)
+    failure = uvloop.run(node)
     if failure:
         print(f"ragwort_mesh: {failure}", file=sys.stderr)
     return FAILED if failure else 0
--- a/packages/transport/src/ragwort_transport/_client.py
+++ b/packages/transport/src/ragwort_transport/_client.py
@@ -244,6 +244,7 @@
         without_body: bool = False,
         is_ours: IsOurs = accept_any,
         max_idle_s: float = float("inf"),
+        may_resend: bool = False,
     ) -> Answer | Failure:
         """Send one request and return its whole answer, or why there is none.
 
@@ -257,11 +258,22 @@
             Time until the whole answer, in seconds.
         max_idle_s
             Connections that have been idle for longer are not used, in seconds.
+        may_resend
+            Whether a request that meets a kept connection which breaks without an answer is sent
+            once more on a new one: servers forget idle connections.
         """
         connection: ClientConnection | None = None
         try:
             async with asyncio.timeout(timeout_s):
-                connection = self._take_idle(max_idle_s) or await self._connect()
+                kept = connection = self._take_idle(max_idle_s)
+                if connection is None:
+                    connection = await self._connect()
+                result = await connection.exchange(request, without_body, is_ours)
+                if kept is None or not may_resend or result != CONNECTION_LOST:
+                    return result
+                connection.close()
+                connection = None
+                connection = await self._connect()
                 return await connection.exchange(request, without_body, is_ours)
         except TimeoutError:
             return CONNECT_FAILED if connection is None else LATE
--- /dev/null
+++ b/tests/mesh/test_main.py
@@ -0,0 +1,102 @@
+"""The node's command, as a process."""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+from mesh_world import find_ports
+from ragwort_mesh.main import load_settings
+
+
+def write_settings(path, **changes):
+    ports = [f"127.0.0.1:{port}" for port in find_ports(6)]
+    names = ("inbound", "outbound", "ready", "control")
+    settings = {
+        "nodeName": "n1",
+        "zone": "z",
+        "region": "r",
+        "service": "s",
+        "appAddr": ports[4],
+        "listenAddrs": dict(zip(names, ports, strict=False)),
+        "platform": {"addr": ports[5]},
+        "bounds": ["graceS=3"],
+        **changes,
+    }
+    path.write_text(json.dumps(settings))
+    return settings
+
+
+def run_command(*words):
+    return subprocess.run(
+        [sys.executable, "-m", "ragwort_mesh", *words], capture_output=True, text=True, timeout=30
+    )
+
+
+def test_check_says_nothing_of_good_settings(tmp_path):
+    path = tmp_path / "settings.json"
+    write_settings(path)
+    done = run_command("--settings", str(path), "--check")
+    assert (done.returncode, done.stdout, done.stderr) == (0, "", "")
+
+
+def test_a_mistake_is_one_line_and_exit_status_2(tmp_path):
+    path = tmp_path / "settings.json"
+    write_settings(path, service=7)
+    done = run_command("--settings", str(path))
+    assert done.returncode == 2
+    assert done.stderr.startswith(f"{path}: Expected `str`, got `int`")
+    assert done.stderr.count("\n") == 1
+    assert run_command("--settings", str(tmp_path / "none")).returncode == 2
+
+
+@pytest.fixture
+def node(tmp_path):
+    path = tmp_path / "settings.json"
+    settings = write_settings(path)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "ragwort_mesh", "--settings", str(path)],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    yield process, path, settings
+    process.kill()
+    process.communicate()
+
+
+def read_until(process, event):
+    for line in process.stdout:
+        told = json.loads(line)
+        if told["event"] == event:
+            return told
+    raise AssertionError(f"the process ended without {event}")
+
+
+def test_a_signal_reloads_the_settings_and_another_stops_the_node(node):
+    process, path, settings = node
+    read_until(process, "start")
+    path.write_text(json.dumps({**settings, "bounds": ["graceS=2.5"]}))
+    process.send_signal(signal.SIGHUP)
+    told = read_until(process, "reload")
+    assert (told["changed"], told["need_start"]) == (["bounds"], [])
+    path.write_text("{")
+    assert "truncated" in read_until(process, "settings-unreadable")["mistake"]
+    began = time.monotonic()
+    process.send_signal(signal.SIGTERM)
+    assert read_until(process, "stopped")["unfinished"] == 0
+    assert process.wait(timeout=10) == 0
+    assert time.monotonic() - began < 10
+
+
+def test_a_changed_address_is_said_to_need_a_start(node):
+    process, path, settings = node
+    read_until(process, "start")
+    path.write_text(json.dumps({**settings, "appAddr": "127.0.0.1:9"}))
+    told = read_until(process, "reload")
+    assert told["need_start"] == ["addresses"]
+
+
+def test_a_file_that_is_missing_is_named(tmp_path):
+    assert str(load_settings(tmp_path / "x")) == f"{tmp_path / 'x'}: No such file or directory"
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -126,3 +126,29 @@
         return result
 
     assert asyncio.run(scenario()) == Failure(Outcome.UNKNOWN, Reason.DEADLINE)
+
+
+def test_a_kept_connection_that_breaks_is_replaced_only_for_what_may_be_sent_again():
+    async def scenario(may_resend):
+        answers = iter([[make_answer(0)], [None], [make_answer(0)]])
+
+        async def serve(reader, writer):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                for part in next(answers):
+                    if part is None:
+                        writer.transport.abort()
+                        return
+                    writer.write(part)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        pool = ClientPool(address, 4, 1000)
+        await pool.exchange(REQUEST, 2.0)
+        result = await pool.exchange(REQUEST, 2.0, may_resend=may_resend)
+        await pool.close()
+        server.close()
+        return result
+
+    assert isinstance(asyncio.run(scenario(True)), Answer)
+    assert asyncio.run(scenario(False)) == Failure(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
