--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -48,8 +48,8 @@
 """How long a stopping node still accepts callers: it is asked twice, once a second, before they
 stop coming."""
 
-LAST_ANSWERS_S = 0.5
-"""Part of the grace time that is left for closing down."""
+CLOSING_PART = 1 / 6
+"""Part of the grace time that is left for closing down; calls that still run then are cut."""
 
 
 class Node:
@@ -170,9 +170,9 @@
         await asyncio.sleep(max(0.0, began + CALLERS_LEAVE_S - read_clock()))
         self._entry_server.stop_listening()
         self._gate.stop_taking()
-        left_s = began + self._settings.bounds.grace_s - LAST_ANSWERS_S - read_clock()
+        last = began + self._settings.bounds.grace_s * (1 - CLOSING_PART)
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(0.0, left_s)):
+            async with asyncio.timeout(max(0.0, last - read_clock())):
                 # The entry's calls may still run here, and peers' calls run here alone.
                 await self._entry_server.work.wait_none()
                 await self._gate.work.wait_none()
