--- a/packages/mesh/src/ragwort_mesh/_directory.py
+++ b/packages/mesh/src/ragwort_mesh/_directory.py
@@ -124,7 +124,8 @@
         self._changed({**self._heard, **self._records})
 
     def _take_listed(self, objects: list[StoredObject]) -> None:
-        self._records = {}
+        names = {stored.name for stored in objects}
+        self._records = {node: record for node, record in self._records.items() if node in names}
         self._stored_own = None
         for stored in objects:
             self._take_object(stored)
