Leave the store clean when a host leaves for good

A record that was withdrawn is not published any more. The test failed before.

Ruled out: other nodes writing it; only a node's own name is written by it.

--- a/packages/mesh/src/ragwort_mesh/_directory.py
+++ b/packages/mesh/src/ragwort_mesh/_directory.py
@@ -50,6 +50,7 @@
         changed: Callable[[dict[NodeId, NodeRecord]], None],
     ) -> None:
         self.listed = False
+        self._withdrawn = False
         self._own = own
         self._store = store
         self._telemetry = telemetry
@@ -98,6 +99,9 @@
         return True
 
     def _is_published(self) -> bool:
+        """Tell whether the store holds what it should of this node."""
+        if self._withdrawn:
+            return True
         return self._stored_own is not None and decode_node(self._stored_own) == self._own
 
     def learn(self, record: NodeRecord) -> None:
@@ -107,7 +111,8 @@
             self._tell_changed()
 
     async def withdraw(self) -> None:
-        """Remove this node's record; done when its host leaves for good."""
+        """Remove this node's record for good; done when its host leaves."""
+        self._withdrawn = True
         stored, self._stored_own = self._stored_own, None
         if stored is not None:
             await self._store.call(build_delete(NODES_KIND, stored.name, stored.revision))
--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -457,3 +457,16 @@
         assert len(application.requests) == 1
 
     play(scenario)
+
+
+def test_a_node_that_leaves_for_good_does_not_publish_itself_again():
+    async def scenario(world):
+        await start(world)
+        second = world.members[1]
+        await leave(second.control, second.application)
+        await second.node._directory.withdraw()
+        await asyncio.sleep(1.2)
+        assert ("nodes", "n2") not in world.store.objects
+        assert ("nodes", "n1") in world.store.objects
+
+    play(scenario, ("s", "s"))
