Keep the link of a node that took over another one's address

It stood at the address of one that had been replaced; every peer went on dialling the old name there, took the new link for the node's one, and closed it, with the calls on it. A link in use is now left only for one to a later start; of two records with one address the later one counts; and a node removes the records of those that stood at its address.

Ruled out: packet loss; only this one node's links were lost.

--- a/packages/mesh/src/ragwort_mesh/_directory.py
+++ b/packages/mesh/src/ragwort_mesh/_directory.py
@@ -57,6 +57,7 @@
         self._changed = changed
         self._records: dict[NodeId, NodeRecord] = {}
         self._heard: dict[NodeId, NodeRecord] = {}
+        self._revisions: dict[NodeId, int] = {}
         self._stored_own: StoredObject | None = None
         self._random = random.Random()
         self._missing = asyncio.Event()
@@ -75,6 +76,7 @@
                     break
                 failures += 1
                 await pause_before_retry(failures, self._random.random())
+            await self._remove_replaced()
 
     async def _publish(self) -> bool:
         """Try to store the record, and return whether that is done."""
@@ -126,7 +128,26 @@
                 self._stored_own = stored
 
     def _tell_changed(self) -> None:
-        self._changed({**self._heard, **self._records})
+        self._changed(self._list_valid())
+
+    def _list_valid(self) -> dict[NodeId, NodeRecord]:
+        """Return the records but for those whose address a later one has taken over."""
+        records = {**self._heard, **self._records}
+        owners: dict[str, NodeId] = {}
+        for node in sorted(records, key=lambda node: self._revisions.get(node, 0)):
+            owners[records[node].link_address] = node
+        return {node: records[node] for node in owners.values()}
+
+    async def _remove_replaced(self) -> None:
+        """Remove the records of nodes that stood at this node's address before it."""
+        for node, record in list(self._records.items()):
+            if node == self._own.node or record.link_address != self._own.link_address:
+                continue
+            reply = await self._store.call(
+                build_delete(NODES_KIND, node, self._revisions.get(node, 0))
+            )
+            removed = isinstance(reply, StoreReply)
+            self._telemetry.events.write("record-replaced", peer=node, removed=removed)
 
     def _take_listed(self, objects: list[StoredObject]) -> None:
         names = {stored.name for stored in objects}
@@ -163,3 +184,4 @@
                 "record-known", peer=record.node, service=record.service, revision=stored.revision
             )
         self._records[record.node] = record
+        self._revisions[record.node] = stored.revision
--- a/packages/mesh/src/ragwort_mesh/_peers.py
+++ b/packages/mesh/src/ragwort_mesh/_peers.py
@@ -164,7 +164,8 @@
         if link.peer != node:
             # Another node has taken over the address; it must not get this node's calls.
             self._note_failure(node, f"the address belongs to {link.peer}")
-            link.close()
+            if self._links.get(cast(NodeId, link.peer)) is not link:
+                link.close()
 
     def _note_failure(self, node: NodeId, cause: str) -> None:
         now = asyncio.get_running_loop().time()
@@ -180,7 +181,10 @@
     def _add(self, link: Link) -> None:
         self._all.add(link)
         node = cast(NodeId, link.peer)
-        self._links[node] = link
+        present = self._links.get(node)
+        # A link in use is left only for one to a later start of the node.
+        if present is None or not present.is_open or link.incarnation > present.incarnation:
+            self._links[node] = link
         self._retries.pop(node, None)
         self._telemetry.events.write("peer-linked", peer=node)
         self._told_opened(link)
@@ -189,10 +193,21 @@
         self._all.discard(link)
         self._probed.pop(link, None)
         if link.peer is not None and self._links.get(link.peer) is link:
-            del self._links[link.peer]
-            self._telemetry.events.write("peer-lost", peer=link.peer)
+            other = self._find_other(link)
+            if other is None:
+                del self._links[link.peer]
+                self._telemetry.events.write("peer-lost", peer=link.peer)
+            else:
+                self._links[link.peer] = other
         self._told_closed(link)
 
+    def _find_other(self, link: Link) -> Link | None:
+        """Return another open link to the same start of a node."""
+        for other in self._all:
+            if other.is_open and (other.peer, other.incarnation) == (link.peer, link.incarnation):
+                return other
+        return None
+
     def _check_link(self, link: Link, now: float) -> None:
         silent_s = now - link.received_at
         probed_at = self._probed.get(link)
--- a/packages/transport/src/ragwort_transport/_link.py
+++ b/packages/transport/src/ragwort_transport/_link.py
@@ -60,6 +60,7 @@
         counters: Counters,
     ) -> None:
         self.peer: NodeId | None = None
+        self.incarnation = 0
         self.clogged = False
         self.received_at = asyncio.get_running_loop().time()
         self.greeted: asyncio.Future[NodeId] = asyncio.get_running_loop().create_future()
@@ -169,6 +170,7 @@
             self._receive_part(message)
         elif kind is Hello:
             self.peer = NodeId(message.node_id)
+            self.incarnation = message.incarnation
             if not self.greeted.done():
                 self.greeted.set_result(self.peer)
             self._opened(self)
--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -470,3 +470,54 @@
         assert ("nodes", "n1") in world.store.objects
 
     play(scenario, ("s", "s"))
+
+
+def test_an_address_that_passes_to_another_node_costs_it_no_link():
+    async def scenario(world):
+        await start(world)
+        first, second = world.members
+        record = {"link": second.settings.addresses.link, "service": "s"}
+        gone = {**record, "failureDomain": "d9", "region": "r1"}
+        link = first.node._peers.find_link("n2")
+        await world.store.put("nodes", "n9", gone)
+        await wait_until(lambda: "n9" in first.node._directory._records)
+        first.node._peers.set_records(first.node._directory._records)
+        await asyncio.sleep(0.5)
+        assert first.node._peers.find_link("n2") is link
+        assert link.is_open
+
+    play(scenario, ("s", "s"))
+
+
+def test_a_node_removes_the_record_of_the_one_that_had_its_address():
+    async def scenario(world):
+        await start(world)
+        late = await world.add("s", before=lambda address: put_gone(world, address))
+        await wait_until(lambda: ("nodes", "n9") not in world.store.objects)
+        assert ("nodes", late.settings.node) in world.store.objects
+        first = world.members[0]
+        await wait_until(lambda: "n9" not in first.node._directory._records)
+
+    async def put_gone(world, address):
+        record = {"link": address, "service": "s", "failureDomain": "d9", "region": "r1"}
+        await world.store.put("nodes", "n9", record)
+
+    play(scenario)
+
+
+def test_a_record_whose_address_a_later_one_has_is_not_used():
+    async def scenario(world):
+        await start(world)
+        first, second = world.members
+        directory = first.node._directory
+        taken = {
+            "link": second.settings.addresses.link,
+            "service": "s",
+            "failureDomain": "d9",
+            "region": "r1",
+        }
+        await world.store.put("nodes", "n9", taken)
+        await wait_until(lambda: "n9" in directory._records)
+        assert set(directory._list_valid()) == {"n1", "n9"}
+
+    play(scenario, ("s", "s"))
--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -84,7 +84,9 @@
     runners: list[web.AppRunner] = field(default_factory=list)
     number: int = 0
 
-    async def add(self, service="s", region="r1", application=None, bounds=None, silent=False):
+    async def add(
+        self, service="s", region="r1", application=None, bounds=None, silent=False, before=None
+    ):
         self.number += 1
         name = f"n{self.number}"
         application = application or Application(f"i-{name}", service)
@@ -102,6 +104,8 @@
         member = Member(
             application, settings, Node(settings, Telemetry(EventLog(name))), entry, control, ready
         )
+        if before is not None:
+            await before(link)
         await member.node.start()
         if not silent:
             await member.beat()
