--- a/packages/flow/src/ragwort_flow/_turns.py
+++ b/packages/flow/src/ragwort_flow/_turns.py
@@ -93,7 +93,7 @@
     slots: int = 1
     limit: int = 1
     cold_until: float = 0.0
-    host_slowdown: float = 1.0
+    host_slowdown: float | None = None
     clock: WorkClock = field(default_factory=WorkClock)
     work: WorkEstimates = field(default_factory=WorkEstimates)
     running: dict[CallId, "_Running"] = field(default_factory=dict)
@@ -129,6 +129,7 @@
 
 def start_server(state: TurnState) -> None:
     """Forget what was learned of the server; another one has taken its place."""
+    state.host_slowdown = None
     state.knee = KneeState()
     state.failing = 0.0
 
@@ -280,8 +281,11 @@
 
 
 def _state_slowdown(state: TurnState, now: float) -> None:
-    cold = COLD_SLOWDOWN if now < state.cold_until else 1.0
-    state_slowdown(state.clock, now, state.host_slowdown * cold)
+    slowdown = state.host_slowdown
+    if slowdown is None:
+        # What a server states includes its cold start; this one has stated nothing yet.
+        slowdown = COLD_SLOWDOWN if now < state.cold_until else 1.0
+    state_slowdown(state.clock, now, slowdown)
 
 
 def _get_slowdown(state: TurnState, now: float) -> float:
--- a/tests/flow/test_turns.py
+++ b/tests/flow/test_turns.py
@@ -218,6 +218,15 @@
     assert report_load(cold, 4.0).slowdown_percent < 150
 
 
+def test_the_cold_start_is_counted_once_when_the_server_states_its_slowdown():
+    state = make_state()
+    set_server(state, 0.0, 2, cold_s=3.0)
+    assert report_load(state, 0.0).slowdown_percent == 200
+    note_slowdown(state, 0.1, 2.0)
+    set_server(state, 0.2, 2, cold_s=2.8)
+    assert report_load(state, 0.2).slowdown_percent == 200
+
+
 def test_a_gate_that_has_seen_no_call_of_a_kind_goes_by_the_entrys_estimate():
     state = make_state()
     fill(state)
