Never lose a slot to a cancelled call, nor call a resent request not run

Causes, found by reading: (1) a call that was cancelled between its turn and the first step of its task kept its slot for ever; it now runs in its caller's task. (2) A request that broke a kept connection and found no new one was said not to have run, though the server may have got it.

Ruled out: the same gap for calls that must not run twice; their task is shielded and always starts.

--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -202,12 +202,12 @@
         decision = offer_call(self._state, now, offer)
         if decision.verdict is Verdict.QUEUED:
             self._telemetry.counters.add("gate.queued")
-            decision = await self._wait_turn(call_id, offer.deadline)
+            decision = await self._wait_turn(call_id)
         if decision.verdict is Verdict.REFUSED:
             return self._refuse_decided(request, decision, now)
-        run = asyncio.create_task(self._run(request, offer, now))
         if request.idempotent:
-            return await run
+            return await self._run(request, offer, now)
+        run = asyncio.create_task(self._run(request, offer, now))
         # Nobody may run it again, so it is not broken off when its caller leaves.
         self._held.add(run)
         self.work.add()
@@ -236,7 +236,7 @@
         self._held.discard(run)
         self.work.remove()
 
-    async def _wait_turn(self, call_id: CallId, deadline: float) -> Decision:
+    async def _wait_turn(self, call_id: CallId) -> Decision:
         turn = asyncio.get_running_loop().create_future()
         self._turns[call_id] = turn
         self._plan_review()
@@ -266,7 +266,7 @@
         try:
             result = await self._send(request, (offer.deadline - started) * 1000)
             done = True
-            reply = self._judge(request, result, (started - arrived) * 1000)
+            reply = self._judge(request, result)
             succeeded = isinstance(reply, Response) and reply.status < 500
         finally:
             now = self._clock()
@@ -298,9 +298,7 @@
             may_resend=request.idempotent,
         )
 
-    def _judge(
-        self, request: Request, result: Answer | Failure, waited_ms: float
-    ) -> Response | Refusal:
+    def _judge(self, request: Request, result: Answer | Failure) -> Response | Refusal:
         """Return what an answer of the server, or its absence, means for the call."""
         if isinstance(result, Failure):
             if result.reason is Reason.CONNECT_FAILED:
--- a/packages/transport/src/ragwort_transport/_client.py
+++ b/packages/transport/src/ragwort_transport/_client.py
@@ -263,22 +263,24 @@
             once more on a new one: servers forget idle connections.
         """
         connection: ClientConnection | None = None
+        # What a failed connect means: until something has been sent, that nothing ran.
+        unconnected = CONNECT_FAILED
         try:
             async with asyncio.timeout(timeout_s):
-                kept = connection = self._take_idle(max_idle_s)
+                connection = self._take_idle(max_idle_s)
+                if connection is not None and may_resend:
+                    result = await connection.exchange(request, without_body, is_ours)
+                    if result != CONNECTION_LOST:
+                        return result
+                    connection.close()
+                    connection, unconnected = None, CONNECTION_LOST
                 if connection is None:
                     connection = await self._connect()
-                result = await connection.exchange(request, without_body, is_ours)
-                if kept is None or not may_resend or result != CONNECTION_LOST:
-                    return result
-                connection.close()
-                connection = None
-                connection = await self._connect()
                 return await connection.exchange(request, without_body, is_ours)
         except TimeoutError:
-            return CONNECT_FAILED if connection is None else LATE
+            return unconnected if connection is None else LATE
         except OSError:
-            return CONNECT_FAILED
+            return unconnected
         finally:
             if connection is not None:
                 self._give_back(connection)
--- /dev/null
+++ b/tests/mesh/test_gate.py
@@ -0,0 +1,109 @@
+"""The gate with a server that is a few lines of its own."""
+
+import asyncio
+
+from helper import wait_until
+from ragwort_common import Counters, Outcome, Reason
+from ragwort_mesh._clock import read_clock
+from ragwort_mesh._events import EventLog
+from ragwort_mesh._gate import Gate
+from ragwort_mesh._telemetry import Telemetry
+from ragwort_model import Heartbeat, InstanceId, InstanceState
+from ragwort_protocol import Refusal, Request, Response
+from ragwort_transport import Answer
+
+BEAT = Heartbeat(InstanceId("i"), 1, 1, "s", "127.0.0.1:1", InstanceState.READY, 3, 0.0)
+SIGNED = [(b"ragwortvalve-response-signature", b"x")]
+
+
+class FakePool:
+    """Holds every request until it is released."""
+
+    def __init__(self):
+        self.held = []
+        self.cancelled = 0
+
+    async def exchange(self, *words, **options):
+        answer = asyncio.get_running_loop().create_future()
+        self.held.append(answer)
+        try:
+            return await answer
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+
+def make_gate():
+    telemetry = Telemetry(EventLog("n"), Counters())
+    gate = Gate("127.0.0.1:1", "s", telemetry, read_clock, lambda: None)
+    gate._pool = FakePool()
+    gate.take_server_report(BEAT)
+    return gate
+
+
+def make_request(idempotent=True, budget_ms=5000.0):
+    return Request(
+        0, "GET", b"/", [], b"", budget_ms, idempotent, route="a", objective_ms=4000.0, work_ms=9.0
+    )
+
+
+def play(scenario):
+    async def run():
+        async with asyncio.timeout(10):
+            return await scenario(make_gate())
+
+    return asyncio.run(run())
+
+
+def test_a_call_that_is_cancelled_at_any_step_gives_its_slot_back():
+    async def scenario(gate):
+        for steps in range(6):
+            calls = [asyncio.create_task(gate.run_call(make_request())) for _ in range(5)]
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+            assert gate.make_report().in_flight == 0
+            assert gate.make_report().queued == 0
+        await gate.work.wait_none()
+
+    play(scenario)
+
+
+def test_what_must_not_run_twice_goes_on_when_its_caller_leaves():
+    async def scenario(gate):
+        call = asyncio.create_task(gate.run_call(make_request(idempotent=False)))
+        await wait_until(lambda: gate._pool.held)
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+        assert gate.make_report().in_flight == 1
+        assert gate.work.present == 1
+        gate._pool.held[0].set_result(Answer(200, SIGNED, b""))
+        await gate.work.wait_none()
+        assert gate.make_report().in_flight == 0
+        assert gate._pool.cancelled == 0
+
+    play(scenario)
+
+
+def test_waiting_calls_start_in_turn_and_leave_when_the_server_does():
+    async def scenario(gate):
+        calls = [asyncio.create_task(gate.run_call(make_request())) for _ in range(5)]
+        await wait_until(lambda: gate.make_report().queued)
+        limit = gate.make_report().limit
+        assert len(gate._pool.held) == limit
+        gate._pool.held[0].set_result(Answer(200, SIGNED, b""))
+        await wait_until(lambda: len(gate._pool.held) == limit + 1)
+        gate.stop_taking()
+        for held in gate._pool.held[1:]:
+            held.set_result(Answer(200, SIGNED, b""))
+        replies = await asyncio.gather(*calls)
+        refused = [reply for reply in replies if isinstance(reply, Refusal)]
+        assert len(refused) == 5 - limit - 1
+        assert all(reply.reason == Reason.LEAVING.value for reply in refused)
+        assert all(reply.outcome == Outcome.NOT_RUN.value for reply in refused)
+        answered = [reply for reply in replies if isinstance(reply, Response)]
+        assert len(answered) == limit + 1
+
+    play(scenario)
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -152,3 +152,22 @@
 
     assert isinstance(asyncio.run(scenario(True)), Answer)
     assert asyncio.run(scenario(False)) == Failure(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
+
+
+def test_a_request_that_was_sent_is_never_said_not_to_have_run():
+    async def scenario():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(make_answer(0))
+            await reader.readuntil(b"\r\n\r\n")
+            server.close()
+            writer.transport.abort()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        pool = ClientPool(address, 4, 1000)
+        await pool.exchange(REQUEST, 2.0)
+        # The kept connection breaks, and no new one can be opened.
+        return await pool.exchange(REQUEST, 2.0, may_resend=True)
+
+    assert asyncio.run(scenario()) == Failure(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
