--- /dev/null
+++ b/tests/mesh/test_pages.py
@@ -0,0 +1,64 @@
+"""The operators' page names every event and metric of the node on the platform, and no others."""
+
+import ast
+import re
+from pathlib import Path
+
+import ragwort_mesh
+import ragwort_transport
+
+SOURCES = [
+    source
+    for package in (ragwort_mesh, ragwort_transport)
+    for source in sorted(Path(package.__file__).parent.rglob("*.py"))
+]
+PAGE = (Path(__file__).parents[2] / "docs" / "OPERATIONS.md").read_text("utf-8")
+THERE = PAGE.partition("## On the users' platform")[2]
+SERVER_CAUSES = ("unreachable", "leaving", "replaced")
+
+
+def read_rows(heading):
+    """Return the first cells of the table below a heading, by the names in backquotes."""
+    part = THERE.partition(heading)[2].partition("\n|---")[2].partition("\n\n")[0]
+    rows = [row.strip("| ").split(" | ")[0] for row in part.split("\n")[1:]]
+    return [name for row in rows for name in re.findall(r"`([^`]+)`", row)]
+
+
+def list_calls(*names):
+    """Return the first arguments of all calls of methods with these names."""
+    for source in SOURCES:
+        for node in ast.walk(ast.parse(source.read_text("utf-8"))):
+            if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute):
+                if node.func.attr in names and node.args:
+                    yield ast.unparse(node.func.value), node.args[0]
+
+
+def list_events():
+    events = {f"server-{cause}" for cause in SERVER_CAUSES}
+    for _, argument in list_calls("write", "write_call", "_log_server"):
+        if isinstance(argument, ast.Constant) and isinstance(argument.value, str):
+            events.add(argument.value)
+    for source in SOURCES:
+        found = re.findall(r'event = "([a-z-]+)" if .* else "([a-z-]+)"', source.read_text("utf-8"))
+        events.update(event for pair in found for event in pair)
+    return events
+
+
+def test_the_page_names_every_event_and_no_other():
+    assert set(read_rows("### Log lines there")) == list_events()
+
+
+def test_the_page_names_every_counter_of_the_node():
+    rows = " ".join(read_rows("### Metrics there"))
+    patterns = [re.escape(row).replace(r"\*", ".+") for row in read_rows("### Metrics there")]
+    for owner, argument in list_calls("add", "set_gauge"):
+        if not ("counters" in owner or "histograms" in owner):
+            continue
+        if isinstance(argument, ast.Constant):
+            name = argument.value
+            found = any(re.fullmatch(pattern, name) for pattern in patterns)
+        else:
+            # Of a name with a value in it the fixed start has to be there.
+            name = ast.unparse(argument).partition("{")[0].strip("f'")
+            found = name in rows or name.partition(".")[0] + ".OUTCOME" in rows
+        assert found, name
