--- a/tests/mesh/test_pages.py
+++ b/tests/mesh/test_pages.py
@@ -28,9 +28,9 @@
     """Return the first arguments of all calls of methods with these names."""
     for source in SOURCES:
         for node in ast.walk(ast.parse(source.read_text("utf-8"))):
-            if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute):
-                if node.func.attr in names and node.args:
-                    yield ast.unparse(node.func.value), node.args[0]
+            is_method = isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute)
+            if is_method and node.func.attr in names and node.args:
+                yield ast.unparse(node.func.value), node.args[0]
 
 
 def list_events():
