Mend what reading the node's code found

Causes: a route without an objective made a gate divide by zero once its server was full; a node restarted on a host whose clock had been set back kept its peers on the old link; what a peer without a record had said was never forgotten; a predicate changed state. The first test failed before.

Ruled out: nothing; the decisions are the same.

--- a/packages/flow/src/ragwort_flow/_knee.py
+++ b/packages/flow/src/ragwort_flow/_knee.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from functools import cache
 
 KNEE_SHARE = 0.8
 """Share of its slots up to which a server runs at full speed; from the users' sheets."""
@@ -45,6 +46,7 @@
     factor: float = 1.0
 
 
+@cache
 def find_knee_limit(slots: int) -> int:
     """Return the number of calls at once with which a server with a knee gets most work done."""
     return max(range(1, slots + 1), key=lambda running: running / _get_factor(running, slots))
--- a/packages/flow/src/ragwort_flow/_turns.py
+++ b/packages/flow/src/ragwort_flow/_turns.py
@@ -87,7 +87,19 @@
 
 @dataclass(slots=True)
 class TurnState:
-    """Everything that a gate knows of its server and its calls."""
+    """Everything that a gate knows of its server and its calls.
+
+    Attributes
+    ----------
+    limit
+        Calls that the server may run at once, of its slots.
+    host_slowdown
+        What the server last stated; None before that.
+    last_rank
+        Rank of the least urgent calls that were offered.
+    failing, failing_at
+        Share of failed calls, and when it was worked out.
+    """
 
     accepting: bool = False
     slots: int = 1
@@ -163,6 +175,7 @@
         return _refuse_closed()
     if offer.deadline <= now:
         return EXPIRED
+    state.last_rank = max(state.last_rank, offer.rank)
     if len(state.running) < state.limit and not state.waiting:
         _start(state, now, offer)
         return RUN
@@ -246,7 +259,6 @@
     That is so for the more urgent ones, which are not to be served less often than others, and
     for small ones: most are made by calls that hold a slot elsewhere and would fail with them.
     """
-    state.last_rank = max(state.last_rank, offer.rank)
     average_s = _average(list(state.work.mean_s.values()))
     return offer.rank < state.last_rank or work_s <= SMALL_PART * average_s
 
@@ -263,7 +275,9 @@
 def _learn(state: TurnState, running: _Running, work_s: float, ends_beyond_knee: bool) -> None:
     """Take in the work of a call; what it shows of the knee depends on how full the server was."""
     if running.beyond_knee and ends_beyond_knee:
-        learn_beyond(state.knee, work_s / _get_work(state, running.offer))
+        expected_s = _get_work(state, running.offer)
+        if expected_s > 0:
+            learn_beyond(state.knee, work_s / expected_s)
     elif not (running.beyond_knee or ends_beyond_knee):
         learn_below(state.knee)
         learn_work(state.work, running.offer.kind, work_s)
--- a/packages/mesh/src/ragwort_mesh/_caller.py
+++ b/packages/mesh/src/ragwort_mesh/_caller.py
@@ -80,6 +80,8 @@
         The latest refusal.
     retry_after_ms
         The soonest time that a gate named for coming back; 0 before the first.
+    attempts
+        What is logged of each try.
     """
 
     tried: set[NodeId] = field(default_factory=set)
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -74,7 +74,7 @@
         )
         self._calls = PeerCalls(self._gate.run_call, telemetry.counters, self._receive_other)
         hello = Hello(settings.node, Incarnation(time.time_ns() // 1_000_000))
-        self._peers = Peers(hello, self._receive, self._greet, self._calls.drop_link, telemetry)
+        self._peers = Peers(hello, self._receive, self._greet, self._drop_link, telemetry)
         self._targets = Targets(settings.failure_domain, settings.region)
         own = NodeRecord(
             settings.node,
--- a/packages/mesh/src/ragwort_mesh/_peers.py
+++ b/packages/mesh/src/ragwort_mesh/_peers.py
@@ -6,7 +6,7 @@
 
 from ragwort_common import NodeId
 from ragwort_model import NodeRecord
-from ragwort_protocol import Hello, Message, Probe
+from ragwort_protocol import Hello, Probe
 from ragwort_transport import Handler, Link, bind_socket, set_silence_limit
 
 from ragwort_mesh._telemetry import Telemetry
@@ -182,8 +182,9 @@
         self._all.add(link)
         node = cast(NodeId, link.peer)
         present = self._links.get(node)
-        # A link in use is left only for one to a later start of the node.
-        if present is None or not present.is_open or link.incarnation > present.incarnation:
+        # A link in use is left only for one to another start of the node. A host's clock may be
+        # set back between two starts, so that the number only tells them apart.
+        if present is None or not present.is_open or link.incarnation != present.incarnation:
             self._links[node] = link
         self._retries.pop(node, None)
         self._telemetry.events.write("peer-linked", peer=node)
@@ -223,8 +224,3 @@
             self._probe_ids += 1
             link.send(Probe(self._probe_ids))
             self._probed[link] = now
-
-
-def is_probe(message: Message) -> bool:
-    """Tell whether a message asks for an answer that shows that the link works."""
-    return type(message) is Probe
--- a/tests/flow/test_turns.py
+++ b/tests/flow/test_turns.py
@@ -256,3 +256,13 @@
     end_call(state, 0.1, CallId(1000), False)
     assert report_load(state, 0.1).failing_percent == 15
     assert report_load(state, 9.0).failing_percent == 0
+
+
+def test_a_kind_without_any_expected_work_does_no_harm():
+    state = make_state(slots=10)
+    for number in range(10):
+        offer = Offer(CallId(number), "nothing", 1, 1.0, 2.0, first_work_s=0.0)
+        assert offer_call(state, 0.0, offer).verdict is Verdict.RUN
+    for number in range(10):
+        end_call(state, 0.0, CallId(number), True)
+    assert report_load(state, 0.0).in_flight == 0
--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -521,3 +521,19 @@
         assert set(directory._list_valid()) == {"n1", "n9"}
 
     play(scenario, ("s", "s"))
+
+
+def test_what_a_peer_without_a_record_has_said_is_forgotten_with_its_link():
+    async def scenario(world):
+        await start(world)
+        first, second = world.members
+        await world.store.remove("nodes", "n2")
+        first.node._targets.set_records({})
+        link = first.node._peers.find_link("n2")
+        first.node._take_report(link, first.node._gate.make_report())
+        assert "n2" in first.node._targets._early
+        link.abort()
+        await wait_until(lambda: first.node._peers.find_link("n2") is not link)
+        await wait_until(lambda: first.node._targets._early.get("n2") is None)
+
+    play(scenario, ("s", "s"))
