--- a/packages/mesh/src/ragwort_mesh/_caller.py
+++ b/packages/mesh/src/ragwort_mesh/_caller.py
@@ -222,7 +222,7 @@
         if reply.report is not NO_REPORT:
             take_report(target, now, reply.report)
         if isinstance(reply, Refusal):
-            self._note_refusal(target, now, Reason(reply.reason))
+            _note_refusal(target, now, reply)
         self._note_result(call, reply, progress)
         progress.attempts.append(
             Attempt(
@@ -235,12 +235,6 @@
         )
         return reply
 
-    def _note_refusal(self, target: Target, now: float, reason: Reason) -> None:
-        if reason is Reason.CONNECTION_LOST:
-            close_target(target, now)
-        elif reason is Reason.OVERLOADED and target.distance is Distance.OTHER_REGION:
-            close_target(target, now, FAR_PAUSE_S)
-
     def _note_result(self, call: Call, reply: Response | Refusal, progress: Progress) -> None:
         if isinstance(reply, Response):
             progress.sent += 1
@@ -331,6 +325,16 @@
         return budget
 
 
+def _note_refusal(target: Target, now: float, refusal: Refusal) -> None:
+    """Leave a server alone for a time when its node is gone, or is far and overloaded."""
+    reason = Reason(refusal.reason)
+    if reason is Reason.CONNECTION_LOST and refusal.report is NO_REPORT:
+        # The link broke. A server that breaks a connection is judged by its gate's reports.
+        close_target(target, now)
+    elif reason is Reason.OVERLOADED and target.distance is Distance.OTHER_REGION:
+        close_target(target, now, FAR_PAUSE_S)
+
+
 async def _exchange(link: Link, request: Request) -> Response | Refusal:
     """Send a request over a link and return what ends it, at the deadline at the latest."""
     reply = link.start_call(request)
--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -134,6 +134,23 @@
     play(scenario, ("s", "s"))
 
 
+def test_a_server_that_breaks_a_connection_is_still_used_by_the_next_call():
+    async def scenario(world):
+        routes = {"a": make_route("s", kind="non_idempotent"), "b": make_route("s", "/b/")}
+        await start(world, **routes)
+        first, second = world.members
+        first.application.behave = reset
+        for number in range(8):
+            # Some of these meet the second server, which is sound again for the next call.
+            second.application.behave = reset
+            await world.call(first, method="POST", call_id=f"a{number}")
+            second.application.behave = lambda request: None
+            assert (await world.call(first, "/b/", call_id=f"b{number}"))[0] == 200
+        assert any(second.application.arrivals[f"a{number}"] for number in range(8))
+
+    play(scenario, ("s", "s"))
+
+
 def test_an_unsigned_success_is_never_passed_on():
     async def scenario(world):
         await start(world, a=make_route("s", kind="non_idempotent"))
