Drop an unused name of a stand-in and a comment that was not true

Cause: reading the whole change once more. The step in _draw is no prime number; the stand-in's deadline field was read by nothing. No behaviour changes.

Measured: formatter, linter, tests of placement and of whole nodes.

--- a/packages/flow/src/ragwort_flow/_placement.py
+++ b/packages/flow/src/ragwort_flow/_placement.py
@@ -214,7 +214,7 @@
     if len(targets) <= COMPARED:
         return targets
     start = int(random.random() * len(targets))
-    # A prime step visits different servers whatever the start, and spreads the sets.
+    # Steps of different lengths give entries different sets of servers to compare.
     step = 1 + int(random.random() * (len(targets) - 1))
     drawn = {(start + step * number) % len(targets) for number in range(COMPARED)}
     return [targets[index] for index in drawn]
--- a/standins/src/ragwort_standins/application.py
+++ b/standins/src/ragwort_standins/application.py
@@ -15,7 +15,6 @@
 
 ID_FIELD = "Ragwortvalve-Attempt-Id"
 SIGNATURE_FIELD = "Ragwortvalve-Response-Signature"
-DEADLINE_FIELD = "Ragwortvalve-Deadline-Ms"
 INSTANCE_FIELD = "Ragwortvalve-Target-Instance"
 
 
