Keep calls in their failure domain, and let two nodes of each follow the store

Two nodes of a failure domain, chosen alike by all, now follow the store. They tell every peer of a revision; the others ask one of their domain for the document, which is compressed, and read the store when no peer hands it on. A node that the store turns away says so, and the next one takes over. Records of nodes are read once and after publishing; watchers tell a node whose record is lost. The choice of a server weighs the bytes of a route's answers between domains, and entries of other domains hear of a load every 0.25 s instead of every 0.05 s.

Ruled out: a longer watch at every node, since each change would still cost a call a node.

--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -39,6 +39,7 @@
     start_server,
     withdraw_call,
 )
+from ragwort_flow._watchers import WATCHERS_PER_DOMAIN, is_watcher_among, rank_node
 from ragwort_flow._work import (
     WorkClock,
     WorkEstimates,
@@ -68,6 +69,7 @@
     "TurnState",
     "Turns",
     "USUAL_SLOWDOWN",
+    "WATCHERS_PER_DOMAIN",
     "Verdict",
     "WorkClock",
     "WorkEstimates",
@@ -84,10 +86,12 @@
     "get_hedge_delay",
     "has_room",
     "is_ready",
+    "is_watcher_among",
     "learn_work",
     "note_slowdown",
     "offer_call",
     "read_work_clock",
+    "rank_node",
     "record_sent",
     "report_load",
     "review_waiting",
--- a/packages/flow/src/ragwort_flow/_placement.py
+++ b/packages/flow/src/ragwort_flow/_placement.py
@@ -3,13 +3,14 @@
 Answers a load that shifts faster than reports travel: for each server the time until the answer
 is estimated from its latest report, faded by age, and this node's own calls since. Few servers
 are compared where there are many (power of two choices, Mitzenmacher 2001), so that entries with
-the same reports don't all turn to one server. A call leaves its region only when that serves it
-in time and its own region does not.
+the same reports don't all turn to one server. What an answer's bytes cost between failure domains
+counts as time, so that a call leaves its domain for a gain only. It leaves its region only when
+that serves it in time and its own region does not.
 """
 
 from collections import deque
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from ragwort_common import NodeId
@@ -18,8 +19,11 @@
 from ragwort_flow._distance import Distance, RandomSource
 from ragwort_flow._slowdown import expect_run, fade_slowdown
 
-COMPARED = 5
-"""Servers of the region that are compared for one call."""
+COMPARED_NEAR = 4
+"""Servers of the own failure domain that are compared for one call."""
+
+COMPARED = 4
+"""Servers of the region's other domains, and of the other region, that are compared."""
 
 JITTER_PART = 0.1
 """Differences up to this part of the estimate are left to chance, so that entries spread."""
@@ -53,12 +57,16 @@
 }
 """Times of a message there and back, from the users' sheets, with the nodes' own time."""
 
-CROSSING_COST_S = {
+CROSSING_PARTS_PER_KB = {
     Distance.SAME_DOMAIN: 0.0,
-    Distance.SAME_REGION: 0.004,
-    Distance.OTHER_REGION: 0.03,
+    Distance.SAME_REGION: 0.025,
+    Distance.OTHER_REGION: 0.1,
 }
-"""What the bytes of a call between domains and regions cost, put as time."""
+"""What 1,000 bytes cost between domains and regions, as a part of a call's worth: the mean of
+the users' two price lists."""
+
+CALL_KB = 0.5
+"""Size of a call and its answer without their bodies, in 1,000 bytes."""
 
 
 @dataclass(slots=True, eq=False)
@@ -126,7 +134,7 @@
 
     ``usual`` is the slowdown that is expected once the reported one has passed.
     """
-    base_s = ROUND_TRIPS_S[target.distance] + CROSSING_COST_S[target.distance]
+    base_s = ROUND_TRIPS_S[target.distance]
     report = target.report
     if report is None:
         over = max(0, len(target.sent) + 1 - FIRST_LIMIT)
@@ -158,6 +166,7 @@
     work_s: float,
     left_s: float,
     usual: float = USUAL_SLOWDOWN,
+    body_kb: float = 0.0,
 ) -> Placement | None:
     """Return the server whose answer is expected soonest, or None when there is none.
 
@@ -171,50 +180,62 @@
         Time left until the end of its objective, in seconds.
     usual
         Slowdown that is expected of a server once the reported one has passed.
+    body_kb
+        Size of the call's and the answer's bodies, in 1,000 bytes.
     """
-    near: list[Target] = []
-    far: list[Target] = []
+    by_distance: dict[Distance, list[Target]] = {distance: [] for distance in Distance}
     for target in targets:
-        if now < target.closed_until or target.node in exclude:
-            continue
-        (far if target.distance is Distance.OTHER_REGION else near).append(target)
-    best = _find_best(near, now, random, work_s, left_s, usual)
+        if now >= target.closed_until and target.node not in exclude:
+            by_distance[target.distance].append(target)
+    near = _draw(by_distance[Distance.SAME_DOMAIN], random, COMPARED_NEAR)
+    near += _draw(by_distance[Distance.SAME_REGION], random, COMPARED)
+    need = _Need(work_s, left_s, usual, CALL_KB + body_kb)
+    best = _find_best(near, now, random, need)
     if best is not None and best.fit is Fit.IN_TIME:
         return best
-    best_far = _find_best(far, now, random, work_s, left_s * FAR_MARGIN, usual)
+    far = _draw(by_distance[Distance.OTHER_REGION], random, COMPARED)
+    best_far = _find_best(far, now, random, replace(need, left_s=left_s * FAR_MARGIN))
     if best is None or (best_far is not None and best_far.fit is Fit.IN_TIME):
         return best_far or best
     return best
 
 
+@dataclass(slots=True, frozen=True)
+class _Need:
+    """What a call needs: its work, the time left, the usual slowdown, and its size."""
+
+    work_s: float
+    left_s: float
+    usual: float
+    size_kb: float
+
+
 def _find_best(
-    targets: list[Target],
-    now: float,
-    random: RandomSource,
-    work_s: float,
-    left_s: float,
-    usual: float,
+    targets: list[Target], now: float, random: RandomSource, need: _Need
 ) -> Placement | None:
     best: Target | None = None
     best_rank = best_s = 0.0
-    for target in _draw(targets, random):
-        finish_s = estimate_finish(target, now, work_s, usual)
+    for target in targets:
+        finish_s = estimate_finish(target, now, need.work_s, need.usual)
         rank = finish_s * (1.0 + JITTER_PART * random.random())
+        # A delay as long as the time left loses the whole worth, so parts of the one are put as
+        # parts of the other.
+        lost = CROSSING_PARTS_PER_KB[target.distance] * need.size_kb
         if target.report is not None:
-            failing = target.report.failing_percent / 100
-            rank += failing * FAILURE_PART * max(left_s, finish_s)
+            lost += target.report.failing_percent / 100 * FAILURE_PART
+        rank += lost * max(need.left_s, finish_s)
         if best is None or rank < best_rank:
             best, best_rank, best_s = target, rank, finish_s
     if best is None:
         return None
-    return Placement(best, best_s, Fit.IN_TIME if best_s <= left_s else Fit.LATE)
+    return Placement(best, best_s, Fit.IN_TIME if best_s <= need.left_s else Fit.LATE)
 
 
-def _draw(targets: list[Target], random: RandomSource) -> list[Target]:
-    if len(targets) <= COMPARED:
+def _draw(targets: list[Target], random: RandomSource, count: int) -> list[Target]:
+    if len(targets) <= count:
         return targets
     start = int(random.random() * len(targets))
     # Steps of different lengths give entries different sets of servers to compare.
     step = 1 + int(random.random() * (len(targets) - 1))
-    drawn = {(start + step * number) % len(targets) for number in range(COMPARED)}
+    drawn = {(start + step * number) % len(targets) for number in range(count)}
     return [targets[index] for index in drawn]
--- a/packages/mesh/src/ragwort_mesh/_caller.py
+++ b/packages/mesh/src/ragwort_mesh/_caller.py
@@ -26,6 +26,7 @@
     take_repeat,
     take_report,
 )
+from ragwort_model import RouteName
 from ragwort_protocol import Cancel, LoadReport, Refusal, Request, Response
 from ragwort_transport import Link, LinkLost, take_first_answer
 
@@ -56,6 +57,9 @@
 """Work of a route that has not been seen, as a part of its objective; on the users' sheets it is
 between a fifth and two fifths."""
 
+SIZE_MEMORY = 0.1
+"""Weight of the latest call in a route's mean size: about the last ten count."""
+
 NO_REPORT = LoadReport(0, 0, 0, 0, accepting=False)
 
 _REACHED_SERVER = frozenset({Reason.SHED, Reason.MISDIRECTED})
@@ -121,6 +125,7 @@
         self._limits = limits
         self._random = random_source
         self._work = WorkEstimates()
+        self._body_kb: dict[RouteName, float] = {}
         self._repeats: dict[ServiceName, RepeatBudget] = {}
 
     def set_repeat_limits(self, limits: RepeatLimits) -> None:
@@ -156,6 +161,7 @@
             self._estimate_work(call),
             call.objective - now,
             usual,
+            self._body_kb.get(call.route.name, 0.0),
         )
 
     def _list_usable(self, service: ServiceName, now: float) -> Iterator[Target]:
@@ -240,6 +246,7 @@
             progress.sent += 1
             progress.may_have_run = True
             progress.answer = reply
+            self._learn_size(call, reply)
             if reply.work_ms:
                 self._work.mean_s[call.route.name] = reply.work_ms / 1000
             return
@@ -254,6 +261,11 @@
         ):
             progress.retry_after_ms = reply.retry_after_ms
 
+    def _learn_size(self, call: Call, reply: Response) -> None:
+        size_kb = (len(call.body) + len(reply.body)) / 1000
+        mean_kb = self._body_kb.get(call.route.name, size_kb)
+        self._body_kb[call.route.name] = mean_kb + (size_kb - mean_kb) * SIZE_MEMORY
+
     def _is_final(self, call: Call, reply: Response | Refusal, progress: Progress) -> bool:
         """Tell whether the reply ends the call; if not, another server is tried."""
         if isinstance(reply, Response):
--- a/packages/mesh/src/ragwort_mesh/_configuration.py
+++ b/packages/mesh/src/ragwort_mesh/_configuration.py
@@ -1,8 +1,16 @@
 """Keeps the newest configuration in force; an older one never replaces it."""
 
+import asyncio
 from collections.abc import Callable
 
-from ragwort_model import CallerLimits, Configuration, FindRoute, Mistake, build_route_finder
+from ragwort_model import (
+    CallerLimits,
+    Configuration,
+    FindRoute,
+    Mistake,
+    StoreError,
+    build_route_finder,
+)
 from ragwort_platform import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -13,13 +21,12 @@
 
 from ragwort_mesh._store import StoreClient
 from ragwort_mesh._telemetry import Telemetry
-from ragwort_mesh._watch import KindWatch, WatchSettings
+from ragwort_mesh._watch import KindReader, KindWatch, WatchSettings
 
 WATCH_WAIT_S = 5.0
 """How long one watch waits. A connection may go silent for good: it is noticed when the watch is
 over, and then 6.5 s after the silence began the newest configuration has to be in force."""
 
-
 WATCH_PAUSE_S = 0.2
 """How long to gather changes after one: operators may write ten in a second, and each would be
 one more call to the store for each node."""
@@ -39,10 +46,16 @@
     ----------
     changed
         Called after a newer configuration has come into force.
+    on_duty
+        Set while this node follows the store.
     """
 
     def __init__(
-        self, store: StoreClient, telemetry: Telemetry, changed: Callable[[], None]
+        self,
+        store: StoreClient,
+        telemetry: Telemetry,
+        changed: Callable[[], None],
+        on_duty: asyncio.Event,
     ) -> None:
         self.current: Configuration | None = None
         self.limits = CallerLimits()
@@ -51,16 +64,25 @@
         self.content = b""
         self._telemetry = telemetry
         self._changed = changed
-        settings = WatchSettings(
-            CONFIGURATION_KIND, WATCH_WAIT_S, stale_start=False, pause_s=WATCH_PAUSE_S
+        self._reader = KindReader(CONFIGURATION_KIND, store, telemetry)
+        settings = WatchSettings(CONFIGURATION_KIND, WATCH_WAIT_S, pause_s=WATCH_PAUSE_S)
+        self._watch = KindWatch(
+            settings, store, telemetry, self._take_listed, self._take_change, on_duty
         )
-        watch = KindWatch(settings, store, telemetry, self._take_listed, self._take_change)
-        self.run = watch.run
+        self.run = self._watch.run
 
     def get_route_finder(self) -> FindRoute | None:
         """Return the function that finds routes, or None before the first configuration."""
         return self._find_route
 
+    async def read_store(self) -> bool:
+        """Read what the store holds at present, and return whether it could be read."""
+        listing = await self._reader.list_objects(stale=False)
+        if isinstance(listing, StoreError):
+            return False
+        self._take_listed(listing.objects)
+        return True
+
     def _take_listed(self, objects: list[StoredObject]) -> None:
         for stored in objects:
             self._take_object(stored)
@@ -90,6 +112,7 @@
         self.current = configuration
         self.limits = configuration.limits
         self._find_route = build_route_finder(configuration)
+        self._watch.skip_first()
         events.write(
             "configuration-in-force",
             version=configuration.version,
--- a/packages/mesh/src/ragwort_mesh/_load_news.py
+++ b/packages/mesh/src/ragwort_mesh/_load_news.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from ragwort_common import NodeId
+from ragwort_flow import Distance
 from ragwort_protocol import LoadReport
 
 from ragwort_mesh._peers import Peers
@@ -11,6 +12,11 @@
 INTERVAL_S = 0.05
 """How often entries are told of a load that has changed: half of the time for which it holds."""
 
+EVERY = {Distance.SAME_DOMAIN: 1, Distance.SAME_REGION: 5}
+"""With which rounds entries are told, by their distance. Bytes within a domain are free; between
+domains they are paid for, and calls that go there are fewer. Entries of the other region hear of
+the load with their answers only."""
+
 INTEREST_S = 2.0
 """How long an entry is told after its last call."""
 
@@ -27,27 +33,27 @@
 
     Parameters
     ----------
-    is_near
-        Tells whether a node is in this region; others hear of the load with their answers only,
-        since the bytes between regions are paid for.
+    find_distance
+        Tells how far a node is; None when that is not known.
     """
 
     def __init__(
         self,
         peers: Peers,
         make_report: Callable[[], LoadReport],
-        is_near: Callable[[NodeId], bool],
+        find_distance: Callable[[NodeId], Distance | None],
     ) -> None:
         self._peers = peers
         self._make_report = make_report
-        self._is_near = is_near
-        self._called_at: dict[NodeId, float] = {}
-        self._told: LoadReport | None = None
+        self._find_distance = find_distance
+        self._called_at: dict[Distance, dict[NodeId, float]] = {distance: {} for distance in EVERY}
+        self._told: dict[Distance, LoadReport] = {}
 
     def note_call(self, node: NodeId | None) -> None:
         """Take in that a node's entry has sent a call."""
-        if node is not None and self._is_near(node):
-            self._called_at[node] = asyncio.get_running_loop().time()
+        distance = self._find_distance(node) if node is not None else None
+        if node is not None and distance in EVERY:
+            self._called_at[distance][node] = asyncio.get_running_loop().time()
 
     def tell_all(self) -> None:
         """Tell every node at once; done when the server starts or stops taking calls."""
@@ -57,21 +63,32 @@
 
     async def run(self) -> None:
         """Tell the entries that send calls here, until cancelled."""
-        loop = asyncio.get_running_loop()
+        number = 0
         while True:
-            await asyncio.sleep(max(INTERVAL_S, len(self._called_at) / NEWS_PER_S))
-            now = loop.time()
-            for node, called_at in list(self._called_at.items()):
-                if now - called_at > INTEREST_S:
-                    del self._called_at[node]
-            report = self._make_report()
-            if self._told is not None and not _differs(report, self._told):
-                continue
-            self._told = report
-            for node in self._called_at:
-                link = self._peers.find_link(node)
-                if link is not None:
-                    link.send(report)
+            interested = sum(len(nodes) for nodes in self._called_at.values())
+            await asyncio.sleep(max(INTERVAL_S, interested / NEWS_PER_S))
+            number += 1
+            for distance, every in EVERY.items():
+                if number % every == 0:
+                    self._tell(distance)
+
+    def _tell(self, distance: Distance) -> None:
+        """Tell the interested entries at a distance, if there is news for them."""
+        oldest = asyncio.get_running_loop().time() - INTEREST_S
+        called_at = self._called_at[distance]
+        for node in [node for node, at in called_at.items() if at < oldest]:
+            del called_at[node]
+        if not called_at:
+            return
+        report = self._make_report()
+        told = self._told.get(distance)
+        if told is not None and not _differs(report, told):
+            return
+        self._told[distance] = report
+        for node in called_at:
+            link = self._peers.find_link(node)
+            if link is not None:
+                link.send(report)
 
 
 def _differs(report: LoadReport, told: LoadReport) -> bool:
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -19,6 +19,7 @@
     Message,
     Probe,
     ProbeReply,
+    RecordLost,
     Request,
 )
 from ragwort_transport import HttpServer, Link, PeerCalls
@@ -42,7 +43,8 @@
 log = logging.getLogger(__name__)
 
 FIRST_LINKS_S = 1.0
-"""How long a starting node waits for its first links before it says that it is ready."""
+"""How long a starting node waits for its first links before it says that it is ready, and before
+it may follow the store."""
 
 CALLERS_LEAVE_S = 2.2
 """How long a stopping node still accepts callers: it is asked twice, once a second, before they
@@ -67,8 +69,11 @@
         self._telemetry = telemetry
         source = random.Random()
         addresses = settings.addresses
-        self._store = StoreClient(addresses.store, telemetry)
-        self._configuration = ConfigurationKeeper(self._store, telemetry, self._take_configuration)
+        self._store = StoreClient(addresses.store, telemetry, self._note_store)
+        on_duty = asyncio.Event()
+        self._configuration = ConfigurationKeeper(
+            self._store, telemetry, self._take_configuration, on_duty
+        )
         self._gate = Gate(
             addresses.server, settings.service, telemetry, read_clock, self._tell_load
         )
@@ -83,14 +88,13 @@
             settings.failure_domain,
             settings.region,
         )
-        self._directory = Directory(own, self._store, telemetry, self._take_records)
-        self._sharing = Sharing(own, self._configuration, self._directory, self._peers, telemetry)
-        self._regions = {settings.node: settings.region}
-        self._news = LoadNews(
-            self._peers,
-            self._gate.make_report,
-            lambda node: self._regions.get(node) == settings.region,
+        self._directory = Directory(
+            own, self._store, telemetry, self._take_records, self._tell_lost, on_duty
         )
+        self._sharing = Sharing(
+            own, self._configuration, self._directory, self._peers, telemetry, on_duty
+        )
+        self._news = LoadNews(self._peers, self._gate.make_report, self._targets.find_distance)
         self._caller = Caller(
             settings.node,
             self._gate,
@@ -135,7 +139,9 @@
         for coroutine in (
             self._configuration.run(),
             self._directory.run(),
-            self._directory.run_publisher(),
+            self._directory.run_watch(),
+            self._sharing.run(),
+            self._settle(),
             self._peers.run(),
             self._ask_health(),
             self._news.run(),
@@ -191,14 +197,31 @@
     def _is_ready(self) -> bool:
         if self._stopping or self._configuration.current is None:
             return False
-        waited_s = read_clock() - self._started_at
-        known = self._directory.listed and self._peers.count_missing() == 0
-        return known or waited_s > FIRST_LINKS_S
+        return self._is_linked() or read_clock() - self._started_at > FIRST_LINKS_S
+
+    def _is_linked(self) -> bool:
+        """Tell whether every known node is linked, or has been tried."""
+        return self._directory.listed and self._peers.count_missing() == 0
+
+    async def _settle(self) -> None:
+        """Choose who follows the store once the first links are open."""
+        await asyncio.sleep(FIRST_LINKS_S)
+        self._sharing.settle()
+
+    def _tell_lost(self, node: NodeId) -> bool:
+        """Tell a node that its record is lost, and return whether there is a link to it."""
+        link = self._peers.find_link(node)
+        if link is not None:
+            link.send(RecordLost())
+        return link is not None
+
+    def _note_store(self, served: bool) -> None:
+        self._sharing.note_served(served)
 
     def _take_records(self, records: dict[NodeId, NodeRecord]) -> None:
-        self._regions = {node: record.region for node, record in records.items()}
         self._targets.set_records(records)
         self._peers.set_records(records)
+        self._sharing.set_records(records)
         self._peers.open_missing()
 
     def _greet(self, link: Link) -> None:
@@ -210,6 +233,7 @@
         self._calls.drop_link(link)
         if link.peer is not None:
             self._targets.forget_early(link.peer)
+            self._sharing.drop_peer(link.peer)
 
     def _tell_load(self) -> None:
         self._news.tell_all()
--- a/packages/mesh/src/ragwort_mesh/_store.py
+++ b/packages/mesh/src/ragwort_mesh/_store.py
@@ -1,6 +1,7 @@
 """The client of the platform's store."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ragwort_model import ErrorKind, StoreError
@@ -18,6 +19,9 @@
 MAX_REPLY_BYTES = 8 << 20
 """Longest reply: several pages of objects of a megabyte."""
 
+FAILURES_UNTIL_LOST = 2
+"""Calls that fail in a row before the store counts as lost: a single watch may be cut off."""
+
 SILENCE_MS = 2_000
 """How long the kernel waits for the store's acknowledgement."""
 
@@ -44,13 +48,17 @@
     ----------
     address
         Where the store listens, ``host:port``.
+    told
+        Called when the store is lost and when it is regained.
     """
 
-    def __init__(self, address: str, telemetry: Telemetry) -> None:
+    def __init__(self, address: str, telemetry: Telemetry, told: Callable[[bool], None]) -> None:
         self._host = address
+        self._told = told
         self._telemetry = telemetry
         self._pool = ClientPool(address, 2, MAX_REPLY_BYTES, SILENCE_MS)
         self._reachable = True
+        self._failures = 0
 
     async def call(self, request: StoreRequest, wait_s: float = 0.0) -> StoreReply | StoreError:
         """Send a request and return the reply's body, or why there is none.
@@ -91,10 +99,13 @@
         return StoreError(kind, message)
 
     def _note_reachable(self, reachable: bool, cause: str) -> None:
-        if reachable != self._reachable:
-            self._reachable = reachable
-            event = "store-regained" if reachable else "store-lost"
-            self._telemetry.events.write(event, cause=cause)
+        self._failures = 0 if reachable else self._failures + 1
+        if reachable == self._reachable or 0 < self._failures < FAILURES_UNTIL_LOST:
+            return
+        self._reachable = reachable
+        event = "store-regained" if reachable else "store-lost"
+        self._telemetry.events.write(event, cause=cause, failures=self._failures)
+        self._told(reachable)
 
 
 async def pause_before_retry(failures: int, jitter: float) -> None:
--- a/packages/mesh/src/ragwort_mesh/_targets.py
+++ b/packages/mesh/src/ragwort_mesh/_targets.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from ragwort_common import FailureDomain, NodeId, Region, ServiceName
-from ragwort_flow import Target, find_distance, take_report
+from ragwort_flow import Distance, Target, find_distance, take_report
 from ragwort_model import NodeRecord
 from ragwort_protocol import LoadReport
 
@@ -38,6 +38,11 @@
         """Return the servers of a service."""
         return self._services.get(service, ())
 
+    def find_distance(self, node: NodeId) -> Distance | None:
+        """Return how far a node is, or None for one without a record."""
+        known = self._nodes.get(node)
+        return known[1].distance if known is not None else None
+
     def count_nodes(self) -> int:
         """Return how many nodes are known."""
         return len(self._nodes)
--- a/packages/policy/src/ragwort_policy/_watchers.py
+++ b/packages/policy/src/ragwort_policy/_watchers.py
@@ -5,9 +5,8 @@
 from typing import Protocol
 
 from ragwort_common import FailureDomain, NodeId, Region
-from xxhash import xxh64_intdigest
+from ragwort_flow import WATCHERS_PER_DOMAIN, is_watcher_among, rank_node
 
-WATCHERS_PER_DOMAIN = 2
 NOTICE_FANOUT = 4
 
 
@@ -48,7 +47,7 @@
     return frozenset(
         node
         for nodes in domains.values()
-        for node in sorted(nodes, key=_rank_node, reverse=True)[:per_domain]
+        for node in sorted(nodes, key=rank_node, reverse=True)[:per_domain]
     )
 
 
@@ -56,12 +55,8 @@
     own: PlacedPeer, peers: Iterable[PlacedPeer], per_domain: int = WATCHERS_PER_DOMAIN
 ) -> bool:
     """Tell whether a node is one of the watchers of its failure domain."""
-    rank = _rank_node(own.node_id)
-    higher = 0
-    for peer in peers:
-        if peer.failure_domain == own.failure_domain and _rank_node(peer.node_id) > rank:
-            higher += 1
-    return higher < per_domain
+    neighbours = [peer.node_id for peer in peers if peer.failure_domain == own.failure_domain]
+    return is_watcher_among(own.node_id, neighbours, per_domain)
 
 
 def choose_notice_targets(
@@ -101,7 +96,3 @@
         if peer.region != own:
             regions[peer.region].append(peer.node_id)
     return [rng.sample(nodes, 1)[0] for nodes in regions.values()]
-
-
-def _rank_node(node: NodeId) -> int:
-    return xxh64_intdigest(node.encode())
--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -38,7 +38,14 @@
 )
 from ragwort_protocol._load import LoadReport, Probe, ProbeReply
 from ragwort_protocol._message import Message, replace_fields
-from ragwort_protocol._revision import Document, DocumentRequest, NodeNotice, RevisionNotice
+from ragwort_protocol._revision import (
+    Document,
+    DocumentRequest,
+    NodeNotice,
+    RecordLost,
+    RevisionNotice,
+    StoreNotice,
+)
 
 __all__ = [
     "Answer",
@@ -71,6 +78,7 @@
     "ProbeReply",
     "Profile",
     "ProtocolError",
+    "RecordLost",
     "Records",
     "Refusal",
     "RegionReport",
@@ -78,6 +86,7 @@
     "Response",
     "RevisionNotice",
     "ServiceLoad",
+    "StoreNotice",
     "Summary",
     "encode_frame",
     "measure_news",
--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -50,6 +50,8 @@
     | _revision.DocumentRequest
     | _revision.Document
     | _revision.NodeNotice
+    | _revision.StoreNotice
+    | _revision.RecordLost
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_MESSAGES)
--- a/packages/protocol/src/ragwort_protocol/_revision.py
+++ b/packages/protocol/src/ragwort_protocol/_revision.py
@@ -33,10 +33,13 @@
         The store's revision of it.
     content
         Its bytes, as they were read from the store.
+    packed
+        Whether the content is compressed (zlib, RFC 1950).
     """
 
     revision: int
     content: bytes
+    packed: bool = False
 
 
 class NodeNotice(Message, tag=43):
@@ -50,3 +53,13 @@
     service: str
     failure_domain: str
     region: str
+
+
+class StoreNotice(Message, tag=44):
+    """Tells a peer whether the platform's store serves the sender."""
+
+    served: bool
+
+
+class RecordLost(Message, tag=45):
+    """Tells a peer that the store holds no record of it any more."""
