--- a/packages/mesh/src/ragwort_mesh/_entry.py
+++ b/packages/mesh/src/ragwort_mesh/_entry.py
@@ -1,5 +1,6 @@
 """Answers the calls of this host's callers and of its server."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -90,7 +91,12 @@
             return HttpReply(404, build_refusal_headers(fields.call_id, 0))
         call = self._make_call(request, fields, route, arrived)
         progress = Progress()
-        reply = await self._caller.run_call(call, progress)
+        try:
+            reply = await self._caller.run_call(call, progress)
+        except asyncio.CancelledError:
+            self._telemetry.counters.add("entry.caller_left")
+            self._log(fields, arrived, call, 0, Reason.CANCELLED.value, progress)
+            raise
         return self._answer(fields, reply, arrived, call, progress)
 
     def _make_call(
@@ -166,7 +172,7 @@
         version = self._configuration.current.version if self._configuration.current else 0
         self._telemetry.events.write_call(
             "entry",
-            status >= 500,
+            status >= 500 or not status,
             id=fields.call_id.decode("latin-1"),
             version=version,
             route=call.route.name if call else None,
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -202,7 +202,11 @@
         decision = offer_call(self._state, now, offer)
         if decision.verdict is Verdict.QUEUED:
             self._telemetry.counters.add("gate.queued")
-            decision = await self._wait_turn(call_id)
+            try:
+                decision = await self._wait_turn(call_id)
+            except asyncio.CancelledError:
+                self._log_left(request, now, None)
+                raise
         if decision.verdict is Verdict.REFUSED:
             return self._refuse_decided(request, decision, now)
         if request.idempotent:
@@ -274,6 +278,7 @@
                 self._apply(end_call(self._state, now, offer.call_id, succeeded))
             else:
                 self._apply(withdraw_call(self._state, now, offer.call_id))
+                self._log_left(request, arrived, started)
         self._log_run(request, reply, arrived, started, now)
         return reply
 
@@ -381,5 +386,14 @@
             retry_after_ms=0 if is_answer else reply.retry_after_ms,
         )
 
+    def _log_left(self, request: Request, arrived: float, started: float | None) -> None:
+        """Log that nobody waits for a call any more, before or while it ran."""
+        self._telemetry.counters.add("gate.withdrawn")
+        outcome = Outcome.NOT_RUN if started is None else Outcome.UNKNOWN
+        left = Refusal(
+            request.call_id, outcome.value, Reason.CANCELLED.value, 0, self.make_report()
+        )
+        self._log_run(request, left, arrived, started, self._clock())
+
     def _log_server(self, event: str, report: object) -> None:
         self._telemetry.events.write(event, report=repr(report))
