Start calls when their host is quick

Cause: a run keeps the speed at which its server's host works when it starts. A stated speed was the same after 50 ms in 78 of 100 cases and unrelated after 150 ms. The decisions took speed for something that changes while a call runs.

A call now waits at its gate while the host is slowed if it is done sooner that way, and the gate asks the server's health path for the speed when the last statement is too old and the call long enough. Work is learned from the speed at the start. Of two limits with the same throughput near the knee the lower one is kept. Entries hear of the load of all servers of their domain.

Ruled out: stuck servers (the long runs lie on all of them), waits for nested calls (those runs had none under way), the connections to the entry.

--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -2,7 +2,7 @@
 
 from ragwort_flow._decision import EXPIRED, QUEUED, RUN, Decision, Verdict
 from ragwort_flow._distance import Distance, RandomSource, find_distance
-from ragwort_flow._hedging import SECOND_SLOWDOWN, get_hedge_delay
+from ragwort_flow._hedging import get_hedge_delay
 from ragwort_flow._instance_watch import (
     InstanceWatch,
     is_ready,
@@ -11,7 +11,6 @@
 )
 from ragwort_flow._knee import LEARNED_CALLS
 from ragwort_flow._placement import (
-    USUAL_SLOWDOWN,
     Fit,
     Placement,
     Target,
@@ -23,7 +22,15 @@
     take_report,
 )
 from ragwort_flow._repeats import RepeatBudget, RepeatLimits, count_call, take_repeat
-from ragwort_flow._slowdown import expect_run, fade_slowdown
+from ragwort_flow._speed import (
+    SpeedState,
+    expect_factor,
+    gains_by_asking,
+    gains_by_waiting,
+    is_slowed,
+    note_unanswered,
+    state_speed,
+)
 from ragwort_flow._split import SplitState, take_part
 from ragwort_flow._turns import (
     Offer,
@@ -32,22 +39,17 @@
     close_server,
     end_call,
     note_slowdown,
+    note_unanswered_question,
     offer_call,
     report_load,
     review_waiting,
     set_server,
     start_server,
+    wants_speed,
     withdraw_call,
 )
 from ragwort_flow._watchers import WATCHERS_PER_DOMAIN, is_watcher_among, rank_node
-from ragwort_flow._work import (
-    WorkClock,
-    WorkEstimates,
-    estimate_work,
-    learn_work,
-    read_work_clock,
-    state_slowdown,
-)
+from ragwort_flow._work import WorkEstimates, estimate_work, learn_work
 
 __all__ = [
     "Decision",
@@ -63,15 +65,13 @@
     "RandomSource",
     "RepeatBudget",
     "RepeatLimits",
-    "SECOND_SLOWDOWN",
+    "SpeedState",
     "SplitState",
     "Target",
     "TurnState",
     "Turns",
-    "USUAL_SLOWDOWN",
-    "WATCHERS_PER_DOMAIN",
     "Verdict",
-    "WorkClock",
+    "WATCHERS_PER_DOMAIN",
     "WorkEstimates",
     "choose_target",
     "close_server",
@@ -80,28 +80,32 @@
     "end_call",
     "estimate_finish",
     "estimate_work",
-    "expect_run",
-    "fade_slowdown",
+    "expect_factor",
     "find_distance",
+    "gains_by_asking",
+    "gains_by_waiting",
     "get_hedge_delay",
     "has_room",
     "is_ready",
+    "is_slowed",
     "is_watcher_among",
     "learn_work",
     "note_slowdown",
+    "note_unanswered",
+    "note_unanswered_question",
     "offer_call",
-    "read_work_clock",
     "rank_node",
     "record_sent",
     "report_load",
     "review_waiting",
     "set_server",
     "start_server",
-    "state_slowdown",
+    "state_speed",
     "take_departure",
     "take_heartbeat",
     "take_part",
     "take_repeat",
     "take_report",
+    "wants_speed",
     "withdraw_call",
 ]
--- a/packages/flow/src/ragwort_flow/_hedging.py
+++ b/packages/flow/src/ragwort_flow/_hedging.py
@@ -5,13 +5,8 @@
 "The Tail at Scale" (2013), so that only the calls that would be late are sent twice.
 """
 
-from ragwort_flow._slowdown import expect_run
-
-SECOND_SLOWDOWN = 1.3
-"""Slowdown that is expected of the server of the second send: one that is quiet is chosen."""
-
 RESERVED_SLOWDOWN = 1.6
-"""Slowdown for which the second send leaves time: its server may be slowed down too."""
+"""Slowdown for which the second send leaves time: its work may be longer than the mean."""
 
 SECOND_MARGIN_S = 0.015
 """Time for the way of the second send within a region, and a wake-up late by as much."""
@@ -30,8 +25,7 @@
     work_s
         Expected work of the call, in seconds.
     """
-    run_s = expect_run(work_s, RESERVED_SLOWDOWN, RESERVED_SLOWDOWN)
-    delay_s = left_s - run_s - SECOND_MARGIN_S
+    delay_s = left_s - work_s * RESERVED_SLOWDOWN - SECOND_MARGIN_S
     if delay_s < 0:
         return None
     return max(delay_s, LEAST_RUNS * work_s)
--- a/packages/flow/src/ragwort_flow/_knee.py
+++ b/packages/flow/src/ragwort_flow/_knee.py
@@ -24,6 +24,8 @@
 MEMORY = 0.05
 """Weight of the latest call in the factor."""
 
+LEAST_GAIN = 0.05
+"""Work done at once that one more call has to bring, in calls."""
 
 LEARNED_CALLS = 30
 """Calls below the knee after which calls beyond it are let in."""
@@ -48,8 +50,14 @@
 
 @cache
 def find_knee_limit(slots: int) -> int:
-    """Return the number of calls at once with which a server with a knee gets most work done."""
-    return max(range(1, slots + 1), key=lambda running: running / _get_factor(running, slots))
+    """Return the number of calls at once with which a server with a knee gets most work done.
+
+    Of two numbers with which it does about as much, the smaller one is better for each call.
+    """
+    return max(
+        range(1, slots + 1),
+        key=lambda running: running / _get_factor(running, slots) - LEAST_GAIN * running,
+    )
 
 
 def learn_below(state: KneeState) -> None:
--- a/packages/flow/src/ragwort_flow/_placement.py
+++ b/packages/flow/src/ragwort_flow/_placement.py
@@ -17,7 +17,6 @@
 from ragwort_protocol import LoadReport
 
 from ragwort_flow._distance import Distance, RandomSource
-from ragwort_flow._slowdown import expect_run, fade_slowdown
 
 COMPARED_NEAR = 4
 """Servers of the own failure domain that are compared for one call."""
@@ -44,8 +43,12 @@
 FAR_MARGIN = 0.9
 """Part of the time left within which the other region has to answer, for a call to go there."""
 
-USUAL_SLOWDOWN = 2.0
-"""Slowdown of a host on average, from the users' sheets: a quarter of the time fivefold."""
+USUAL_FACTOR = 1.3
+"""By how much longer than its work a call usually runs: gates start few calls on slowed hosts."""
+
+FACTOR_LIFE_S = 2.0
+"""Mean time for which a stated factor still holds: a cold start, or a server that is slow itself;
+what neighbours do is over before it is heard of, and is part of the stated wait."""
 
 FIRST_LIMIT = 4
 """Calls at once of a server that has not reported yet."""
@@ -127,26 +130,22 @@
     target.sent.append(now)
 
 
-def estimate_finish(
-    target: Target, now: float, work_s: float, usual: float = USUAL_SLOWDOWN
-) -> float:
-    """Return the time until the answer of a call of this work, in seconds.
-
-    ``usual`` is the slowdown that is expected once the reported one has passed.
-    """
+def estimate_finish(target: Target, now: float, work_s: float) -> float:
+    """Return the time until the answer of a call of this work, in seconds."""
     base_s = ROUND_TRIPS_S[target.distance]
     report = target.report
     if report is None:
         over = max(0, len(target.sent) + 1 - FIRST_LIMIT)
         return base_s + work_s * (1.0 + over / FIRST_LIMIT)
     age_s = max(0.0, now - target.reported_at)
-    slowdown = fade_slowdown(report.slowdown_percent / 100, age_s, usual)
+    told = FACTOR_LIFE_S / (FACTOR_LIFE_S + age_s)
+    factor = USUAL_FACTOR + (report.slowdown_percent / 100 - USUAL_FACTOR) * told
     taken = report.in_flight + report.queued + len(target.sent)
     over = max(0, taken + 1 - report.limit)
     own_over = min(over, len(target.sent) + 1) if over else 0
     fade = WAIT_LIFE_S / (WAIT_LIFE_S + age_s)
     wait_s = report.wait_ms / 1e3 * fade + own_over * report.service_time_us / 1e6 / report.limit
-    return base_s + wait_s + expect_run(work_s, slowdown, usual)
+    return base_s + wait_s + work_s * factor
 
 
 def has_room(target: Target) -> bool:
@@ -165,7 +164,6 @@
     exclude: Collection[NodeId],
     work_s: float,
     left_s: float,
-    usual: float = USUAL_SLOWDOWN,
     body_kb: float = 0.0,
 ) -> Placement | None:
     """Return the server whose answer is expected soonest, or None when there is none.
@@ -178,8 +176,6 @@
         Expected work of the call, in seconds.
     left_s
         Time left until the end of its objective, in seconds.
-    usual
-        Slowdown that is expected of a server once the reported one has passed.
     body_kb
         Size of the call's and the answer's bodies, in 1,000 bytes.
     """
@@ -189,7 +185,7 @@
             by_distance[target.distance].append(target)
     near = _draw(by_distance[Distance.SAME_DOMAIN], random, COMPARED_NEAR)
     near += _draw(by_distance[Distance.SAME_REGION], random, COMPARED)
-    need = _Need(work_s, left_s, usual, CALL_KB + body_kb)
+    need = _Need(work_s, left_s, CALL_KB + body_kb)
     best = _find_best(near, now, random, need)
     if best is not None and best.fit is Fit.IN_TIME:
         return best
@@ -202,11 +198,10 @@
 
 @dataclass(slots=True, frozen=True)
 class _Need:
-    """What a call needs: its work, the time left, the usual slowdown, and its size."""
+    """What a call needs: its work, the time left, and its size."""
 
     work_s: float
     left_s: float
-    usual: float
     size_kb: float
 
 
@@ -216,7 +211,7 @@
     best: Target | None = None
     best_rank = best_s = 0.0
     for target in targets:
-        finish_s = estimate_finish(target, now, need.work_s, need.usual)
+        finish_s = estimate_finish(target, now, need.work_s)
         rank = finish_s * (1.0 + JITTER_PART * random.random())
         # A delay as long as the time left loses the whole worth, so parts of the one are put as
         # parts of the other.
--- a/packages/flow/src/ragwort_flow/_turns.py
+++ b/packages/flow/src/ragwort_flow/_turns.py
@@ -4,9 +4,12 @@
 server is slower near its last slots, and more calls come than can be run within their objectives.
 A call waits only while its answer is expected within its objective; waiting calls start by their
 rank and then by their latest start (earliest deadline first, Liu and Layland, 1973, on the
-objective less the expected work). What cannot be in time is refused at once.
+objective less the expected work). What cannot be in time is refused at once. A call does not start
+on a slowed host if it is done sooner by waiting, nor before the host's speed is known if that is
+worth a question.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from math import exp
 
@@ -21,15 +24,19 @@
     learn_below,
     learn_beyond,
 )
-from ragwort_flow._slowdown import expect_run, fade_slowdown
-from ragwort_flow._work import (
-    WorkClock,
-    WorkEstimates,
-    estimate_work,
-    learn_work,
-    read_work_clock,
-    state_slowdown,
+from ragwort_flow._speed import (
+    HOLD_S,
+    SpeedState,
+    expect_factor,
+    gains_by_asking,
+    gains_by_waiting,
+    get_best,
+    is_slowed,
+    is_speed_known,
+    note_unanswered,
+    state_speed,
 )
+from ragwort_flow._work import WorkEstimates, estimate_work, learn_work
 
 COLD_SLOWDOWN = 2.0
 """Slowdown of a server that has just started; from the users' sheets."""
@@ -93,8 +100,6 @@
     ----------
     limit
         Calls that the server may run at once, of its slots.
-    host_slowdown
-        What the server last stated; None before that.
     last_rank
         Rank of the least urgent calls that were offered.
     failing, failing_at
@@ -105,8 +110,7 @@
     slots: int = 1
     limit: int = 1
     cold_until: float = 0.0
-    host_slowdown: float | None = None
-    clock: WorkClock = field(default_factory=WorkClock)
+    speed: SpeedState = field(default_factory=SpeedState)
     work: WorkEstimates = field(default_factory=WorkEstimates)
     running: dict[CallId, "_Running"] = field(default_factory=dict)
     waiting: list["_Waiting"] = field(default_factory=list)
@@ -118,8 +122,12 @@
 
 @dataclass(slots=True, frozen=True)
 class _Running:
+    """A call that runs; ``factor`` is the slowdown at which it started."""
+
     offer: Offer
-    started_work_s: float
+    started: float
+    factor: float
+    is_factor_known: bool
     beyond_knee: bool
 
 
@@ -141,7 +149,7 @@
 
 def start_server(state: TurnState) -> None:
     """Forget what was learned of the server; another one has taken its place."""
-    state.host_slowdown = None
+    state.speed = SpeedState()
     state.knee = KneeState()
     state.failing = 0.0
 
@@ -152,7 +160,6 @@
     state.slots = slots
     state.limit = find_limit(state.knee, slots)
     state.cold_until = now + cold_s
-    _state_slowdown(state, now)
 
 
 def close_server(state: TurnState) -> Turns:
@@ -165,8 +172,21 @@
 
 def note_slowdown(state: TurnState, now: float, slowdown: float) -> None:
     """Take in how much slower than usual the host says that it is."""
-    state.host_slowdown = slowdown
-    _state_slowdown(state, now)
+    state_speed(state.speed, now, slowdown)
+
+
+def note_unanswered_question(state: TurnState, now: float) -> None:
+    """Take in that the server did not answer the question for its speed."""
+    note_unanswered(state.speed, now)
+
+
+def wants_speed(state: TurnState, now: float) -> bool:
+    """Tell whether a call could start but for the host's speed, which has to be asked for."""
+    if len(state.running) >= state.limit:
+        return False
+    return any(
+        gains_by_asking(state.speed, now, _get_work(state, call.offer)) for call in state.waiting
+    )
 
 
 def offer_call(state: TurnState, now: float, offer: Offer) -> Decision:
@@ -176,10 +196,11 @@
     if offer.deadline <= now:
         return EXPIRED
     state.last_rank = max(state.last_rank, offer.rank)
-    if len(state.running) < state.limit and not state.waiting:
+    work_s = _get_work(state, offer)
+    has_slot = len(state.running) < state.limit and not any(_list_startable(state, now))
+    if has_slot and _may_start(state, now, work_s):
         _start(state, now, offer)
         return RUN
-    work_s = _get_work(state, offer)
     entry = _Waiting(offer.rank, _get_latest_start(offer, now, work_s), offer.call_id, offer)
     ahead = [call.offer for call in state.waiting if call < entry]
     wait_s = _expect_wait(state, now, ahead, 0.0)
@@ -198,8 +219,7 @@
     ends_beyond_knee = len(state.running) > find_knee_limit(state.slots)
     running = state.running.pop(call_id)
     if succeeded:
-        work_s = read_work_clock(state.clock, now) - running.started_work_s
-        _learn(state, running, work_s, ends_beyond_knee)
+        _learn(state, running, (now - running.started) / running.factor, ends_beyond_knee)
     state.failing = _get_failing(state, now)
     state.failing += ((not succeeded) - state.failing) * ERROR_MEMORY
     state.failing_at = now
@@ -238,16 +258,16 @@
 def report_load(state: TurnState, now: float) -> LoadReport:
     """Return what the entries are told of the server."""
     mean_s = _average(list(state.work.mean_s.values()))
-    slowdown = _get_slowdown(state, now)
+    factor = _expect_start_factor(state, now)
     wait_s = _expect_wait(state, now, [call.offer for call in state.waiting], 0.0)
     return LoadReport(
         in_flight=len(state.running),
         limit=state.limit,
         queued=len(state.waiting),
-        service_time_us=int(mean_s * state.clock.usual * 1e6),
+        service_time_us=int(mean_s * factor * 1e6),
         accepting=state.accepting,
         warm_percent=100,
-        slowdown_percent=int(slowdown * 100),
+        slowdown_percent=int(factor * 100),
         wait_ms=int(wait_s * 1e3),
         failing_percent=int(_get_failing(state, now) * 100),
     )
@@ -274,6 +294,8 @@
 
 def _learn(state: TurnState, running: _Running, work_s: float, ends_beyond_knee: bool) -> None:
     """Take in the work of a call; what it shows of the knee depends on how full the server was."""
+    if not running.is_factor_known:
+        return
     if running.beyond_knee and ends_beyond_knee:
         expected_s = _get_work(state, running.offer)
         if expected_s > 0:
@@ -294,56 +316,68 @@
     return Decision(Verdict.REFUSED, Reason.LEAVING)
 
 
-def _state_slowdown(state: TurnState, now: float) -> None:
-    slowdown = state.host_slowdown
-    if slowdown is None:
-        # What a server states includes its cold start; this one has stated nothing yet.
-        slowdown = COLD_SLOWDOWN if now < state.cold_until else 1.0
-    state_slowdown(state.clock, now, slowdown)
+def _may_start(state: TurnState, now: float, work_s: float) -> bool:
+    """Tell whether a call of this work had better start now than a little later."""
+    if gains_by_waiting(state.speed, now, work_s):
+        return False
+    return not gains_by_asking(state.speed, now, work_s)
 
 
-def _get_slowdown(state: TurnState, now: float) -> float:
-    age_s = now - state.clock.stated_at
-    return fade_slowdown(state.clock.slowdown, age_s, _get_usual(state, now))
+def _list_startable(state: TurnState, now: float) -> Iterator[bool]:
+    """Tell for each waiting call, in their order, whether it may start as far as speed goes."""
+    for call in state.waiting:
+        yield _may_start(state, now, _get_work(state, call.offer))
 
 
-def _get_usual(state: TurnState, now: float) -> float:
-    return state.clock.usual * (COLD_SLOWDOWN if now < state.cold_until else 1.0)
+def _expect_start_factor(state: TurnState, now: float) -> float:
+    """Return by how much longer than its work a call runs here that waits for a quick host."""
+    if state.speed.tells:
+        # What a server states includes its cold start.
+        return get_best(state.speed)
+    return COLD_SLOWDOWN if now < state.cold_until else 1.0
 
 
 def _expect_wait(state: TurnState, now: float, ahead: list[Offer], work_s: float) -> float:
     """Return the time until ``work_s`` of work is done that starts after the calls ahead."""
-    quiet_s = work_s
+    factor = _expect_start_factor(state, now)
+    wait_s = HOLD_S if is_slowed(state.speed, now) else 0.0
     if len(state.running) + len(ahead) >= state.limit:
-        done_s = read_work_clock(state.clock, now)
-        remaining = [_get_remaining(state, call, done_s) for call in state.running.values()]
-        ahead_s = sum(_get_work(state, offer) for offer in ahead)
-        quiet_s += (_average(remaining) + ahead_s) / state.limit
-    return expect_run(quiet_s, _get_slowdown(state, now), _get_usual(state, now))
+        remaining = [_get_remaining(state, call, now) for call in state.running.values()]
+        ahead_s = sum(_get_work(state, offer) for offer in ahead) * factor
+        wait_s = max(wait_s, (_average(remaining) + ahead_s) / state.limit)
+    return wait_s + work_s * factor
 
 
-def _get_remaining(state: TurnState, call: _Running, done_s: float) -> float:
-    """Return the work that a running call is expected to have left.
+def _get_remaining(state: TurnState, call: _Running, now: float) -> float:
+    """Return the time that a running call is expected to go on.
 
     One that has run for longer than expected is expected to go on as long again, as with a
     heavy-tailed distribution; so the wait at a server that hangs grows with time.
     """
-    work_s = _get_work(state, call.offer)
-    spent_s = done_s - call.started_work_s
-    return max(work_s * MIN_REMAINING_SHARE, abs(work_s - spent_s))
+    run_s = _get_work(state, call.offer) * call.factor
+    return max(run_s * MIN_REMAINING_SHARE, abs(run_s - (now - call.started)))
 
 
 def _start(state: TurnState, now: float, offer: Offer) -> None:
     beyond_knee = len(state.running) + 1 > find_knee_limit(state.slots)
-    state.running[offer.call_id] = _Running(offer, read_work_clock(state.clock, now), beyond_knee)
+    speed = state.speed
+    factor = expect_factor(speed, now) if speed.tells else _expect_start_factor(state, now)
+    state.running[offer.call_id] = _Running(
+        offer, now, factor, is_speed_known(speed, now), beyond_knee
+    )
 
 
 def _start_waiting(state: TurnState, now: float) -> Turns:
     started = []
-    while state.waiting and len(state.running) < state.limit:
-        call = state.waiting.pop(0)
-        _start(state, now, call.offer)
-        started.append(call.call_id)
+    kept = []
+    for call in state.waiting:
+        has_slot = len(state.running) < state.limit
+        if has_slot and _may_start(state, now, _get_work(state, call.offer)):
+            _start(state, now, call.offer)
+            started.append(call.call_id)
+        else:
+            kept.append(call)
+    state.waiting = kept
     return Turns(started=started)
 
 
--- a/packages/mesh/src/ragwort_mesh/_caller.py
+++ b/packages/mesh/src/ragwort_mesh/_caller.py
@@ -7,8 +7,6 @@
 
 from ragwort_common import NodeId, Outcome, Reason, ServiceName
 from ragwort_flow import (
-    SECOND_SLOWDOWN,
-    USUAL_SLOWDOWN,
     Distance,
     Fit,
     Placement,
@@ -148,9 +146,7 @@
             if self._is_final(call, reply, progress):
                 return reply if isinstance(reply, Response) else self._end(progress, Reason.NONE)
 
-    def _choose(
-        self, call: Call, progress: Progress, now: float, usual: float = USUAL_SLOWDOWN
-    ) -> Placement | None:
+    def _choose(self, call: Call, progress: Progress, now: float) -> Placement | None:
         if len(progress.tried) >= MAX_GATES:
             return None
         return choose_target(
@@ -160,7 +156,6 @@
             progress.tried,
             self._estimate_work(call),
             call.objective - now,
-            usual,
             self._body_kb.get(call.route.name, 0.0),
         )
 
@@ -205,7 +200,7 @@
         now = self._clock()
         if progress.sent + 1 >= call.route.max_servers:
             return None
-        placement = self._choose(call, progress, now, SECOND_SLOWDOWN)
+        placement = self._choose(call, progress, now)
         if placement is None or placement.fit is not Fit.IN_TIME or not has_room(placement.target):
             self._telemetry.counters.add("entry.hedges_too_late")
             return None
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -21,6 +21,7 @@
     estimate_work,
     is_ready,
     note_slowdown,
+    note_unanswered_question,
     offer_call,
     report_load,
     review_waiting,
@@ -28,6 +29,7 @@
     start_server,
     take_departure,
     take_heartbeat,
+    wants_speed,
     withdraw_call,
 )
 from ragwort_model import Departure, Heartbeat, InstanceState
@@ -39,6 +41,7 @@
     make_answer_check,
     read_health,
     read_server_answer,
+    read_slowdown,
 )
 from ragwort_protocol import LoadReport, Refusal, Request, Response
 from ragwort_transport import BAD_ANSWER, Answer, ClientPool, Failure, WorkCount
@@ -58,6 +61,10 @@
 HEALTH_TIMEOUT_S = 0.5
 """Time for the answer to the question whether the server is well; it comes at once."""
 
+SPEED_TIMEOUT_S = 0.03
+"""Time for the answer to the question for the host's speed; the call that waits for it loses as
+much at most."""
+
 MAX_ANSWER_BYTES = 64 << 20
 """Longest answer; the platform's own limit on bodies."""
 
@@ -104,6 +111,8 @@
         self._turns: dict[CallId, asyncio.Future[Decision]] = {}
         self._review: asyncio.TimerHandle | None = None
         self._ids = itertools.count(1)
+        self._health_target: str | None = None
+        self._asking: asyncio.Task[None] | None = None
         self._held: set[asyncio.Task[Response | Refusal]] = set()
         self.work = WorkCount()
 
@@ -152,16 +161,20 @@
         if not was_accepting:
             self._changed()
 
-    async def ask_health(self, target: str) -> None:
+    def set_health_target(self, target: str | None) -> None:
+        """Set where the server is asked how it is; None where it is not."""
+        self._health_target = target
+
+    async def ask_health(self) -> None:
         """Ask the server who and how it is, unless it has told already.
 
         A node that has just started again need not wait for the server's next report. A server
         that leaves says that it isn't well, so nothing is sent to one that has been told goodbye.
         """
-        if self._watch.current is not None:
+        if self._watch.current is not None or self._health_target is None:
             return
         result = await self._pool.exchange(
-            build_health_request(target, self._address), HEALTH_TIMEOUT_S
+            build_health_request(self._health_target, self._address), HEALTH_TIMEOUT_S
         )
         health = read_health(result) if isinstance(result, Answer) else None
         if health is None:
@@ -220,6 +233,8 @@
 
     async def close(self) -> None:
         """Close the connections to the server."""
+        if self._asking is not None:
+            self._asking.cancel()
         await self._pool.close()
 
     def stop_taking(self) -> None:
@@ -244,6 +259,7 @@
         turn = asyncio.get_running_loop().create_future()
         self._turns[call_id] = turn
         self._plan_review()
+        self._ask_speed_if_wanted()
         try:
             return await turn
         except asyncio.CancelledError:
@@ -262,6 +278,29 @@
         self._apply(review_waiting(self._state, self._clock()))
         if self._turns:
             self._plan_review()
+            self._ask_speed_if_wanted()
+
+    def _ask_speed_if_wanted(self) -> None:
+        """Ask the server for its host's speed if a call waits for nothing else."""
+        if self._health_target is None or self._asking is not None:
+            return
+        if wants_speed(self._state, self._clock()):
+            self._asking = asyncio.create_task(self._ask_speed(self._health_target))
+
+    async def _ask_speed(self, target: str) -> None:
+        self._telemetry.counters.add("gate.speed_questions")
+        result = await self._pool.exchange(
+            build_health_request(target, self._address), SPEED_TIMEOUT_S, may_resend=True
+        )
+        self._asking = None
+        slowdown = read_slowdown(result) if isinstance(result, Answer) else None
+        now = self._clock()
+        if slowdown is not None:
+            note_slowdown(self._state, now, slowdown)
+        else:
+            self._telemetry.counters.add("gate.speed_questions_unanswered")
+            note_unanswered_question(self._state, now)
+        self._apply(review_waiting(self._state, now))
 
     async def _run(self, request: Request, offer: Offer, arrived: float) -> Response | Refusal:
         started = self._clock()
--- a/packages/mesh/src/ragwort_mesh/_load_news.py
+++ b/packages/mesh/src/ragwort_mesh/_load_news.py
@@ -17,8 +17,9 @@
 domains they are paid for, and calls that go there are fewer. Entries of the other region hear of
 the load with their answers only."""
 
-INTEREST_S = 2.0
-"""How long an entry is told after its last call."""
+INTEREST_S = {Distance.SAME_DOMAIN: 30.0, Distance.SAME_REGION: 2.0}
+"""How long an entry is told after its last call; in its own domain it hears of the load of each
+server that it may well call next."""
 
 NEWS_PER_S = 400.0
 """Most messages a second: at 30 bytes, 12 KB of the 14 that control may take."""
@@ -74,7 +75,7 @@
 
     def _tell(self, distance: Distance) -> None:
         """Tell the interested entries at a distance, if there is news for them."""
-        oldest = asyncio.get_running_loop().time() - INTEREST_S
+        oldest = asyncio.get_running_loop().time() - INTEREST_S[distance]
         called_at = self._called_at[distance]
         for node in [node for node, at in called_at.items() if at < oldest]:
             del called_at[node]
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -240,15 +240,15 @@
 
     def _take_configuration(self) -> None:
         self._sharing.tell_revision()
+        current = self._configuration.current
+        assert current is not None, "told of a configuration that there is not"
+        self._gate.set_health_target(current.health_paths.get(self._settings.service))
         self._configured.set()
 
     async def _ask_health(self) -> None:
         """Ask the server how it is once its service's health path is known."""
         await self._configured.wait()
-        current = self._configuration.current
-        target = current.health_paths.get(self._settings.service) if current else None
-        if target is not None:
-            await self._gate.ask_health(target)
+        await self._gate.ask_health()
 
     def _receive(self, link: Link, message: Message) -> None:
         if type(message) is Request:
