--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 STAMP := .venv/.installed
-CODE := packages platform standins tests bench
+CODE := packages platform standins tests bench soak
 
 .PHONY: setup demo test check bench format proto lock
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes on loopback, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,45 @@
+"""The command of the soak: ``python -m soak --seed 1 --count 50``."""
+
+import sys
+from pathlib import Path
+
+from absl import app, flags
+
+from soak.plan import Fault
+from soak.report import format_reports, plot_report
+from soak.run import Options, Report, run_seed
+
+FLAGS = flags.FLAGS
+flags.DEFINE_integer("seed", 1, "First seed.")
+flags.DEFINE_integer("count", 1, "Number of seeds, one after the other.", lower_bound=1)
+flags.DEFINE_float("seconds", 12.0, "Time in which faults begin, in seconds.", lower_bound=3.0)
+flags.DEFINE_integer("domains", 2, "Failure domains.", lower_bound=1)
+flags.DEFINE_integer("copies", 1, "Servers of a service in a failure domain.", lower_bound=1)
+flags.DEFINE_integer("callers", 2, "Callers at each member.", lower_bound=1)
+flags.DEFINE_multi_enum_class("fault", None, Fault, "Kinds of faults; all of them if not named.")
+flags.DEFINE_string("logs", None, "Folder for the logs of each process and the plots.")
+
+
+def _main(_: list[str]) -> None:
+    options = Options(
+        seconds=FLAGS.seconds,
+        domains=FLAGS.domains,
+        copies=FLAGS.copies,
+        callers=FLAGS.callers,
+        faults=tuple(FLAGS.fault or Fault),
+    )
+    reports: list[Report] = []
+    for seed in range(FLAGS.seed, FLAGS.seed + FLAGS.count):
+        folder = Path(FLAGS.logs) / str(seed) if FLAGS.logs else None
+        report = run_seed(seed, options, folder)
+        reports.append(report)
+        for line in report.broken:
+            print(f"seed {seed}: {line}", flush=True)
+        if folder is not None:
+            plot_report(report, folder / "calls.png")
+    print(format_reports(reports))
+    sys.exit(1 if any(report.broken for report in reports) else 0)
+
+
+if __name__ == "__main__":
+    app.run(_main)
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,146 @@
+"""Does to the processes of a run what its plan says; faults may overlap at one member."""
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+from soak.fleet import GRACE_S, Fleet, Member
+from soak.plan import Fault, Step
+
+SETTLE_S = 4.0
+"""How long after a disturbance a member still counts as disturbed: links and watches return."""
+
+DELAY_S = 0.15
+
+
+async def apply_faults(fleet: Fleet, steps: list[Step], began: float) -> None:
+    """Apply every step at its time, and return when all are over."""
+    async with asyncio.TaskGroup() as group:
+        for step in steps:
+            await asyncio.sleep(max(0.0, began + step.at_s - time.time()))
+            if step.fault is Fault.CONFIGURE:
+                group.create_task(fleet.configure())
+                continue
+            if step.fault is Fault.STORE_PAUSE:
+                group.create_task(_pause_store(fleet, step))
+                continue
+            for number in step.members:
+                group.create_task(_disturb(fleet, fleet.members[number], step))
+
+
+async def _disturb(fleet: Fleet, member: Member, step: Step) -> None:
+    with member.disturb():
+        await _ACTIONS[step.fault](fleet, member, step.for_s)
+        await asyncio.sleep(SETTLE_S)
+
+
+async def _pause_store(fleet: Fleet, step: Step) -> None:
+    fleet.signal(fleet.store, signal.SIGSTOP)
+    await asyncio.sleep(step.for_s)
+    fleet.signal(fleet.store, signal.SIGCONT)
+
+
+async def _end_node(
+    fleet: Fleet, member: Member, number: signal.Signals, patience_s: float
+) -> None:
+    process = member.node
+    fleet.signal(process, signal.SIGCONT)
+    fleet.signal(process, number)
+    if process is not None:
+        try:
+            await asyncio.wait_for(process.wait(), patience_s)
+        except TimeoutError:
+            fleet.signal(process, signal.SIGKILL)
+            await process.wait()
+    if member.node is process:
+        await fleet.start_node(member)
+
+
+async def _kill_node(fleet: Fleet, member: Member, for_s: float) -> None:
+    await _end_node(fleet, member, signal.SIGKILL, 1.0)
+
+
+async def _term_node(fleet: Fleet, member: Member, for_s: float) -> None:
+    await _end_node(fleet, member, signal.SIGTERM, GRACE_S)
+
+
+async def _pause_node(fleet: Fleet, member: Member, for_s: float) -> None:
+    fleet.signal(member.node, signal.SIGSTOP)
+    await asyncio.sleep(for_s)
+    fleet.signal(member.node, signal.SIGCONT)
+
+
+async def _hup_node(fleet: Fleet, member: Member, for_s: float) -> None:
+    fleet.signal(member.node, signal.SIGHUP)
+
+
+async def _end_server(fleet: Fleet, member: Member, number: signal.Signals) -> None:
+    process = member.server
+    fleet.signal(process, signal.SIGCONT)
+    fleet.signal(process, number)
+    if process is not None:
+        await process.wait()
+    if member.server is process:
+        await fleet.start_server(member)
+
+
+async def _kill_server(fleet: Fleet, member: Member, for_s: float) -> None:
+    await _end_server(fleet, member, signal.SIGKILL)
+
+
+async def _leave_server(fleet: Fleet, member: Member, for_s: float) -> None:
+    await _end_server(fleet, member, signal.SIGTERM)
+
+
+async def _pause_server(fleet: Fleet, member: Member, for_s: float) -> None:
+    fleet.signal(member.server, signal.SIGSTOP)
+    await asyncio.sleep(for_s)
+    fleet.signal(member.server, signal.SIGCONT)
+
+
+async def _reset_server(fleet: Fleet, member: Member, for_s: float) -> None:
+    member.server_proxy.reset()
+
+
+async def _delay_server(fleet: Fleet, member: Member, for_s: float) -> None:
+    member.server_proxy.delay_s = DELAY_S
+    await asyncio.sleep(for_s)
+    member.server_proxy.heal()
+
+
+async def _reset_store(fleet: Fleet, member: Member, for_s: float) -> None:
+    member.store_proxy.reset()
+
+
+async def _silence_store(fleet: Fleet, member: Member, for_s: float) -> None:
+    member.store_proxy.passes_requests = member.store_proxy.passes_replies = False
+    await asyncio.sleep(for_s)
+    member.store_proxy.heal()
+
+
+async def _cut_replies(fleet: Fleet, member: Member, for_s: float) -> None:
+    member.store_proxy.passes_replies = False
+    await asyncio.sleep(for_s)
+    member.store_proxy.heal()
+
+
+async def _kill_both(fleet: Fleet, member: Member, for_s: float) -> None:
+    await asyncio.gather(_kill_server(fleet, member, 0.0), _kill_node(fleet, member, 0.0))
+
+
+_ACTIONS: dict[Fault, Callable[[Fleet, Member, float], Awaitable[None]]] = {
+    Fault.NODE_KILL: _kill_node,
+    Fault.NODE_TERM: _term_node,
+    Fault.NODE_PAUSE: _pause_node,
+    Fault.NODE_HUP: _hup_node,
+    Fault.SERVER_KILL: _kill_server,
+    Fault.SERVER_LEAVE: _leave_server,
+    Fault.SERVER_PAUSE: _pause_server,
+    Fault.SERVER_RESET: _reset_server,
+    Fault.SERVER_DELAY: _delay_server,
+    Fault.STORE_RESET: _reset_store,
+    Fault.STORE_SILENCE: _silence_store,
+    Fault.STORE_CUT_REPLIES: _cut_replies,
+    Fault.DOMAIN_KILL: _kill_both,
+}
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,221 @@
+"""The processes of a run: the store, and for each member a server, a node and two proxies."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+
+from bench.deployment import take_ports
+from soak.proxy import Proxy
+
+HOST = "calls.example"
+SERVICES = ("lookup", "confirm", "inner")
+GRACE_S = 4
+DRAIN_S = 1.5
+"""How long a leaving server still takes calls, as its node is told."""
+
+
+@dataclass(eq=False)
+class Member:
+    """A host: its server, the node beside it and the proxies between them and the store.
+
+    Attributes
+    ----------
+    starts
+        Starts of the node so far; a node knows nothing of its earlier ones.
+    disturbed
+        Spans of time in which the member was not sound, open ones without an end.
+    """
+
+    number: int
+    service: str
+    domain: str
+    folder: Path
+    ports: dict[str, int]
+    store_proxy: Proxy
+    server_proxy: Proxy
+    node: asyncio.subprocess.Process | None = None
+    server: asyncio.subprocess.Process | None = None
+    starts: int = 0
+    server_starts: int = 0
+    disturbed: list[list[float]] = field(default_factory=list)
+
+    @property
+    def name(self) -> str:
+        """Name of the node."""
+        return f"n{self.number}"
+
+    @property
+    def entry(self) -> str:
+        """Where callers send their calls."""
+        return f"127.0.0.1:{self.ports['outbound']}"
+
+    def was_sound(self, since: float, until: float) -> bool:
+        """Tell whether nothing disturbed the member in a span of time."""
+        return all(
+            end < since or begin > until
+            for begin, end in ((span[0], (span[1:] or [time.time()])[0]) for span in self.disturbed)
+        )
+
+    @contextlib.contextmanager
+    def disturb(self):
+        """Note that the member is not sound for the time of the block."""
+        span = [time.time()]
+        self.disturbed.append(span)
+        try:
+            yield
+        finally:
+            span.append(time.time())
+
+
+@dataclass(eq=False)
+class Fleet:
+    """All processes of a run; ends only those that it started, by their ids."""
+
+    folder: Path
+    store_port: int
+    members: list[Member] = field(default_factory=list)
+    store: asyncio.subprocess.Process | None = None
+    version: int = 0
+    configured: list[tuple[int, float]] = field(default_factory=list)
+
+    async def start(self, domains: int, copies: int) -> None:
+        """Start the store, write a configuration, and start the members."""
+        words = ("-m", "ragwort_standins.store", "--port", str(self.store_port))
+        self.store = await self._spawn("store", *words)
+        await self.configure(patience_s=20.0)
+        for number in range(domains * copies * len(SERVICES)):
+            domain = f"d{number % domains}"
+            service = SERVICES[number // domains % len(SERVICES)]
+            self.members.append(await self._plan_member(number, service, domain))
+        await asyncio.gather(*(self.start_server(member) for member in self.members))
+        await asyncio.gather(*(self.start_node(member) for member in self.members))
+
+    async def stop(self) -> None:
+        """End every process that still runs."""
+        processes = [self.store]
+        for member in self.members:
+            processes += [member.node, member.server]
+            await member.store_proxy.stop()
+            await member.server_proxy.stop()
+        for process in processes:
+            if process is not None and process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                await process.wait()
+
+    async def configure(self, patience_s: float = 5.0) -> None:
+        """Write the next version, in which one more route leads to the first service."""
+        version = self.version + 1
+        routes = {
+            service: _make_route(service, f"/{service}/", service != "confirm")
+            for service in SERVICES
+        }
+        routes |= {
+            f"v{number}": _make_route("lookup", f"/v{number}/", True)
+            for number in range(max(1, version - 5), version + 1)
+        }
+        content = {
+            "version": f"r{version}",
+            "routes": routes,
+            "services": {service: {"healthPath": "/healthz"} for service in SERVICES},
+            "limits": {
+                "maxHeaderBytes": 8192,
+                "maxBodyBytes": 1 << 20,
+                "headerTimeoutMs": 2000,
+                "idleTimeoutMs": 8000,
+            },
+        }
+        if await self._write(content, patience_s):
+            self.version = version
+            self.configured.append((version, time.time()))
+
+    async def _write(self, content: dict, patience_s: float) -> bool:
+        url = f"http://127.0.0.1:{self.store_port}/-/objects/config"
+        body = {"metadata": {"name": "main"}, "spec": content}
+        deadline = time.time() + patience_s
+        async with aiohttp.ClientSession() as session:
+            while time.time() < deadline:
+                try:
+                    async with asyncio.timeout(1.0):
+                        if self.version == 0:
+                            reply = await session.post(url, json=body)
+                        else:
+                            reply = await session.put(f"{url}/main", json=body)
+                        if reply.status < 300:
+                            return True
+                except (aiohttp.ClientError, TimeoutError):
+                    pass
+                await asyncio.sleep(0.1)
+        return False
+
+    async def start_node(self, member: Member) -> None:
+        """Start a member's node."""
+        member.starts += 1
+        settings = {
+            "nodeName": member.name,
+            "zone": member.domain,
+            "region": "r" + str(int(member.domain[1:]) // 2),
+            "service": member.service,
+            "appAddr": f"127.0.0.1:{member.server_proxy.port}",
+            "listenAddrs": {
+                name: f"127.0.0.1:{port}" for name, port in member.ports.items() if name != "server"
+            },
+            "platform": {"addr": f"127.0.0.1:{member.store_proxy.port}"},
+            "bounds": [f"graceS={GRACE_S}"],
+        }
+        path = member.folder / f"{member.name}.json"
+        path.write_text(json.dumps(settings))
+        member.node = await self._spawn(member.name, "-m", "ragwort_mesh", "--settings", str(path))
+
+    async def start_server(self, member: Member) -> None:
+        """Start a new incarnation of a member's server."""
+        member.server_starts += 1
+        instance = f"i-{member.number}-{member.server_starts}"
+        member.server = await self._spawn(
+            instance,
+            *("-m", "soak.server", "--instance", instance, "--service", member.service),
+            *("--port", str(member.ports["server"]), "--drain_s", str(DRAIN_S)),
+            *("--control", f"127.0.0.1:{member.ports['control']}"),
+            *("--outbound", member.entry),
+        )
+
+    def signal(self, process: asyncio.subprocess.Process | None, number: signal.Signals) -> None:
+        """Send a signal to a process of the run, if it still runs."""
+        if process is not None and process.returncode is None:
+            process.send_signal(number)
+
+    async def _plan_member(self, number: int, service: str, domain: str) -> Member:
+        names = ("inbound", "outbound", "ready", "control", "server")
+        ports = dict(zip(names, take_ports(len(names)), strict=True))
+        store_proxy = Proxy(f"127.0.0.1:{self.store_port}")
+        server_proxy = Proxy(f"127.0.0.1:{ports['server']}")
+        await store_proxy.start()
+        await server_proxy.start()
+        return Member(number, service, domain, self.folder, ports, store_proxy, server_proxy)
+
+    async def _spawn(self, name: str, *words: str) -> asyncio.subprocess.Process:
+        with (self.folder / f"{name}.log").open("ab") as output:
+            return await asyncio.create_subprocess_exec(
+                sys.executable, *words, stdout=output, stderr=output, env=dict(os.environ)
+            )
+
+
+def _make_route(service: str, prefix: str, idempotent: bool) -> dict:
+    return {
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": "idempotent" if idempotent else "non_idempotent",
+        "timeoutMs": 1500,
+        "targetLatencyMs": 300,
+        "priority": 1,
+        "maxAttempts": 2,
+        "service": service,
+    }
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,71 @@
+"""Plans the faults of one run from its seed; pure, so that a seed always means the same run."""
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+FIRST_FAULT_S = 2.0
+"""Faults begin after this time, when every node has served calls."""
+
+MEAN_GAP_S = 0.7
+"""Mean time between two faults; with durations of seconds, two or three overlap."""
+
+DURATIONS_S = (0.4, 3.0)
+"""Shortest and longest time that a fault lasts."""
+
+
+class Fault(Enum):
+    """What is done to a process or to a connection from outside."""
+
+    NODE_KILL = "node-kill"
+    NODE_TERM = "node-term"
+    NODE_PAUSE = "node-pause"
+    NODE_HUP = "node-hup"
+    SERVER_KILL = "server-kill"
+    SERVER_LEAVE = "server-leave"
+    SERVER_PAUSE = "server-pause"
+    SERVER_RESET = "server-reset"
+    SERVER_DELAY = "server-delay"
+    STORE_PAUSE = "store-pause"
+    STORE_RESET = "store-reset"
+    STORE_SILENCE = "store-silence"
+    STORE_CUT_REPLIES = "store-cut-replies"
+    DOMAIN_KILL = "domain-kill"
+    CONFIGURE = "configure"
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One fault: when it begins, how long it lasts, in seconds, and at which members."""
+
+    at_s: float
+    for_s: float
+    fault: Fault
+    members: tuple[int, ...]
+
+
+def plan_faults(
+    seed: int, seconds: float, domains: list[list[int]], faults: list[Fault]
+) -> list[Step]:
+    """Return the faults of a run.
+
+    Parameters
+    ----------
+    domains
+        Numbers of the members of each failure domain.
+    faults
+        Kinds to choose from.
+    """
+    source = random.Random(seed)
+    members = [number for domain in domains for number in domain]
+    steps = []
+    at_s = FIRST_FAULT_S
+    while at_s < seconds:
+        fault = source.choice(faults)
+        if fault is Fault.DOMAIN_KILL:
+            chosen = tuple(source.choice(domains))
+        else:
+            chosen = tuple(source.sample(members, source.choice((1, 1, 2))))
+        steps.append(Step(at_s, source.uniform(*DURATIONS_S), fault, chosen))
+        at_s += source.expovariate(1 / MEAN_GAP_S)
+    return steps
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,79 @@
+"""A loopback proxy that delays, resets, silences connections or cuts them one way."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass, field
+
+CHUNK_BYTES = 64 << 10
+
+
+@dataclass(eq=False)
+class Proxy:
+    """Forwards connections from its port to an address, as far as it is let.
+
+    Attributes
+    ----------
+    delay_s
+        How long each piece of data is held.
+    passes_requests, passes_replies
+        Whether data goes on towards the address, and back from it; what does not is lost.
+    """
+
+    target: str
+    delay_s: float = 0.0
+    passes_requests: bool = True
+    passes_replies: bool = True
+    port: int = 0
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a port of loopback."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def reset(self) -> None:
+        """Reset every open connection."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def heal(self) -> None:
+        """Forward everything again. Connections that have lost data are closed."""
+        lost = not (self.passes_requests and self.passes_replies)
+        self.delay_s = 0.0
+        self.passes_requests = self.passes_replies = True
+        if lost:
+            self.reset()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        if self.server is not None:
+            self.server.close()
+        self.reset()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, _, port = self.target.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, far_writer}
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(reader, far_writer, lambda: self.passes_requests))
+                group.create_task(self._pump(far_reader, writer, lambda: self.passes_replies))
+        finally:
+            self.writers -= {writer, far_writer}
+            for end in (writer, far_writer):
+                end.transport.abort()
+
+    async def _pump(self, reader, writer, passes) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                if passes():
+                    writer.write(data)
+                    await writer.drain()
+            writer.write_eof()
--- /dev/null
+++ b/soak/report.py
@@ -0,0 +1,54 @@
+"""Tells what a run came to: a table, and a plot of latency and faults over time."""
+
+from pathlib import Path
+
+from tabulate import tabulate
+
+from soak.run import Report
+
+
+def format_reports(reports: list[Report]) -> str:
+    """Return a table with a row a seed."""
+    rows = [
+        (
+            report.seed,
+            len(report.steps),
+            sum(report.statuses.values()),
+            report.statuses[200],
+            report.statuses[503],
+            report.statuses[0] + report.statuses[-1] + report.statuses[-2],
+            report.runs,
+            len(report.broken),
+        )
+        for report in reports
+    ]
+    names = ("seed", "faults", "calls", "served", "refused", "no answer", "runs", "broken")
+    return tabulate(rows, names)
+
+
+def plot_report(report: Report, path: Path) -> None:
+    """Write a picture of a run: each call's time by when it was sent, and the faults."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(12, 5))
+    for served, color in ((True, "tab:blue"), (False, "tab:red")):
+        calls = [result for result in report.results if (result.status == 200) is served]
+        axes.scatter(
+            [result.sent_at - report.began for result in calls],
+            [(result.ended_at - result.sent_at) * 1000 for result in calls],
+            s=3,
+            color=color,
+            label="served" if served else "not served",
+        )
+    for index, step in enumerate(report.steps):
+        axes.axvspan(step.at_s, step.at_s + step.for_s, alpha=0.1, color="tab:gray")
+        axes.text(step.at_s, 1600 - 60 * (index % 8), step.fault.value, fontsize=6)
+    axes.set_xlabel("seconds")
+    axes.set_ylabel("time of a call, ms")
+    axes.set_title(f"seed {report.seed}")
+    axes.legend(loc="upper right")
+    figure.savefig(path, dpi=110)
+    pyplot.close(figure)
--- /dev/null
+++ b/soak/server.py
@@ -0,0 +1,127 @@
+"""The server of a member: the stand-in as a process that logs what reaches it.
+
+Each line of its output is one fact with its time, written at once, so that what a killed server
+had done is known: ``arrive`` and ``run`` with a call's id, and ``leaving`` once its node has
+acknowledged that.
+"""
+
+import asyncio
+import os
+import signal
+import time
+
+import aiohttp
+from absl import app, flags
+from aiohttp import web
+from ragwort_standins.application import ID_FIELD, Application, build_application, leave, report
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("instance", None, "Name of this start of the server.", required=True)
+flags.DEFINE_string("service", None, "What it serves.", required=True)
+flags.DEFINE_integer("port", None, "Port on 127.0.0.1.", required=True)
+flags.DEFINE_string("control", None, "Where its node takes reports.", required=True)
+flags.DEFINE_string("outbound", None, "Where its node takes calls.", required=True)
+flags.DEFINE_float("drain_s", 1.5, "How long it still serves once it leaves, in seconds.")
+
+BEAT_S = 0.5
+WORK_S = 0.02
+INNER_SHARE = 3
+"""Every so many calls make a call of their own."""
+
+
+def tell(fact: str, call_id: str = "") -> None:
+    """Write one fact."""
+    os.write(1, f"{time.time():.4f} {fact} {call_id}\n".encode())
+
+
+async def serve() -> None:
+    """Serve until SIGTERM, then leave gracefully."""
+    application = Application(FLAGS.instance, FLAGS.service, slots=6, work_s=WORK_S)
+    stopped = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
+    async with aiohttp.ClientSession() as session:
+        runner = web.AppRunner(_build(application, session), handler_cancellation=True)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", FLAGS.port, reuse_address=True)
+        await site.start()
+        beats = asyncio.create_task(_beat(application, stopped))
+        await stopped.wait()
+        await beats
+        await runner.cleanup()
+
+
+def _build(application: Application, session: aiohttp.ClientSession) -> web.Application:
+    @web.middleware
+    async def observe(request: web.Request, handler) -> web.StreamResponse:
+        if request.path == "/healthz":
+            headers = {"Ragwortvalve-Instance-Id": application.instance}
+            headers["Ragwortvalve-Server-Load"] = f"{application.running},0,6,100"
+            return web.Response(headers=headers)
+        call_id = request.headers.get(ID_FIELD, "")
+        tell("arrive", call_id)
+        ran = application.runs[call_id]
+        if FLAGS.service != "inner" and int(call_id.rpartition("-")[2] or 0) % INNER_SHARE == 0:
+            await _call_inner(session, call_id)
+        try:
+            return await handler(request)
+        finally:
+            if application.runs[call_id] > ran:
+                tell("run", call_id)
+
+    served = build_application(application)
+    served.middlewares.append(observe)
+    return served
+
+
+async def _call_inner(session: aiohttp.ClientSession, call_id: str) -> None:
+    headers = {"Host": "calls.example", ID_FIELD: f"{call_id}.inner-1"}
+    headers["Ragwortvalve-Deadline-Ms"] = "400"
+    url = f"http://{FLAGS.outbound}/inner/x"
+    try:
+        async with asyncio.timeout(0.4), session.get(url, headers=headers) as reply:
+            await reply.read()
+    except (aiohttp.ClientError, TimeoutError):
+        tell("inner-failed", call_id)
+
+
+async def _beat(application: Application, stopped: asyncio.Event) -> None:
+    born = int(time.time() * 1000)
+    sequence = 0
+    while True:
+        sequence += 1
+        state = "draining" if stopped.is_set() else "ready"
+        status = await _report(application, sequence, state, born)
+        if state == "draining" and status == 200:
+            tell("leaving")
+            await asyncio.sleep(FLAGS.drain_s + 1.0)
+            await _leave(application)
+            return
+        try:
+            async with asyncio.timeout(BEAT_S):
+                await stopped.wait()
+        except TimeoutError:
+            continue
+
+
+async def _report(application: Application, sequence: int, state: str, born: int) -> int:
+    try:
+        async with asyncio.timeout(1.0):
+            return await report(FLAGS.control, application, sequence, state, born)
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return 0
+
+
+async def _leave(application: Application) -> None:
+    try:
+        async with asyncio.timeout(1.0):
+            await leave(FLAGS.control, application)
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        tell("leave-unheard")
+
+
+def _main(_: list[str]) -> None:
+    asyncio.run(serve())
+
+
+if __name__ == "__main__":
+    app.run(_main)
