Hold no call for a speed that nobody can be asked for

Cause: found when the gate's tests were written. A gate without a health path, as before its first configuration, held calls back for a question that it never asked, until their deadline. The test hung before and passes now.

--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -282,10 +282,15 @@
 
     def _ask_speed_if_wanted(self) -> None:
         """Ask the server for its host's speed if a call waits for nothing else."""
-        if self._health_target is None or self._asking is not None:
+        now = self._clock()
+        if self._asking is not None or not wants_speed(self._state, now):
             return
-        if wants_speed(self._state, self._clock()):
+        if self._health_target is not None:
             self._asking = asyncio.create_task(self._ask_speed(self._health_target))
+            return
+        # Nobody can be asked, as before the first configuration.
+        note_unanswered_question(self._state, now)
+        self._apply(review_waiting(self._state, now))
 
     async def _ask_speed(self, target: str) -> None:
         self._telemetry.counters.add("gate.speed_questions")
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -4,28 +4,30 @@
 
 from helper import wait_until
 from ragwort_common import Counters, Outcome, Reason
+from ragwort_flow import note_slowdown
 from ragwort_mesh._clock import read_clock
 from ragwort_mesh._events import EventLog
 from ragwort_mesh._gate import Gate
 from ragwort_mesh._telemetry import Telemetry
 from ragwort_model import Heartbeat, InstanceId, InstanceState
 from ragwort_protocol import Refusal, Request, Response
-from ragwort_transport import Answer
+from ragwort_transport import Answer, Failure
 
 BEAT = Heartbeat(InstanceId("i"), 1, 1, "s", "127.0.0.1:1", InstanceState.READY, 3, 0.0)
 SIGNED = [(b"ragwortvalve-response-signature", b"x")]
 
 
 class FakePool:
-    """Holds every request until it is released."""
+    """Holds every request until it is released; questions for the speed are held apart."""
 
     def __init__(self):
         self.held = []
+        self.questions = []
         self.cancelled = 0
 
-    async def exchange(self, *words, **options):
+    async def exchange(self, request, *words, **options):
         answer = asyncio.get_running_loop().create_future()
-        self.held.append(answer)
+        (self.questions if request.startswith(b"GET /healthz ") else self.held).append(answer)
         try:
             return await answer
         except asyncio.CancelledError:
@@ -41,12 +43,26 @@
     return gate
 
 
-def make_request(idempotent=True, budget_ms=5000.0):
+def make_request(idempotent=True, budget_ms=5000.0, work_ms=9.0):
     return Request(
-        0, "GET", b"/", [], b"", budget_ms, idempotent, route="a", objective_ms=4000.0, work_ms=9.0
+        0,
+        "GET",
+        b"/",
+        [],
+        b"",
+        budget_ms,
+        idempotent,
+        route="a",
+        objective_ms=4000.0,
+        work_ms=work_ms,
     )
 
 
+def state_speed(percent, status=200):
+    """Return an answer in which a server states its host's speed."""
+    return Answer(status, [(b"ragwortvalve-server-load", b"0,0,3,%d" % percent)], b"")
+
+
 def play(scenario):
     async def run():
         async with asyncio.timeout(10):
@@ -107,3 +123,53 @@
         assert len(answered) == limit + 1
 
     play(scenario)
+
+
+def make_noisy(gate, now):
+    """Let the gate know that its host has noisy neighbours, by what was stated a second ago."""
+    gate.set_health_target("/healthz")
+    note_slowdown(gate._state, now - 1.0, 1.0)
+
+
+def test_a_long_call_waits_for_the_speed_and_then_for_a_quick_host():
+    async def scenario(gate):
+        make_noisy(gate, read_clock())
+        call = asyncio.create_task(gate.run_call(make_request(work_ms=200.0)))
+        await wait_until(lambda: gate._pool.questions)
+        assert not gate._pool.held
+        gate._pool.questions[0].set_result(state_speed(500))
+        await wait_until(lambda: len(gate._pool.questions) == 2)
+        assert not gate._pool.held
+        # A server that is not well tells the speed too.
+        gate._pool.questions[1].set_result(state_speed(100, 503))
+        await wait_until(lambda: gate._pool.held)
+        gate._pool.held[0].set_result(Answer(200, SIGNED, b""))
+        assert isinstance(await call, Response)
+
+    play(scenario)
+
+
+def test_a_server_that_does_not_answer_the_question_holds_no_call_up():
+    async def scenario(gate):
+        make_noisy(gate, read_clock())
+        call = asyncio.create_task(gate.run_call(make_request(work_ms=200.0)))
+        await wait_until(lambda: gate._pool.questions)
+        gate._pool.questions[0].set_result(Failure(Outcome.UNKNOWN, Reason.DEADLINE))
+        await wait_until(lambda: gate._pool.held)
+        gate._pool.held[0].set_result(Answer(200, SIGNED, b""))
+        assert isinstance(await call, Response)
+
+    play(scenario)
+
+
+def test_without_a_health_path_a_call_starts_at_once():
+    async def scenario(gate):
+        make_noisy(gate, read_clock())
+        gate.set_health_target(None)
+        call = asyncio.create_task(gate.run_call(make_request(work_ms=200.0)))
+        await wait_until(lambda: gate._pool.held)
+        assert not gate._pool.questions
+        gate._pool.held[0].set_result(Answer(200, SIGNED, b""))
+        await call
+
+    play(scenario)
