--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -14,7 +14,7 @@
     assert report.statuses[200] > 0.99 * report.statuses.total()
 
 
-# 137 and 148: a node that restarted asked the stand-in of a leaving server, which called itself well.
+# 137, 148: a node that restarted asked the stand-in of a leaving server, which called itself well.
 @pytest.mark.parametrize("seed", [1, 137, 148])
 def test_the_promises_hold_under_faults(seed):
     report = run_seed(seed, Options(seconds=SECONDS))
