One exchange over a link, one refusal and one writer of requests for both nodes

Cause: found when the whole change was read again. The soak takes its field names from the stand-in. Behaviour is the same; the tests that imported refuse_call import make_refusal, their assertions are untouched.

--- a/packages/mesh/src/ragwort_mesh/_caller.py
+++ b/packages/mesh/src/ragwort_mesh/_caller.py
@@ -25,8 +25,8 @@
     take_report,
 )
 from ragwort_model import RouteName
-from ragwort_protocol import Cancel, LoadReport, Refusal, Request, Response
-from ragwort_transport import Link, LinkLost, take_first_answer
+from ragwort_protocol import Refusal, Request, Response
+from ragwort_transport import NO_REPORT, exchange_call, make_refusal, take_first_answer
 
 from ragwort_mesh._call import Attempt, Call
 from ragwort_mesh._gate import Gate
@@ -58,8 +58,6 @@
 SIZE_MEMORY = 0.1
 """Weight of the latest call in a route's mean size: about the last ten count."""
 
-NO_REPORT = LoadReport(0, 0, 0, 0, accepting=False)
-
 _REACHED_SERVER = frozenset({Reason.SHED, Reason.MISDIRECTED})
 """Reasons of calls that did not run although they were sent to a server."""
 
@@ -95,11 +93,6 @@
     attempts: list[Attempt] = field(default_factory=list)
 
 
-def make_refusal(outcome: Outcome, reason: Reason, retry_after_ms: int = 0) -> Refusal:
-    """Return a refusal that this node decided by itself."""
-    return Refusal(0, outcome.value, reason.value, retry_after_ms, NO_REPORT)
-
-
 class Caller:
     """Owns what this entry has learned of services; owns no connection."""
 
@@ -301,7 +294,9 @@
         link = self._peers.find_link(target.node)
         if link is None:
             return make_refusal(Outcome.NOT_RUN, Reason.CONNECT_FAILED)
-        return await _exchange(link, self._make_request(link.take_call_id(), call))
+        return await exchange_call(
+            link, self._make_request(link.take_call_id(), call), REPLY_SLACK_S
+        )
 
     def _make_request(self, call_id: int, call: Call) -> Request:
         now = self._clock()
@@ -342,23 +337,6 @@
         close_target(target, now, FAR_PAUSE_S)
 
 
-async def _exchange(link: Link, request: Request) -> Response | Refusal:
-    """Send a request over a link and return what ends it, at the deadline at the latest."""
-    reply = link.start_call(request)
-    try:
-        async with asyncio.timeout(max(0.0, request.budget_ms / 1000) + REPLY_SLACK_S):
-            result = await reply
-    except (TimeoutError, asyncio.CancelledError) as error:
-        link.forget_call(request.call_id)
-        link.send(Cancel(request.call_id))
-        if isinstance(error, asyncio.CancelledError):
-            raise
-        return make_refusal(Outcome.UNKNOWN, Reason.DEADLINE)
-    if isinstance(result, LinkLost):
-        return make_refusal(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
-    return result
-
-
 def _describe(reply: Response | Refusal) -> str:
     if isinstance(reply, Response):
         return str(reply.status)
--- a/packages/mesh/src/ragwort_mesh/_entry.py
+++ b/packages/mesh/src/ragwort_mesh/_entry.py
@@ -14,10 +14,10 @@
     read_call_fields,
 )
 from ragwort_protocol import Refusal, Response
-from ragwort_transport import HttpLimits, HttpReply, HttpRequest, find_header
+from ragwort_transport import HttpLimits, HttpReply, HttpRequest, find_header, make_refusal
 
 from ragwort_mesh._call import Call
-from ragwort_mesh._caller import Caller, Progress, make_refusal
+from ragwort_mesh._caller import Caller, Progress
 from ragwort_mesh._configuration import ConfigurationKeeper
 from ragwort_mesh._telemetry import Telemetry
 
--- a/packages/node/src/ragwort_node/_caller.py
+++ b/packages/node/src/ragwort_node/_caller.py
@@ -19,16 +19,15 @@
     take_hedge,
     take_retry,
 )
-from ragwort_protocol import Cancel, LoadReport, Refusal, Request, Response
+from ragwort_protocol import Refusal, Request, Response
 from ragwort_rules import Priority, Treatment
-from ragwort_transport import Link, LinkLost, Reply, take_first_answer
+from ragwort_transport import NO_REPORT, exchange_call, make_refusal, take_first_answer
 
 from ragwort_node._gate import Gate
 from ragwort_node._pool import LinkPool
 from ragwort_node._prober import Prober
 from ragwort_node._services import Services, ServiceState
 
-NO_REPORT = LoadReport(0, 0, 0, 0, accepting=False)
 NO_SERVER_RETRY_AFTER_MS = 1000
 
 
@@ -68,11 +67,6 @@
     claim: Claim | None = None
 
 
-def refuse_call(outcome: Outcome, reason: Reason, retry_after_ms: int = 0) -> Refusal:
-    """Return a refusal that this node decided by itself."""
-    return Refusal(0, outcome.value, reason.value, retry_after_ms, NO_REPORT)
-
-
 class Caller:
     """Sends calls to the gates of chosen servers; owns no connection of its own."""
 
@@ -108,7 +102,7 @@
         last = _refuse_unserved()
         for number in itertools.count(1):
             if self._clock() >= call.deadline:
-                return refuse_call(Outcome.NOT_RUN, Reason.DEADLINE)
+                return make_refusal(Outcome.NOT_RUN, Reason.DEADLINE)
             node = self._choose(state, tried)
             if node is None:
                 return last
@@ -181,11 +175,11 @@
             return await self._gate.run_call(self._make_request(0, call))
         link = self._pool.find_link(node) or await self._pool.open_link(node)
         if link is None:
-            return refuse_call(Outcome.NOT_RUN, Reason.CONNECT_FAILED)
+            return make_refusal(Outcome.NOT_RUN, Reason.CONNECT_FAILED)
         if self._clock() >= call.deadline:
-            return refuse_call(Outcome.NOT_RUN, Reason.DEADLINE)
+            return make_refusal(Outcome.NOT_RUN, Reason.DEADLINE)
         request = self._make_request(link.take_call_id(), call)
-        return await _exchange(link, request)
+        return await exchange_call(link, request)
 
     def _make_request(self, call_id: int, call: Call) -> Request:
         treatment, claim = call.treatment, call.claim
@@ -207,7 +201,7 @@
 
 
 def _refuse_unserved() -> Refusal:
-    return refuse_call(Outcome.NOT_RUN, Reason.NO_SERVER, NO_SERVER_RETRY_AFTER_MS)
+    return make_refusal(Outcome.NOT_RUN, Reason.NO_SERVER, NO_SERVER_RETRY_AFTER_MS)
 
 
 def _list_barred(state: ServiceState, treatment: Treatment) -> set[NodeId]:
@@ -227,20 +221,3 @@
     if reply.status >= 500:
         return Outcome.FAILED, Reason.NONE
     return Outcome.ANSWERED, Reason.NONE
-
-
-async def _exchange(link: Link, request: Request) -> Response | Refusal:
-    """Send a request over a link and return what ends it, at the deadline at the latest."""
-    reply = link.start_call(request)
-    try:
-        async with asyncio.timeout(request.budget_ms / 1000):
-            result: Reply = await reply
-    except (TimeoutError, asyncio.CancelledError) as error:
-        link.forget_call(request.call_id)
-        link.send(Cancel(request.call_id))
-        if isinstance(error, asyncio.CancelledError):
-            raise
-        return refuse_call(Outcome.UNKNOWN, Reason.DEADLINE)
-    if isinstance(result, LinkLost):
-        return refuse_call(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
-    return result
--- a/packages/node/src/ragwort_node/_keyed_call.py
+++ b/packages/node/src/ragwort_node/_keyed_call.py
@@ -7,8 +7,9 @@
 from ragwort_common import Counters, Outcome, Reason
 from ragwort_policy import choose_range, hash_call, hash_key, read_minted_ms
 from ragwort_protocol import Answer, Refusal, Response
+from ragwort_transport import NO_REPORT, make_refusal
 
-from ragwort_node._caller import NO_REPORT, Call, Claim, refuse_call
+from ragwort_node._caller import Call, Claim
 from ragwort_node._once import Grant, KeyClaims, KeyedCall, OnceResult, RunReport
 
 MAX_KEPT_ANSWER_BYTES = 64 << 10
@@ -41,7 +42,7 @@
             return await self._run_call(call)
         if not call.key:
             if call.treatment.key_required:
-                return refuse_call(Outcome.NOT_RUN, Reason.KEY_MISSING)
+                return make_refusal(Outcome.NOT_RUN, Reason.KEY_MISSING)
             return await self._run_call(call)
         # The claim is reported however the call ends, so a caller that leaves doesn't end it.
         task = asyncio.create_task(self._run_claimed(call))
@@ -89,6 +90,6 @@
 
 def _make_reply(result: OnceResult) -> Response | Refusal:
     if result.answer is None:
-        return refuse_call(result.outcome, result.reason, result.retry_after_ms)
+        return make_refusal(result.outcome, result.reason, result.retry_after_ms)
     answer = result.answer
     return Response(0, answer.status, answer.headers, answer.body, NO_REPORT)
--- a/packages/node/src/ragwort_node/_server.py
+++ b/packages/node/src/ragwort_node/_server.py
@@ -1,6 +1,6 @@
 """The HTTP client towards the one local server."""
 
-from ragwort_transport import Answer, ClientPool, Failure, Headers
+from ragwort_transport import Answer, ClientPool, Failure, Headers, build_request
 
 DEADLINE_HEADER = b"ragwort-deadline-ms"
 """Header with the time left for a call: callers may send it, and servers are told by it."""
@@ -8,8 +8,6 @@
 SHED_HEADER = b"ragwort-shed"
 """Header by which a server says that it refused a call without running any of it."""
 
-_METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
-
 
 class ServerClient:
     """Builds requests to the local server and sends them over pooled connections.
@@ -25,30 +23,20 @@
     """
 
     def __init__(self, address: str, max_idle: int, max_answer_bytes: int) -> None:
-        self._host_field = b"host: " + address.encode() + b"\r\n"
+        self._host_field = (b"host", address.encode())
         self._pool = ClientPool(address, max_idle, max_answer_bytes)
 
     async def run_call(
         self, method: str, target: bytes, headers: Headers, body: bytes, budget_ms: float
     ) -> Answer | Failure:
         """Send one call to the server and return its whole answer, or why there is none."""
-        request = self._build_request(method, target, headers, body)
+        request = build_request(method, target, [self._host_field, *headers], body)
         return await self._pool.exchange(request, budget_ms / 1000, method == "HEAD")
 
     async def close(self) -> None:
         """Close the idle connections."""
         await self._pool.close()
 
-    def _build_request(self, method: str, target: bytes, headers: Headers, body: bytes) -> bytes:
-        lines = [b"%s %s HTTP/1.1\r\n" % (method.encode(), target), self._host_field]
-        lines += [b"%s: %s\r\n" % field for field in headers]
-        if body or method in _METHODS_WITH_BODY:
-            lines.append(b"content-length: %d\r\n" % len(body))
-        head = b"".join(lines)
-        # A line break inside a field would let a caller forge a second request.
-        assert head.count(b"\n") == len(lines), "a header field holds a line break"
-        return b"%s\r\n%s" % (head, body)
-
 
 def is_shed(answer: Answer) -> bool:
     """Tell whether the server says that it refused the call without running it."""
--- a/packages/transport/src/ragwort_transport/__init__.py
+++ b/packages/transport/src/ragwort_transport/__init__.py
@@ -10,8 +10,9 @@
     Failure,
     set_silence_limit,
 )
+from ragwort_transport._exchange import NO_REPORT, exchange_call, make_refusal
 from ragwort_transport._link import Handler, Link, LinkLost, Reply, send_in_parts
-from ragwort_transport._message import HOP_BY_HOP, Headers, find_header
+from ragwort_transport._message import HOP_BY_HOP, Headers, build_request, find_header
 from ragwort_transport._peer_calls import PeerCalls, Receiver
 from ragwort_transport._race import take_first_answer
 from ragwort_transport._server import (
@@ -40,12 +41,16 @@
     "LATE",
     "Link",
     "LinkLost",
+    "NO_REPORT",
     "PeerCalls",
     "Receiver",
     "Reply",
     "WorkCount",
     "bind_socket",
+    "build_request",
+    "exchange_call",
     "find_header",
+    "make_refusal",
     "send_in_parts",
     "set_silence_limit",
     "take_first_answer",
--- /dev/null
+++ b/packages/transport/src/ragwort_transport/_exchange.py
@@ -0,0 +1,39 @@
+"""Offers a call to a peer's gate over a link, and the refusals that a node decides by itself."""
+
+import asyncio
+
+from ragwort_common import Outcome, Reason
+from ragwort_protocol import Cancel, LoadReport, Refusal, Request, Response
+
+from ragwort_transport._link import Link, LinkLost
+
+NO_REPORT = LoadReport(0, 0, 0, 0, accepting=False)
+"""Stands for the report of a gate that was not asked."""
+
+
+def make_refusal(outcome: Outcome, reason: Reason, retry_after_ms: int = 0) -> Refusal:
+    """Return a refusal that this node decided by itself."""
+    return Refusal(0, outcome.value, reason.value, retry_after_ms, NO_REPORT)
+
+
+async def exchange_call(link: Link, request: Request, slack_s: float = 0.0) -> Response | Refusal:
+    """Send a request over a link and return what ends it, at the deadline at the latest.
+
+    Parameters
+    ----------
+    slack_s
+        How long after the deadline the reply is still awaited, in seconds.
+    """
+    reply = link.start_call(request)
+    try:
+        async with asyncio.timeout(max(0.0, request.budget_ms / 1000) + slack_s):
+            result = await reply
+    except (TimeoutError, asyncio.CancelledError) as error:
+        link.forget_call(request.call_id)
+        link.send(Cancel(request.call_id))
+        if isinstance(error, asyncio.CancelledError):
+            raise
+        return make_refusal(Outcome.UNKNOWN, Reason.DEADLINE)
+    if isinstance(result, LinkLost):
+        return make_refusal(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
+    return result
--- a/packages/transport/src/ragwort_transport/_message.py
+++ b/packages/transport/src/ragwort_transport/_message.py
@@ -36,3 +36,19 @@
         if other == name:
             return value
     return None
+
+
+METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+"""Methods whose requests state their length also where the body is empty."""
+
+
+def build_request(method: str, target: bytes, headers: Headers, body: bytes) -> bytes:
+    """Return the bytes of a request; its length is stated here."""
+    lines = [b"%s %s HTTP/1.1\r\n" % (method.encode("ascii"), target)]
+    lines += [b"%s: %s\r\n" % field for field in headers]
+    if body or method in METHODS_WITH_BODY:
+        lines.append(b"content-length: %d\r\n" % len(body))
+    head = b"".join(lines)
+    # A line break inside a field would let a caller forge a second request.
+    assert head.count(b"\n") == len(lines), "a header field holds a line break"
+    return b"%s\r\n%s" % (head, body)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 import aiohttp
+from ragwort_standins.application import ID_FIELD, SIGNATURE_FIELD
 
 from soak.fleet import HOST, Fleet, Member
 
@@ -17,8 +18,6 @@
 CALL_PAUSE_S = 0.05
 """Mean pause of a caller between two calls."""
 
-ID_FIELD = "Ragwortvalve-Attempt-Id"
-
 
 @dataclass(slots=True)
 class Result:
@@ -89,7 +88,7 @@
         async with session.post(url, headers=fields, data=body) as reply:
             result.body = await reply.read()
             result.status = reply.status
-            result.signature = reply.headers.get("Ragwortvalve-Response-Signature", "")
+            result.signature = reply.headers.get(SIGNATURE_FIELD, "")
             result.retry_after = reply.headers.get("Retry-After", "")
     except aiohttp.ClientConnectorError:
         result.status = -2
--- a/tests/node/test_caller.py
+++ b/tests/node/test_caller.py
@@ -4,12 +4,13 @@
 import pytest
 from helper import wait_until
 from ragwort_common import Counters, Member, NodeId, Outcome, Reason, ServiceName
-from ragwort_node._caller import Call, Caller, Claim, refuse_call
+from ragwort_node._caller import Call, Caller, Claim
 from ragwort_node._prober import Prober
 from ragwort_node._services import Services
 from ragwort_policy import ChoiceSettings, ServerPlace, make_probe_budget
 from ragwort_protocol import Cancel, LoadReport, Response
 from ragwort_rules import Treatment
+from ragwort_transport import make_refusal
 
 SERVICE = ServiceName("tracking")
 REPORT = LoadReport(0, 8, 0, 1000)
@@ -17,7 +18,7 @@
 
 
 def refuse(outcome, reason):
-    return refuse_call(outcome, reason)
+    return make_refusal(outcome, reason)
 
 
 class FakeLink:
--- a/tests/node/test_entry.py
+++ b/tests/node/test_entry.py
@@ -7,7 +7,6 @@
 import pytest
 from helper import wait_until
 from ragwort_common import Counters, Member, Outcome, Reason
-from ragwort_node._caller import refuse_call
 from ragwort_node._entry import build_entry
 from ragwort_node._http import start_http
 from ragwort_node._intake import EntryLimits
@@ -15,6 +14,7 @@
 from ragwort_node._tracing import Tracer
 from ragwort_protocol import LoadReport, Response
 from ragwort_rules import build_matcher, list_services, parse_rules
+from ragwort_transport import make_refusal
 
 RULES = b"""\
 tracking GET /drums/* idempotent deadline=900ms  # hanbit: lookups
@@ -126,7 +126,7 @@
 )
 def test_each_outcome_is_told_in_status_and_header(outcome, reason, status):
     async def refuse(call):
-        return refuse_call(outcome, reason, 1500)
+        return make_refusal(outcome, reason, 1500)
 
     run_entry(expect(status, outcome.value, reason.value), run_call=refuse)
 
--- a/tests/node/test_keyed_call.py
+++ b/tests/node/test_keyed_call.py
@@ -2,11 +2,12 @@
 
 import pytest
 from ragwort_common import Counters, Epoch, Member, Outcome, Reason, ServiceName
-from ragwort_node._caller import Call, Claim, refuse_call
+from ragwort_node._caller import Call, Claim
 from ragwort_node._keyed_call import MAX_KEPT_ANSWER_BYTES, KeyedCalls
 from ragwort_node._once import Grant, OnceResult
 from ragwort_protocol import Answer, LoadReport, Response
 from ragwort_rules import Treatment
+from ragwort_transport import make_refusal
 
 REPORT = LoadReport(0, 1, 0, 0)
 ONCE = Treatment(Member("hanbit"))
@@ -75,8 +76,8 @@
         (Response(0, 200, [], b"ok", REPORT), Outcome.ANSWERED, Answer(200, [], b"ok")),
         (Response(0, 500, [], b"no", REPORT), Outcome.FAILED, Answer(500, [], b"no")),
         (Response(0, 200, [], b"x" * (MAX_KEPT_ANSWER_BYTES + 1), REPORT), Outcome.ANSWERED, None),
-        (refuse_call(Outcome.UNKNOWN, Reason.CONNECTION_LOST), Outcome.UNKNOWN, None),
-        (refuse_call(Outcome.NOT_RUN, Reason.OVERLOADED), Outcome.NOT_RUN, None),
+        (make_refusal(Outcome.UNKNOWN, Reason.CONNECTION_LOST), Outcome.UNKNOWN, None),
+        (make_refusal(Outcome.NOT_RUN, Reason.OVERLOADED), Outcome.NOT_RUN, None),
     ],
 )
 def test_a_granted_call_runs_under_its_claim_and_its_end_is_reported(reply, outcome, kept):
