Log each failed listing and watch of the store

A node whose watch hung wrote nothing: store-lost needs two failures in a row of all its calls, and a watch of another kind that succeeds between two timeouts resets the count. The line gives kind, revision, cause and duration, which tells a watch that hung from one that was answered without the change.

--- a/packages/mesh/src/ragwort_mesh/_watch.py
+++ b/packages/mesh/src/ragwort_mesh/_watch.py
@@ -120,6 +120,7 @@
     ) -> None:
         self._settings = settings
         self._reader = KindReader(settings.kind, store, telemetry)
+        self._telemetry = telemetry
         self._on_listed = on_listed
         self._on_change = on_change
         self._watch_enabled = watch_enabled
@@ -134,10 +135,12 @@
     async def run(self) -> None:
         """List and watch until cancelled; list again if the store has compacted its history."""
         failures = 0
+        loop = asyncio.get_running_loop()
         while True:
             if self._first_listing_done and not self._watch_enabled.is_set():
                 self._revision = None
                 await self._watch_enabled.wait()
+            revision, started = self._revision, loop.time()
             if self._revision is None:
                 error = await self._list()
             else:
@@ -145,6 +148,13 @@
             if error is None:
                 failures = 0
                 continue
+            self._telemetry.events.write(
+                "watch-failed",
+                kind=self._settings.kind,
+                revision=revision,
+                cause=error.message,
+                took_ms=round((loop.time() - started) * 1000),
+            )
             if error.kind is ErrorKind.COMPACTED:
                 self._revision = None
                 continue
