--- /dev/null
+++ b/tests/mesh/test_watch.py
@@ -0,0 +1,114 @@
+"""The watch of the configuration notices lost requests in time."""
+
+import asyncio
+import json
+import re
+
+import pytest
+from bench.virtual import read_clock, run_virtual
+from mesh_cluster import make_configuration, make_route
+from ragwort_mesh._configuration import ActiveConfiguration
+from ragwort_mesh._events import EventLog
+from ragwort_mesh._store import StoreClient
+from ragwort_mesh._telemetry import Telemetry
+from ragwort_standins.store import make_object
+from ragwort_transport import TIMED_OUT, Answer
+
+ROUND_TRIP_S = 0.06
+
+
+class SilentStore:
+    """Connections to a store that at times neither answers nor closes them.
+
+    Attributes
+    ----------
+    silences
+        Start and end times of the silences; requests that meet one are never answered.
+    writes
+        Time, revision and version of each configuration.
+    """
+
+    def __init__(self, silences, writes):
+        self.silences = silences
+        self.writes = writes
+
+    async def exchange(self, request, timeout_s):
+        sent = read_clock()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._answer(request.decode(), sent)
+        except TimeoutError:
+            return TIMED_OUT
+
+    async def _answer(self, request, sent):
+        await asyncio.sleep(ROUND_TRIP_S)
+        watch = re.search(r"watch=(\d+)&waitMs=(\d+)", request)
+        since = int(watch[1]) if watch else 0
+        answered_at = sent + ROUND_TRIP_S
+        if watch and not self._list(since, answered_at):
+            expires = answered_at + int(watch[2]) / 1000
+            written = [at for at, _, _ in self.writes if answered_at < at < expires]
+            answered_at = min(written, default=expires)
+        for start, end in self.silences:
+            if start < answered_at and sent < end:
+                await asyncio.sleep(3600)
+        await asyncio.sleep(max(0.0, answered_at - read_clock()))
+        return self._render(watch is not None, self._list(since, answered_at), answered_at)
+
+    def _list(self, since, now):
+        return [write for write in self.writes if write[1] > since and write[0] <= now]
+
+    def _render(self, is_watch, writes, now):
+        objects = []
+        for _, revision, version in writes:
+            routes = {"a": make_route("s")}
+            stored = make_object("main", make_configuration(version, routes))
+            stored["metadata"]["revision"] = revision
+            objects.append(stored)
+        revision = max(revision for at, revision, _ in self.writes if at <= now)
+        if is_watch:
+            events = [{"object": stored, "removed": False} for stored in objects]
+            body = {"events": events, "asOf": revision}
+        else:
+            body = {"items": objects[-1:], "hasMore": False, "asOf": revision}
+        return Answer(200, [], json.dumps(body).encode())
+
+
+def find_activation(silence_start_s, silence_s, write_s):
+    """Return when the configuration written ``write_s`` after a silence came into force.
+
+    The time is relative to the end of the silence.
+    """
+
+    async def play():
+        started = read_clock()
+        ended = started + silence_start_s + silence_s
+        store = SilentStore(
+            [(started + silence_start_s, ended)], [(0.0, 5, 1), (ended + write_s, 6, 2)]
+        )
+        telemetry = Telemetry(EventLog("n"))
+        client = StoreClient("127.0.0.1:1", telemetry, lambda _: None)
+        client._pool = store
+        enabled = asyncio.Event()
+        enabled.set()
+        active = ActiveConfiguration(client, telemetry, lambda: None, enabled)
+        task = asyncio.create_task(active.run())
+        while active.current is None or active.current.version < 2:
+            await asyncio.sleep(0.01)
+        task.cancel()
+        return read_clock() - ended
+
+    return run_virtual(play())
+
+
+def test_configuration_is_not_late_after_the_store_was_silent():
+    settled_s, configuration_s = 4.0, 2.5
+    late = [
+        (start_s, silence_s, write_s)
+        for start_s in (3.0, 4.1, 5.2, 6.3, 7.4, 8.5, 9.9)
+        for silence_s in (0.1, 0.9, 2.0, 4.0, 5.0, 6.9, 9.3, 20.0)
+        for write_s in (0.01, 0.5, 1.4, 3.0)
+        if find_activation(start_s, silence_s, write_s) > max(settled_s, write_s + configuration_s)
+    ]
+    if late:
+        pytest.fail("a configuration came into force later than its bound")
