Notice a lost watch of the configuration before its bound holds again

Cause: the store was silent for 5 s. Each watcher's watch timed out after 5.6 s, and the next one was sent a second before the store came back. It was never answered, and again given up only after 5.6 s. The bounds hold again 4 s after a disruption, so the timeout alone was longer than all the time there was; the old figure of 6.5 s added the bound of a change to that time, but a change made meanwhile is due as soon as the time is over. All watchers had asked at the same moment, after the same change, so none had news to pass on.

Evidence: in the record the calls of each watcher rise to 14 with one failure at 15.0 s, the second failure follows at 15.6 s and versions 14 to 30 come in one batch at 15.8 s, on no node before.

Change: the wait of a watch follows from the deployment's settling time, less the time to notice the loss and to read and pass on (2.4 s at 4 s). The first request after a failure doesn't wait, and the pause before a retry counts from the start of the attempt that failed, so attempts start 1.5 s apart at most.

--- a/packages/mesh/src/ragwort_mesh/_configuration.py
+++ b/packages/mesh/src/ragwort_mesh/_configuration.py
@@ -19,13 +19,16 @@
     decode_configuration,
 )
 
-from ragwort_mesh._store import StoreClient
+from ragwort_mesh._store import WATCH_SLACK_S, StoreClient
 from ragwort_mesh._telemetry import Telemetry
 from ragwort_mesh._watch import KindReader, KindWatch, WatchSettings
 
-WATCH_WAIT_S = 5.0
-"""Timeout of one watch request. A dead connection is noticed only when the watch times out, and the
-newest configuration has to be active 6.5 s after the connection died."""
+RECOVERY_S = 1.0
+"""Time reserved to read the configuration again after a lost watch request was noticed, and to send
+it to the other nodes."""
+
+MIN_WATCH_WAIT_S = 0.5
+"""Minimum wait of a watch request, which limits the load on the store."""
 
 WATCH_PAUSE_S = 0.2
 """Pause after a change, to batch those that follow: operators may write ten in a second, and each
@@ -48,6 +51,8 @@
         Called after a newer configuration has become active.
     watch_enabled
         Set while this node watches the store.
+    settle_s
+        See ``Bounds``.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         telemetry: Telemetry,
         on_change: Callable[[], None],
         watch_enabled: asyncio.Event,
+        settle_s: float,
     ) -> None:
         self.current: Configuration | None = None
         self.limits = CallerLimits()
@@ -65,12 +71,16 @@
         self._telemetry = telemetry
         self._on_change = on_change
         self._reader = KindReader(CONFIGURATION_KIND, store, telemetry)
-        settings = WatchSettings(CONFIGURATION_KIND, WATCH_WAIT_S, pause_s=WATCH_PAUSE_S)
+        settings = WatchSettings(CONFIGURATION_KIND, _choose_watch_wait(settle_s), WATCH_PAUSE_S)
         self._watch = KindWatch(
             settings, store, telemetry, self._apply_listing, self._apply_change, watch_enabled
         )
         self.run = self._watch.run
 
+    def set_settle_time(self, settle_s: float) -> None:
+        """Apply a changed bound; see ``Bounds``."""
+        self._watch.set_wait(_choose_watch_wait(settle_s))
+
     def get_route_finder(self) -> FindRoute | None:
         """Return the function that finds routes, or None until a configuration is loaded."""
         return self._find_route
@@ -121,3 +131,12 @@
             source=source,
         )
         self._on_change()
+
+
+def _choose_watch_wait(settle_s: float) -> float:
+    """Return how long a watch request waits, in seconds.
+
+    A connection can go silent without closing, so a lost request shows only by its timeout. By the
+    time the bound on activation holds again, the configuration must have been read again.
+    """
+    return max(MIN_WATCH_WAIT_S, settle_s - WATCH_SLACK_S - RECOVERY_S)
--- a/packages/mesh/src/ragwort_mesh/_directory.py
+++ b/packages/mesh/src/ragwort_mesh/_directory.py
@@ -45,10 +45,6 @@
 """Pause after a change, to batch those that follow: many nodes start at the same time, and each
 would wake the watchers."""
 
-CATCH_UP_TIMEOUT_S = 0.001
-"""Timeout of the watch for changes since the first listing; it only fetches changes that exist
-already."""
-
 
 class Directory:
     """Holds the node records, and keeps this node's own record in the store.
@@ -130,9 +126,12 @@
     async def _retry(self, step: Callable[[], Coroutine[Any, Any, bool]]) -> None:
         """Repeat a step with growing pauses until it succeeds."""
         failures = 0
+        loop = asyncio.get_running_loop()
+        started = loop.time()
         while not await step():
             failures += 1
-            await pause_before_retry(failures, self._random.random())
+            await pause_before_retry(failures, self._random.random(), started)
+            started = loop.time()
 
     async def _read(self, stale: bool = True) -> bool:
         """Read all records, and return whether that succeeded."""
@@ -145,7 +144,7 @@
 
     async def _catch_up(self, since: int) -> bool:
         """Read the changes since a listing, and return whether that succeeded."""
-        changes = await self._reader.list_changes(since, CATCH_UP_TIMEOUT_S)
+        changes = await self._reader.list_changes(since, wait_s=0.0)
         if isinstance(changes, StoreError):
             return changes.kind is ErrorKind.COMPACTED and await self._read(stale=False)
         for change in changes.changes:
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -77,7 +77,11 @@
         self._store = StoreClient(addresses.store, telemetry, self._on_store_status)
         watch_enabled = asyncio.Event()
         self._configuration = ActiveConfiguration(
-            self._store, telemetry, self._on_configuration, watch_enabled
+            self._store,
+            telemetry,
+            self._on_configuration,
+            watch_enabled,
+            settings.bounds.settle_s,
         )
         self._gate = Gate(
             addresses.server, settings.service, telemetry, read_clock, self._broadcast_load
@@ -177,6 +181,7 @@
         """Apply changed bounds."""
         self._settings = settings
         self._dispatcher.set_retry_limits(_make_retry_limits(settings.bounds))
+        self._configuration.set_settle_time(settings.bounds.settle_s)
 
     def follow_settings(self, load: LoadSettings) -> SettingsWatch:
         """Start polling the settings file, and return the watch so that a signal can reload it."""
--- a/packages/mesh/src/ragwort_mesh/_peer_sync.py
+++ b/packages/mesh/src/ragwort_mesh/_peer_sync.py
@@ -209,6 +209,7 @@
         tried: set[NodeId] = set()
         failures = 0
         while self._find_newest_revision() > self._configuration.revision:
+            started = asyncio.get_running_loop().time()
             sources = [node for node in self._list_sources(self._domain_peers) if node not in tried]
             sources = sources or [node for node in self._list_sources() if node not in tried]
             if sources and len(tried) < 2:
@@ -216,7 +217,7 @@
             elif not await self._configuration.read_store():
                 failures += 1
                 tried.clear()
-                await pause_before_retry(failures, self._random.random())
+                await pause_before_retry(failures, self._random.random(), started)
             else:
                 return
 
--- a/packages/mesh/src/ragwort_mesh/_store.py
+++ b/packages/mesh/src/ragwort_mesh/_store.py
@@ -110,10 +110,18 @@
         self._on_status(reachable)
 
 
-async def pause_before_retry(failures: int, jitter: float) -> None:
-    """Wait after consecutive failures: 0.1 s doubled with each up to 1.5 s, half of it random.
+async def pause_before_retry(failures: int, jitter: float, started: float) -> None:
+    """Wait after consecutive failures, so that attempts don't follow each other too quickly.
 
-    The maximum leaves time after an outage to activate a new configuration within its time bound.
+    The interval between the starts of two attempts is 0.1 s, doubled with each failure up to 1.5 s,
+    half of it random. An attempt that took longer is repeated at once. The maximum leaves time
+    after an outage to activate a new configuration within its time bound.
+
+    Parameters
+    ----------
+    started
+        When the failed attempt started, on the running loop's clock, in seconds.
     """
-    pause_s = min(1.5, 0.1 * 2.0 ** min(failures, 10))
-    await asyncio.sleep(pause_s * (0.5 + 0.5 * jitter))
+    interval_s = min(1.5, 0.1 * 2.0 ** min(failures, 10)) * (0.5 + 0.5 * jitter)
+    elapsed_s = asyncio.get_running_loop().time() - started
+    await asyncio.sleep(max(0.0, interval_s - elapsed_s))
--- a/packages/mesh/src/ragwort_mesh/_watch.py
+++ b/packages/mesh/src/ragwort_mesh/_watch.py
@@ -19,6 +19,9 @@
 from ragwort_mesh._store import StoreClient, StoreReply, pause_before_retry
 from ragwort_mesh._telemetry import Telemetry
 
+MIN_WAIT_MS = 1
+"""Wait of a watch request that only fetches the changes that exist already."""
+
 
 @dataclass(frozen=True, slots=True)
 class Listing:
@@ -62,8 +65,11 @@
             after = page.objects[-1].name
 
     async def list_changes(self, revision: int, wait_s: float) -> Changes | StoreError:
-        """Return the changes after a revision, waiting up to ``wait_s`` for the first one."""
-        request = build_watch(self._kind, revision, int(wait_s * 1000))
+        """Return the changes after a revision, waiting up to ``wait_s`` for the first one.
+
+        Without a wait, only the changes that exist already are returned.
+        """
+        request = build_watch(self._kind, revision, max(MIN_WAIT_MS, int(wait_s * 1000)))
         reply = await self._store.call(request, wait_s)
         if not isinstance(reply, StoreReply):
             return reply
@@ -84,7 +90,8 @@
     kind
         Kind of the objects.
     wait_s
-        How long one watch request waits for a change, in seconds.
+        How long one watch request waits for a change, in seconds. A request that the store never
+        answers is noticed ``WATCH_SLACK_S`` later.
     pause_s
         Pause between a change and the next watch request, in seconds, so that changes in quick
         succession cost one request.
@@ -119,6 +126,7 @@
         watch_enabled: asyncio.Event,
     ) -> None:
         self._settings = settings
+        self._wait_s = settings.wait_s
         self._reader = KindReader(settings.kind, store, telemetry)
         self._telemetry = telemetry
         self._on_listed = on_listed
@@ -132,8 +140,16 @@
         """Skip the first listing, because the objects are known from another source."""
         self._first_listing_done = True
 
+    def set_wait(self, wait_s: float) -> None:
+        """Set how long later watch requests wait for a change, in seconds."""
+        self._wait_s = wait_s
+
     async def run(self) -> None:
-        """List and watch until cancelled; list again if the store has compacted its history."""
+        """List and watch until cancelled; list again if the store has compacted its history.
+
+        The first request after a failure does not wait for a change, so that the next loss is
+        noticed sooner while the store is disrupted.
+        """
         failures = 0
         loop = asyncio.get_running_loop()
         while True:
@@ -144,7 +160,7 @@
             if self._revision is None:
                 error = await self._list()
             else:
-                error = await self._watch(self._revision)
+                error = await self._watch(self._revision, 0.0 if failures else self._wait_s)
             if error is None:
                 failures = 0
                 continue
@@ -159,7 +175,7 @@
                 self._revision = None
                 continue
             failures += 1
-            await pause_before_retry(failures, self._random.random())
+            await pause_before_retry(failures, self._random.random(), started)
 
     async def _list(self) -> StoreError | None:
         listing = await self._reader.list_objects(stale=False)
@@ -170,8 +186,8 @@
         self._on_listed(listing.objects)
         return None
 
-    async def _watch(self, revision: int) -> StoreError | None:
-        changes = await self._reader.list_changes(revision, self._settings.wait_s)
+    async def _watch(self, revision: int, wait_s: float) -> StoreError | None:
+        changes = await self._reader.list_changes(revision, wait_s)
         if isinstance(changes, StoreError):
             return changes
         self._revision = changes.revision
--- a/packages/model/src/ragwort_model/_node.py
+++ b/packages/model/src/ragwort_model/_node.py
@@ -55,12 +55,15 @@
     retry_ratio, retry_extra, retry_window_s
         Limit on extra attempts (retries and hedges) per service, over all nodes: in any window of
         ``retry_window_s`` seconds, at most ``retry_ratio`` of its calls plus ``retry_extra``.
+    settle_s
+        Time after the end of a disruption from which the bounds on delays hold again, in seconds.
     """
 
     grace_s: float = 6.0
     retry_ratio: float = 0.2
     retry_extra: float = 60.0
     retry_window_s: float = 10.0
+    settle_s: float = 4.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -18,7 +18,13 @@
         "control": "10.1.0.8:8306",
     },
     "platform": {"addr": "10.200.1.7:8309", "form": "objects", "writesPerS": 400},
-    "bounds": ["graceS=5.5", "budgetRatio=0.1", "budgetExtraTries=30", "later=true"],
+    "bounds": [
+        "graceS=5.5",
+        "budgetRatio=0.1",
+        "budgetExtraTries=30",
+        "stableWindowMs=3000",
+        "later=true",
+    ],
     "newField": {"ignored": True},
 }
 
@@ -37,6 +43,7 @@
     assert settings.bounds.retry_ratio == 0.1
     assert settings.bounds.retry_extra == 30
     assert settings.bounds.retry_window_s == 10
+    assert settings.bounds.settle_s == 3
 
 
 @pytest.mark.parametrize(
--- a/tests/mesh/test_watch.py
+++ b/tests/mesh/test_watch.py
@@ -5,7 +5,6 @@
 import re
 
 import pytest
-from bench.virtual import read_clock, run_virtual
 from mesh_cluster import make_configuration, make_route
 from ragwort_mesh._configuration import ActiveConfiguration
 from ragwort_mesh._events import EventLog
@@ -14,6 +13,8 @@
 from ragwort_standins.store import make_object
 from ragwort_transport import TIMED_OUT, Answer
 
+from bench.virtual import read_clock, run_virtual
+
 ROUND_TRIP_S = 0.06
 
 
@@ -91,10 +92,13 @@
         client._pool = store
         enabled = asyncio.Event()
         enabled.set()
-        active = ActiveConfiguration(client, telemetry, lambda: None, enabled)
+        changed = asyncio.Queue()
+        active = ActiveConfiguration(
+            client, telemetry, lambda: changed.put_nowait(active.current.version), enabled, 4.0
+        )
         task = asyncio.create_task(active.run())
-        while active.current is None or active.current.version < 2:
-            await asyncio.sleep(0.01)
+        while await changed.get() != 2:
+            pass
         task.cancel()
         return read_clock() - ended
 
