Count the requests that a gate sends to its server

The gate's counters count calls; a request that the connection pool sent again on a new connection showed nowhere, so extra arrivals at a server could not be told from retries by entries (entry.repeats, entry.hedges).

--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -341,7 +341,7 @@
             current.instance,
             budget_ms,
         )
-        return await self._pool.exchange(
+        result = await self._pool.exchange(
             data,
             max(0.0, budget_ms + SERVER_SLACK_MS) / 1000,
             request.method == "HEAD",
@@ -349,6 +349,8 @@
             float("inf") if request.idempotent else MAX_REUSE_IDLE_S,
             may_resend=request.idempotent,
         )
+        self._telemetry.counters.set_gauge("gate.requests_sent", self._pool.requests_sent)
+        return result
 
     def _make_reply(self, request: Request, result: Answer | Failure) -> Response | Refusal:
         """Return the reply to a call, given the server's response or the failure to get one."""
--- a/packages/transport/src/ragwort_transport/_client.py
+++ b/packages/transport/src/ragwort_transport/_client.py
@@ -238,6 +238,12 @@
     unacknowledged_ms
         How long sent data may stay unacknowledged before the kernel drops the connection, in
         milliseconds; 0 keeps the default of the system.
+
+    Attributes
+    ----------
+    connects, requests_sent
+        Number of connections opened, and of requests sent on them; a request that is sent again
+        counts again.
     """
 
     def __init__(
@@ -250,6 +256,7 @@
         self._unacknowledged_ms = unacknowledged_ms
         self._idle: list[ClientConnection] = []
         self.connects = 0
+        self.requests_sent = 0
 
     async def exchange(
         self,
@@ -282,6 +289,7 @@
             async with asyncio.timeout(timeout_s):
                 connection = self._acquire_idle(max_idle_s)
                 if connection is not None and may_resend:
+                    self.requests_sent += 1
                     result = await connection.exchange(request, without_body, matches_request)
                     if result != CONNECTION_LOST:
                         return result
@@ -289,6 +297,7 @@
                     connection, connect_failure = None, CONNECTION_LOST
                 if connection is None:
                     connection = await self._connect()
+                self.requests_sent += 1
                 return await connection.exchange(request, without_body, matches_request)
         except TimeoutError:
             return connect_failure if connection is None else TIMED_OUT
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -24,6 +24,7 @@
         self.held = []
         self.speed_queries = []
         self.cancelled = 0
+        self.requests_sent = 0
 
     async def exchange(self, request, *words, **options):
         answer = asyncio.get_running_loop().create_future()
