--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from helper import wait_until
 from mesh_cluster import HOST, make_configuration, make_route, run_scenario
+from ragwort_model import Bounds
 from ragwort_standins.application import deregister, fail, shed
 from ragwort_standins.store import StoreFault
 
@@ -134,6 +135,24 @@
     run_scenario(scenario, ("s", "s"))
 
 
+def test_repeat_after_a_lost_pooled_connection_needs_retry_budget():
+    async def scenario(cluster):
+        for _ in range(2):
+            await cluster.add("s", bounds=Bounds(retry_ratio=0.0, retry_extra=0.0))
+        await start(cluster)
+        for member in cluster.members:
+            assert (await cluster.call(member))[0] == 200
+        for member in cluster.members:
+            member.application.response_override = reset_connection
+        arrivals = 0
+        for number in range(4):
+            await cluster.call(cluster.members[0], call_id=f"a{number}")
+            arrivals += sum(member.application.arrivals[f"a{number}"] for member in cluster.members)
+        assert arrivals == 4
+
+    run_scenario(scenario, ())
+
+
 def test_server_that_resets_a_connection_still_gets_the_next_call():
     async def scenario(cluster):
         routes = {"a": make_route("s", kind="non_idempotent"), "b": make_route("s", "/b/")}
