Let the entry alone repeat calls whose connection broke

Cause: the connection pool of the gate sent an idempotent call again when a pooled connection broke before any response. Such a request may have run, and it arrives a second time, but no retry budget counted it, and each further server that the entry tried could double it again.

Change: the gate reports the broken connection as unknown, and the entry repeats the call as after any failure: on another server, within the route's number of servers and the service's budget. Health checks may still be sent again.

--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -347,7 +347,6 @@
             request.method == "HEAD",
             make_answer_check(find_call_id(request.headers)),
             float("inf") if request.idempotent else MAX_REUSE_IDLE_S,
-            may_resend=request.idempotent,
         )
         self._telemetry.counters.set_gauge("gate.requests_sent", self._pool.requests_sent)
         return result
