Read a server's rate limit and its notice of leaving, and log their changes

The users' servers may state Server-Limit and Server-Leaving in all their answers. Nothing read them, so neither logs nor metrics told whether a limit was unknown to the gate or known and not kept. The gate now writes server-notices for each change and serves gate.max_calls_per_s.

--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -35,6 +35,7 @@
 )
 from ragwort_model import Departure, Heartbeat, InstanceState
 from ragwort_platform import (
+    ServerNotices,
     build_answer_headers,
     build_health_request,
     build_server_request,
@@ -114,6 +115,7 @@
         self._ids = itertools.count(1)
         self._health_target: str | None = None
         self._speed_query: asyncio.Task[None] | None = None
+        self._notices = ServerNotices(max_calls_per_s=None, is_leaving=False)
         self._detached: set[asyncio.Task[Response | Refusal]] = set()
         self.work = InFlightCounter()
 
@@ -358,6 +360,8 @@
                 self._mark_unavailable("unreachable", result)
             return self._refuse(request, result.outcome, result.reason, 0)
         fields = read_server_answer(result)
+        if fields.is_signed:
+            self._record_notices(fields.notices)
         if fields.load is not None:
             record_reported_slowdown(self._state, self._clock(), fields.load.slowdown_percent / 100)
         if fields.instance is not None:
@@ -377,6 +381,19 @@
             work_ms=estimate_work(self._state.work, request.route, 0.0) * 1000,
         )
 
+    def _record_notices(self, notices: ServerNotices) -> None:
+        """Log what the server states about itself, each time that it changes."""
+        if notices == self._notices:
+            return
+        self._notices = notices
+        counters = self._telemetry.counters
+        counters.set_gauge("gate.max_calls_per_s", notices.max_calls_per_s or 0.0)
+        self._telemetry.events.write(
+            "server-notices",
+            max_calls_per_s=notices.max_calls_per_s,
+            leaving=notices.is_leaving,
+        )
+
     def _apply_result(self, result: SchedulingResult) -> None:
         for call_id in result.started:
             self._resolve_pending(call_id, ADMITTED)
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -7,6 +7,7 @@
     is_readiness_check,
     make_answer_check,
     read_call_fields,
+    read_notices,
     read_server_answer,
 )
 from ragwort_platform._calls import ServerLoad
@@ -92,6 +93,22 @@
     assert read(200, server_load=b"3").load is None
 
 
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [(b"14.4", 14.4), (b"0", 0.0), (b"-1", None), (b"nan", None), (b"inf", None), (b"many", None)],
+)
+def test_rate_limit_of_a_server_is_a_decimal_number_of_calls_a_second(value, limit):
+    answer = Answer(200, [(b"server-limit", value)], b"")
+    assert read_server_answer(answer).notices.max_calls_per_s == limit
+    assert read(200).notices.max_calls_per_s is None
+
+
+def test_leaving_server_states_so_in_its_answers():
+    assert read_notices(Answer(500, [(b"server-leaving", b"1")], b"")).is_leaving
+    assert not read_notices(Answer(200, [(b"server-leaving", b"0")], b"")).is_leaving
+    assert not read(200).notices.is_leaving
+
+
 def test_retry_after_has_fractions_of_a_second():
     headers = dict(build_refusal_headers(b"c1", 45))
     assert headers[b"retry-after"] == b"0.045"
--- a/tests/adapter/test_names.py
+++ b/tests/adapter/test_names.py
@@ -8,7 +8,7 @@
 ROOT = Path(__file__).parents[2]
 SOURCES = sorted((ROOT / "packages").rglob("*.py"))
 NAMES = re.compile(
-    r"(?i:ragwortvalve-)|RAGWORTVALVE_|/-/|\b(?:appAddr|listenAddrs|heartbeatAddr|coldRemainingMs|"
+    r"(?i:ragwortvalve-|server-limit|server-leaving|store-era)|RAGWORTVALVE_|/-/|\b(?:appAddr|listenAddrs|heartbeatAddr|coldRemainingMs|"
     r"pathPrefix|targetLatencyMs|maxAttempts|asOf|hasMore|allowStale|waitMs|deletionPending|"
     r"nodeName|seedNodes|budgetExtraTries|non_idempotent|sidecar)\b"
 )
