--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from helper import wait_until
 from ragwort_common import Counters, Outcome, Reason
 from ragwort_flow import record_reported_slowdown
@@ -13,6 +14,8 @@
 from ragwort_protocol import Refusal, Request, Response
 from ragwort_transport import Answer, Failure
 
+from bench import virtual
+
 HEARTBEAT = Heartbeat(InstanceId("i"), 1, 1, "s", "127.0.0.1:1", InstanceState.READY, 3, 0.0)
 SIGNED = [(b"ragwortvalve-response-signature", b"x")]
 
@@ -36,14 +39,48 @@
             raise
 
 
-def make_gate():
+class AnsweringPool:
+    """Answers each request after its service time, and records when it arrived.
+
+    Attributes
+    ----------
+    headers
+        Header fields of the answers, in addition to the signature.
+    """
+
+    def __init__(self, headers):
+        self.headers = headers
+        self.arrivals = []
+        self.requests_sent = 0
+
+    async def exchange(self, request, *words, **options):
+        self.arrivals.append(virtual.read_clock())
+        await asyncio.sleep(0.01)
+        return Answer(200, SIGNED + self.headers, b"")
+
+
+def make_gate(clock=read_clock, pool=None):
     telemetry = Telemetry(EventLog("n"), Counters())
-    gate = Gate("127.0.0.1:1", "s", telemetry, read_clock, lambda: None)
-    gate._pool = FakePool()
+    gate = Gate("127.0.0.1:1", "s", telemetry, clock, lambda: None)
+    gate._pool = pool or FakePool()
     gate.apply_server_report(HEARTBEAT)
     return gate
 
 
+async def offer_calls(gate, calls_per_s, duration_s):
+    """Send calls at a steady rate, and return their replies."""
+    calls = []
+    for _ in range(int(calls_per_s * duration_s)):
+        calls.append(asyncio.create_task(gate.run_call(make_request())))
+        await asyncio.sleep(1 / calls_per_s)
+    return await asyncio.gather(*calls)
+
+
+def count_most(times, window_s):
+    """Return the largest number of the times in any window of a length."""
+    return max((sum(0 <= at - first < window_s for at in times) for first in times), default=0)
+
+
 def make_request(idempotent=True, budget_ms=5000.0, work_ms=9.0):
     return Request(
         0,
@@ -174,3 +211,36 @@
         await call
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("limit", [0.0, 3.0, 14.4])
+def test_server_gets_no_more_calls_than_the_rate_that_it_takes(limit):
+    settled_s, window_s = 4.0, 4.0
+
+    async def play():
+        pool = AnsweringPool([(b"server-limit", b"%.1f" % limit)])
+        gate = make_gate(virtual.read_clock, pool)
+        started = virtual.read_clock()
+        replies = await offer_calls(gate, 50, 14)
+        settled = [at for at in pool.arrivals if at >= started + settled_s]
+        excess = count_most(settled, window_s) - (1.5 * limit * window_s + 5)
+        if excess > 0:
+            pytest.fail("the server got more calls than it takes")
+        assert len(settled) >= 0.9 * limit * (14 - settled_s)
+        assert all(reply.retry_after_ms > 0 for reply in replies if isinstance(reply, Refusal))
+
+    virtual.run_virtual(play())
+
+
+def test_server_that_no_longer_states_a_rate_gets_all_calls():
+    async def play():
+        pool = AnsweringPool([(b"server-limit", b"5")])
+        gate = make_gate(virtual.read_clock, pool)
+        await offer_calls(gate, 50, 6)
+        pool.headers = []
+        await offer_calls(gate, 50, 2)
+        pool.arrivals.clear()
+        replies = await offer_calls(gate, 50, 4)
+        assert all(isinstance(reply, Response) for reply in replies)
+
+    virtual.run_virtual(play())
