Hold a server's calls at the rate that it states

Cause: the gate limits how many calls run at a time. The server's statement of a rate was read by nothing, so calls went on as before.

Evidence: arrivals at gimhae-1 are 36 to 60 a second before and after it named its limit at 8.0 s. Its gate counts 233 runs between 10.2 and 15.2 s and its server got as many, so no call goes round the gate.

Change: a token bucket in the scheduler, filled at the stated rate and half a second deep. It sits where all calls to a server pass, so it holds for all nodes together without dividing the rate. Calls wait for a token as they wait for a slot, are refused at once with the time to come back if they would be late, and the load report shows entries how much less the server takes. The limit ends with the first answer to a call that doesn't state it, and survives a node's restart through the health check.

--- a/packages/flow/src/ragwort_flow/_scheduler.py
+++ b/packages/flow/src/ragwort_flow/_scheduler.py
@@ -6,7 +6,8 @@
 objective, and otherwise refused at once. Queued calls start in the order of their rank and then of
 their latest start time, the objective less the expected work (earliest deadline first, Liu and
 Layland, 1973). A call is deferred on a slowed host if it would finish sooner that way, and until
-the host's slowdown is known if that is worth a probe.
+the host's slowdown is known if that is worth a probe. A server may also limit how many calls start
+in a second.
 """
 
 from collections.abc import Iterator
@@ -25,6 +26,13 @@
     record_call_below,
 )
 from ragwort_flow._decision import EXPIRED, QUEUED, RUN, Decision, Verdict
+from ragwort_flow._rate_limit import (
+    RateLimit,
+    estimate_token_wait,
+    has_token,
+    set_rate,
+    take_token,
+)
 from ragwort_flow._speed import (
     EXPECTED_DEFERRAL_S,
     SpeedState,
@@ -119,6 +127,7 @@
     failure_ratio: float = 0.0
     failure_ratio_at: float = 0.0
     knee: KneeState = field(default_factory=KneeState)
+    rate: RateLimit = field(default_factory=RateLimit)
 
 
 @dataclass(slots=True, frozen=True)
@@ -152,6 +161,7 @@
     """Reset what was learned about the server, because a new instance has replaced it."""
     state.speed = SpeedState()
     state.knee = KneeState()
+    state.rate = RateLimit()
     state.failure_ratio = 0.0
 
 
@@ -171,6 +181,11 @@
     return SchedulingResult(refused=refused)
 
 
+def limit_rate(state: SchedulerState, now: float, calls_per_s: float | None) -> None:
+    """Set the rate of calls that the server takes, or None if it has no limit."""
+    set_rate(state.rate, now, calls_per_s)
+
+
 def record_reported_slowdown(state: SchedulerState, now: float, slowdown: float) -> None:
     """Record the slowdown that the server reports for its host."""
     record_slowdown(state.speed, now, slowdown)
@@ -183,7 +198,7 @@
 
 def needs_probe(state: SchedulerState, now: float) -> bool:
     """Return whether a waiting call could start if a probe gave the host's slowdown."""
-    if len(state.running) >= state.limit:
+    if not _has_room(state, now):
         return False
     return any(
         should_probe(state.speed, now, _estimate_work(state, call.pending))
@@ -199,8 +214,8 @@
         return EXPIRED
     state.max_rank = max(state.max_rank, pending.rank)
     work_s = _estimate_work(state, pending)
-    has_slot = len(state.running) < state.limit and not any(_list_startable(state, now))
-    if has_slot and _may_start(state, now, work_s):
+    has_room = _has_room(state, now) and not any(_list_startable(state, now))
+    if has_room and _may_start(state, now, work_s):
         _start(state, now, pending)
         return RUN
     new_call = _Waiting(
@@ -270,7 +285,7 @@
     wait_s = _estimate_wait(state, now, [call.pending for call in state.waiting], 0.0)
     return LoadReport(
         in_flight=len(state.running),
-        limit=state.limit,
+        limit=_find_effective_limit(state, mean_s * slowdown),
         queued=len(state.waiting),
         service_time_us=int(mean_s * slowdown * 1e6),
         accepting=state.accepting,
@@ -281,6 +296,21 @@
     )
 
 
+def _has_room(state: SchedulerState, now: float) -> bool:
+    """Return whether the server's limits let one more call start."""
+    return len(state.running) < state.limit and has_token(state.rate, now)
+
+
+def _find_effective_limit(state: SchedulerState, service_time_s: float) -> int:
+    """Return how many calls run at a time when the server gets all that it takes.
+
+    At a limited rate this follows from Little's law.
+    """
+    if state.rate.calls_per_s is None:
+        return state.limit
+    return max(1, min(state.limit, round(state.rate.calls_per_s * service_time_s)))
+
+
 def _may_be_served_late(state: SchedulerState, pending: PendingCall, work_s: float) -> bool:
     """Return whether a call is served late rather than refused.
 
@@ -360,6 +390,7 @@
         remaining = [_estimate_remaining(state, call, now) for call in state.running.values()]
         ahead_s = sum(_estimate_work(state, pending) for pending in ahead) * slowdown
         wait_s = max(wait_s, (_average(remaining) + ahead_s) / state.limit)
+    wait_s = max(wait_s, estimate_token_wait(state.rate, now, len(ahead) + 1))
     return wait_s + work_s * slowdown
 
 
@@ -375,6 +406,7 @@
 
 def _start(state: SchedulerState, now: float, pending: PendingCall) -> None:
     above_knee = len(state.running) + 1 > find_knee_limit(state.slots)
+    take_token(state.rate, now)
     speed = state.speed
     slowdown = (
         estimate_slowdown(speed, now) if speed.has_reports else _estimate_start_slowdown(state, now)
@@ -388,8 +420,7 @@
     started = []
     kept = []
     for call in state.waiting:
-        has_slot = len(state.running) < state.limit
-        if has_slot and _may_start(state, now, _estimate_work(state, call.pending)):
+        if _has_room(state, now) and _may_start(state, now, _estimate_work(state, call.pending)):
             _start(state, now, call.pending)
             started.append(call.call_id)
         else:
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -23,6 +23,7 @@
     complete_call,
     estimate_work,
     is_ready,
+    limit_rate,
     needs_probe,
     process_departure,
     process_heartbeat,
@@ -42,6 +43,7 @@
     find_call_id,
     make_answer_check,
     read_health,
+    read_notices,
     read_server_answer,
     read_slowdown,
 )
@@ -149,9 +151,11 @@
         if current is None or not is_ready(self._tracker):
             self._mark_unavailable("leaving", report)
             return
-        is_new = before is None or (before.instance, before.born_ms) != (
-            current.instance,
-            current.born_ms,
+        is_new = (
+            before is None
+            or before.instance != current.instance
+            # A health check doesn't state when the server started.
+            or before.born_ms not in (0, current.born_ms)
         )
         if is_new:
             reset_server(self._state)
@@ -195,6 +199,8 @@
                     cold_ms=0.0,
                 )
             )
+            if isinstance(result, Answer):
+                self._apply_health_notices(result)
 
     async def run_call(self, request: Request) -> Response | Refusal:
         """Run one call on the server if it is admitted, immediately or after queueing."""
@@ -302,6 +308,8 @@
         )
         self._speed_query = None
         slowdown = read_slowdown(result) if isinstance(result, Answer) else None
+        if isinstance(result, Answer):
+            self._apply_health_notices(result)
         now = self._clock()
         if slowdown is not None:
             record_reported_slowdown(self._state, now, slowdown)
@@ -360,8 +368,8 @@
                 self._mark_unavailable("unreachable", result)
             return self._refuse(request, result.outcome, result.reason, 0)
         fields = read_server_answer(result)
-        if fields.is_signed:
-            self._record_notices(fields.notices)
+        if fields.instance is None and (fields.is_signed or fields.not_run):
+            self._apply_notices(fields.notices)
         if fields.load is not None:
             record_reported_slowdown(self._state, self._clock(), fields.load.slowdown_percent / 100)
         if fields.instance is not None:
@@ -381,8 +389,15 @@
             work_ms=estimate_work(self._state.work, request.route, 0.0) * 1000,
         )
 
-    def _record_notices(self, notices: ServerNotices) -> None:
-        """Log what the server states about itself, each time that it changes."""
+    def _apply_health_notices(self, answer: Answer) -> None:
+        """Apply the notices in the answer to a health check, where a missing limit says nothing."""
+        notices = read_notices(answer)
+        if notices.max_calls_per_s is not None:
+            self._apply_notices(notices)
+
+    def _apply_notices(self, notices: ServerNotices) -> None:
+        """Apply what the server states about itself, and log each change."""
+        limit_rate(self._state, self._clock(), notices.max_calls_per_s)
         if notices == self._notices:
             return
         self._notices = notices
--- a/tests/flow/test_scheduler.py
+++ b/tests/flow/test_scheduler.py
@@ -15,6 +15,7 @@
     build_load_report,
     cancel_call,
     complete_call,
+    limit_rate,
     needs_probe,
     record_reported_slowdown,
     record_unanswered_probe,
@@ -62,6 +63,28 @@
     assert number < 10
 
 
+def test_calls_beyond_the_rate_of_a_server_wait_or_are_refused_at_once():
+    state = make_state(slots=10)
+    limit_rate(state, 0.0, 10.0)
+    verdicts = [admit_call(state, 1.0, make_pending_call(n, now=1.0)).verdict for n in range(5)]
+    assert verdicts == [Verdict.RUN] * 5
+    waiting = admit_call(state, 1.0, make_pending_call(5, now=1.0))
+    refused = admit_call(state, 1.0, make_pending_call(6, now=1.0, objective_s=0.15))
+    assert waiting.verdict is Verdict.QUEUED
+    assert refused.verdict is Verdict.REFUSED
+    assert 100 <= refused.retry_after_ms <= 300
+    assert review_waiting(state, 1.05).started == []
+    assert review_waiting(state, 1.11).started == [5]
+
+
+def test_report_of_a_server_with_a_limited_rate_states_what_it_can_run():
+    state = make_state(slots=10, work_s=0.1)
+    limit_rate(state, 0.0, 20.0)
+    assert build_load_report(state, 1.0).limit == 2
+    limit_rate(state, 1.0, None)
+    assert build_load_report(state, 1.0).limit == state.limit
+
+
 def test_calls_start_by_priority_and_then_by_latest_start_time():
     state = make_state()
     fill(state)
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -59,11 +59,12 @@
         return Answer(200, SIGNED + self.headers, b"")
 
 
-def make_gate(clock=read_clock, pool=None):
+def make_gate(clock=read_clock, pool=None, reported=True):
     telemetry = Telemetry(EventLog("n"), Counters())
     gate = Gate("127.0.0.1:1", "s", telemetry, clock, lambda: None)
     gate._pool = pool or FakePool()
-    gate.apply_server_report(HEARTBEAT)
+    if reported:
+        gate.apply_server_report(HEARTBEAT)
     return gate
 
 
@@ -232,6 +233,25 @@
     virtual.run_virtual(play())
 
 
+def test_rate_stated_to_a_health_check_holds_from_the_first_call():
+    async def play():
+        answer = [
+            (b"ragwortvalve-instance-id", b"i"),
+            (b"ragwortvalve-server-load", b"0,0,3"),
+            (b"server-limit", b"2"),
+        ]
+        pool = AnsweringPool(answer)
+        gate = make_gate(virtual.read_clock, pool, reported=False)
+        gate.set_health_target("/healthz")
+        await gate.check_health()
+        gate.apply_server_report(HEARTBEAT)
+        pool.arrivals.clear()
+        await asyncio.gather(*(gate.run_call(make_request()) for _ in range(20)))
+        assert count_most(pool.arrivals, 1.0) <= 3
+
+    virtual.run_virtual(play())
+
+
 def test_server_that_no_longer_states_a_rate_gets_all_calls():
     async def play():
         pool = AnsweringPool([(b"server-limit", b"5")])
