--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -1,6 +1,7 @@
 """The gate, with its connection pool to the server replaced by a fake."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from helper import wait_until
@@ -264,3 +265,21 @@
         assert all(isinstance(reply, Response) for reply in replies)
 
     virtual.run_virtual(play())
+
+
+def test_server_that_states_that_it_leaves_gets_no_further_calls():
+    async def play():
+        pool = AnsweringPool([(b"server-leaving", b"1")])
+        gate = make_gate(virtual.read_clock, pool)
+        assert isinstance(await gate.run_call(make_request()), Response)
+        gate.apply_server_report(replace(HEARTBEAT, sequence=2))
+        refusal = await gate.run_call(make_request())
+        if not isinstance(refusal, Refusal):
+            pytest.fail("a leaving server got a call")
+        assert refusal.reason == Reason.LEAVING.value
+        gate.apply_server_report(
+            replace(HEARTBEAT, instance=InstanceId("j"), born_ms=HEARTBEAT.born_ms + 1)
+        )
+        assert isinstance(await gate.run_call(make_request()), Response)
+
+    virtual.run_virtual(play())
