Stop sending calls to a server that states that it leaves

Cause: Server-Leaving is new in the servers' answers, and a server whose report is lost or late states it there first.

Change: the gate treats the notice like a report of the state draining: it takes no new calls, refuses those that wait, and tells all entries. A later report of the same instance doesn't reopen it. The notice counts for the instance that the call was sent to, so that a late answer can't close the server that has followed at the same address.

--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -13,6 +13,7 @@
     is_ready,
     process_departure,
     process_heartbeat,
+    process_leaving_notice,
 )
 from ragwort_flow._placement import (
     Placement,
@@ -102,6 +103,7 @@
     "needs_probe",
     "process_departure",
     "process_heartbeat",
+    "process_leaving_notice",
     "record_failed_probe",
     "record_reported_slowdown",
     "record_sent",
--- a/packages/flow/src/ragwort_flow/_instance_tracker.py
+++ b/packages/flow/src/ragwort_flow/_instance_tracker.py
@@ -5,7 +5,7 @@
 ignored.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ragwort_model import Departure, Heartbeat, InstanceId, InstanceState
 
@@ -61,6 +61,16 @@
     return is_current
 
 
+def process_leaving_notice(tracker: InstanceTracker, instance: InstanceId) -> None:
+    """Process a server's statement, made in an answer, that it is about to stop.
+
+    Its later reports don't make it ready again.
+    """
+    current = tracker.current
+    if current is not None and current.instance == instance:
+        tracker.current = replace(current, state=InstanceState.DRAINING)
+
+
 def is_ready(tracker: InstanceTracker) -> bool:
     """Return whether the latest report says that the server accepts new calls."""
     return tracker.current is not None and tracker.current.state is InstanceState.READY
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -27,6 +27,7 @@
     needs_probe,
     process_departure,
     process_heartbeat,
+    process_leaving_notice,
     record_reported_slowdown,
     record_unanswered_probe,
     reset_server,
@@ -34,7 +35,7 @@
     stop_accepting,
     update_server,
 )
-from ragwort_model import Departure, Heartbeat, InstanceState
+from ragwort_model import Departure, Heartbeat, InstanceId, InstanceState
 from ragwort_platform import (
     ServerNotices,
     build_answer_headers,
@@ -324,10 +325,11 @@
         started = self._clock()
         succeeded = False
         done = False
+        sent_to = self._tracker.current
         try:
             result = await self._send(request, (pending.deadline - started) * 1000)
             done = True
-            reply = self._make_reply(request, result)
+            reply = self._make_reply(request, result, sent_to)
             succeeded = isinstance(reply, Response) and reply.status < 500
         finally:
             now = self._clock()
@@ -361,15 +363,21 @@
         self._telemetry.counters.set_gauge("gate.requests_sent", self._pool.requests_sent)
         return result
 
-    def _make_reply(self, request: Request, result: Answer | Failure) -> Response | Refusal:
-        """Return the reply to a call, given the server's response or the failure to get one."""
+    def _make_reply(
+        self, request: Request, result: Answer | Failure, sent_to: Heartbeat | None
+    ) -> Response | Refusal:
+        """Return the reply to a call, given the server's response or the failure to get one.
+
+        ``sent_to`` is the latest report, at that time, of the server that the call was sent to.
+        """
         if isinstance(result, Failure):
             if result.reason is Reason.CONNECT_FAILED:
                 self._mark_unavailable("unreachable", result)
             return self._refuse(request, result.outcome, result.reason, 0)
         fields = read_server_answer(result)
-        if fields.instance is None and (fields.is_signed or fields.not_run):
-            self._apply_notices(fields.notices)
+        states_notices = fields.instance is None and (fields.is_signed or fields.not_run)
+        if states_notices and sent_to is not None:
+            self._apply_notices(fields.notices, sent_to.instance)
         if fields.load is not None:
             record_reported_slowdown(self._state, self._clock(), fields.load.slowdown_percent / 100)
         if fields.instance is not None:
@@ -392,11 +400,18 @@
     def _apply_health_notices(self, answer: Answer) -> None:
         """Apply the notices in the answer to a health check, where a missing limit says nothing."""
         notices = read_notices(answer)
-        if notices.max_calls_per_s is not None:
-            self._apply_notices(notices)
+        current = self._tracker.current
+        if current is not None and (notices.max_calls_per_s is not None or notices.is_leaving):
+            self._apply_notices(notices, current.instance)
 
-    def _apply_notices(self, notices: ServerNotices) -> None:
-        """Apply what the server states about itself, and log each change."""
+    def _apply_notices(self, notices: ServerNotices, instance: InstanceId) -> None:
+        """Apply what a server states about itself, and log each change."""
+        current = self._tracker.current
+        if current is None or current.instance != instance:
+            return
+        if notices.is_leaving:
+            process_leaving_notice(self._tracker, instance)
+            self._mark_unavailable("leaving", notices)
         limit_rate(self._state, self._clock(), notices.max_calls_per_s)
         if notices == self._notices:
             return
--- a/tests/flow/test_instance_tracker.py
+++ b/tests/flow/test_instance_tracker.py
@@ -4,7 +4,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from ragwort_common import ServiceName
-from ragwort_flow import InstanceTracker, is_ready, process_departure, process_heartbeat
+from ragwort_flow import (
+    InstanceTracker,
+    is_ready,
+    process_departure,
+    process_heartbeat,
+    process_leaving_notice,
+)
 from ragwort_model import Departure, Heartbeat, InstanceId, InstanceState
 
 FIRST = Heartbeat(
@@ -84,3 +90,14 @@
         process_heartbeat(tracker, 0.0, make_heartbeat(sequence=sequence, state=state))
     assert tracker.current.sequence == 7
     assert not is_ready(tracker)
+
+
+def test_notice_of_leaving_holds_for_the_instance_that_gave_it():
+    tracker = make_tracker(FIRST)
+    process_leaving_notice(tracker, InstanceId("i-0"))
+    assert is_ready(tracker)
+    process_leaving_notice(tracker, FIRST.instance)
+    assert not is_ready(tracker)
+    assert not process_heartbeat(tracker, 0.1, make_heartbeat(sequence=2))
+    assert process_heartbeat(tracker, 0.2, make_heartbeat(instance="i-2", born_ms=2000))
+    assert is_ready(tracker)
