Follow a store that comes back from an older copy

Nodes took a configuration for old if its revision was not above the last one that they had seen, so after a restore they ignored every change until the store had passed that revision.

Change: revisions are ordered by the store's era first, on links too, where the era stands in the high bits of the number that was sent before. The first reply of a later era interrupts both watches and lists again, so that changes between the copy and the watch are not missed; a reply of an earlier era is dropped. An older version is not activated, as before.

--- a/packages/mesh/src/ragwort_mesh/_configuration.py
+++ b/packages/mesh/src/ragwort_mesh/_configuration.py
@@ -19,9 +19,9 @@
     decode_configuration,
 )
 
-from ragwort_mesh._store import WATCH_SLACK_S, StoreClient
+from ragwort_mesh._store import WATCH_SLACK_S, StoreClient, order_revision
 from ragwort_mesh._telemetry import Telemetry
-from ragwort_mesh._watch import KindReader, KindWatch, WatchSettings
+from ragwort_mesh._watch import KindReader, KindWatch, Listing, WatchSettings
 
 RECOVERY_S = 1.0
 """Time reserved to read the configuration again after a lost watch request was noticed, and to send
@@ -43,7 +43,8 @@
     current, limits
         The active configuration, None until one is loaded, and its limits on callers.
     revision, content
-        Store revision of the configuration, 0 until one is loaded, and its encoded bytes.
+        Order of the configuration's store revision (``order_revision``), 0 until one is loaded, and
+        its encoded bytes.
 
     Parameters
     ----------
@@ -90,20 +91,25 @@
         listing = await self._reader.list_objects(stale=False)
         if isinstance(listing, StoreError):
             return False
-        self._apply_listing(listing.objects)
+        self._apply_listing(listing)
         return True
 
-    def _apply_listing(self, objects: list[StoredObject]) -> None:
-        for stored in objects:
-            self._apply_object(stored)
+    def list_again(self) -> None:
+        """Read the configuration again, because the store has come back from a copy."""
+        self._watch.list_again()
 
-    def _apply_change(self, change: Change) -> None:
+    def _apply_listing(self, listing: Listing) -> None:
+        for stored in listing.objects:
+            self._apply_object(stored, listing.era)
+
+    def _apply_change(self, change: Change, era: int) -> None:
         if not change.removed:
-            self._apply_object(change.stored)
+            self._apply_object(change.stored, era)
 
-    def _apply_object(self, stored: StoredObject) -> None:
+    def _apply_object(self, stored: StoredObject, era: int) -> None:
         if stored.name == CONFIGURATION_NAME:
-            self.apply_document(stored.revision, stored.content, "store")
+            order = order_revision(era, stored.revision)
+            self.apply_document(order, stored.content, "store")
 
     def apply_document(self, revision: int, content: bytes, source: str) -> None:
         """Activate a configuration if it is newer; ``source`` names its origin in the log."""
--- a/packages/mesh/src/ragwort_mesh/_directory.py
+++ b/packages/mesh/src/ragwort_mesh/_directory.py
@@ -27,9 +27,15 @@
     read_object,
 )
 
-from ragwort_mesh._store import StoreClient, StoreReply, pause_before_retry
+from ragwort_mesh._store import (
+    StoreClient,
+    StoreReply,
+    get_revision,
+    order_revision,
+    pause_before_retry,
+)
 from ragwort_mesh._telemetry import Telemetry
-from ragwort_mesh._watch import KindReader, KindWatch, WatchSettings
+from ragwort_mesh._watch import KindReader, KindWatch, Listing, WatchSettings
 
 RELIST_INTERVAL_S = 60.0
 """How often the records are read again: until then, the record of a node that has left costs a dial
@@ -86,7 +92,7 @@
         self._records: dict[NodeId, NodeRecord] = {}
         self._announced: dict[NodeId, NodeRecord] = {}
         self._record_order: dict[NodeId, float] = {}
-        self._newest_revision = 0
+        self._newest_order = 0
         self._own_object: StoredObject | None = None
         self._random = random.Random()
         self._own_record_missing = asyncio.Event()
@@ -96,6 +102,7 @@
         )
         watch.skip_first_listing()
         self.run_watch = watch.run
+        self.list_again = watch.list_again
 
     async def run(self) -> None:
         """Read the records and keep this node's own in the store, until cancelled."""
@@ -118,7 +125,7 @@
 
     async def _publish_and_catch_up(self) -> None:
         """Publish the record, remove those it replaces, and read the changes made meanwhile."""
-        since = self._newest_revision
+        since = get_revision(self._newest_order)
         await self._retry(self._publish)
         await self._remove_replaced()
         await self._retry(lambda: self._catch_up(since))
@@ -138,8 +145,9 @@
         listing = await self._reader.list_objects(stale)
         if isinstance(listing, StoreError):
             return False
-        self._apply_listing(listing.objects)
-        self._newest_revision = max(self._newest_revision, listing.revision)
+        self._apply_listing(listing)
+        order = order_revision(listing.era, listing.revision)
+        self._newest_order = max(self._newest_order, order)
         return True
 
     async def _catch_up(self, since: int) -> bool:
@@ -147,8 +155,8 @@
         changes = await self._reader.list_changes(since, wait_s=0.0)
         if isinstance(changes, StoreError):
             return changes.kind is ErrorKind.COMPACTED and await self._read(stale=False)
-        for change in changes.changes:
-            self._apply_change(change)
+        for change in changes.changes.changes:
+            self._apply_change(change, changes.era)
         return True
 
     async def _publish(self) -> bool:
@@ -186,7 +194,7 @@
 
         The peer uses its address now, so this record overrides any earlier one for the address.
         """
-        self._record_order[record.node] = self._newest_revision + 0.5
+        self._record_order[record.node] = self._newest_order + 0.5
         if self._announced.get(record.node) != record or record.node not in self._list_valid():
             self._announced[record.node] = record
             self._notify_changed()
@@ -226,28 +234,28 @@
             ):
                 continue
             reply = await self._store.call(
-                build_delete(NODES_KIND, node, int(self._record_order.get(node, 0)))
+                build_delete(NODES_KIND, node, get_revision(int(self._record_order.get(node, 0))))
             )
             removed = isinstance(reply, StoreReply)
             self._telemetry.events.write("record-replaced", peer=node, removed=removed)
 
-    def _apply_listing(self, objects: list[StoredObject]) -> None:
-        names = {stored.name for stored in objects}
+    def _apply_listing(self, listing: Listing) -> None:
+        names = {stored.name for stored in listing.objects}
         for node in [node for node in self._records if node not in names]:
             self._apply_removal(node)
         self._own_object = None
-        for stored in objects:
-            self._apply_object(stored)
+        for stored in listing.objects:
+            self._apply_object(stored, listing.era)
         self.listed = True
         if not self._is_published():
             self._own_record_missing.set()
         self._notify_changed()
 
-    def _apply_change(self, change: Change) -> None:
+    def _apply_change(self, change: Change, era: int) -> None:
         if change.removed:
             self._apply_removal(NodeId(change.stored.name))
         else:
-            self._apply_object(change.stored)
+            self._apply_object(change.stored, era)
         self._notify_changed()
 
     def _apply_removal(self, node: NodeId) -> None:
@@ -263,7 +271,7 @@
             self._announced.pop(node, None)
         self._telemetry.events.write("record-removed", peer=node, linked=linked)
 
-    def _apply_object(self, stored: StoredObject) -> None:
+    def _apply_object(self, stored: StoredObject, era: int) -> None:
         if stored.name == self._own_record.node:
             self._own_object = stored
         record = decode_node(stored)
@@ -278,5 +286,5 @@
             self._announced.pop(record.node, None)
         self._records[record.node] = record
         self._record_order[record.node] = max(
-            self._record_order.get(record.node, 0.0), stored.revision
+            self._record_order.get(record.node, 0.0), order_revision(era, stored.revision)
         )
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -74,7 +74,9 @@
         self._telemetry = telemetry
         random_source = random.Random()
         addresses = settings.addresses
-        self._store = StoreClient(addresses.store, telemetry, self._on_store_status)
+        self._store = StoreClient(
+            addresses.store, telemetry, self._on_store_status, self._on_store_restored
+        )
         watch_enabled = asyncio.Event()
         self._configuration = ActiveConfiguration(
             self._store,
@@ -244,6 +246,10 @@
     def _on_store_status(self, store_available: bool) -> None:
         self._peer_sync.announce_store_status(store_available)
 
+    def _on_store_restored(self) -> None:
+        self._configuration.list_again()
+        self._directory.list_again()
+
     def _on_records(self, records: dict[NodeId, NodeRecord]) -> None:
         self._targets.set_records(records)
         self._peers.set_records(records)
--- a/packages/mesh/src/ragwort_mesh/_store.py
+++ b/packages/mesh/src/ragwort_mesh/_store.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from ragwort_model import ErrorKind, StoreError
-from ragwort_platform import StoreRequest
+from ragwort_platform import StoreRequest, read_era
 from ragwort_transport import ClientPool, Failure
 
 from ragwort_mesh._telemetry import Telemetry
@@ -25,6 +25,9 @@
 MAX_UNACKNOWLEDGED_MS = 2_000
 """How long the kernel waits for the store's TCP acknowledgement."""
 
+ERA_FACTOR = 1 << 40
+"""Factor of the era in the order of a revision; greater than any revision."""
+
 _ERROR_KINDS = {
     404: ErrorKind.NOT_FOUND,
     409: ErrorKind.CONFLICT,
@@ -36,9 +39,20 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreReply:
-    """A successful reply from the store."""
+    """A successful reply from the store, and the store's era."""
 
     body: bytes
+    era: int
+
+
+def order_revision(era: int, revision: int) -> int:
+    """Return a number that orders revisions also across a restore of the store from a copy."""
+    return era * ERA_FACTOR + revision
+
+
+def get_revision(order: int) -> int:
+    """Return the store's revision of an order."""
+    return order % ERA_FACTOR
 
 
 class StoreClient:
@@ -50,13 +64,26 @@
         Address of the store, ``host:port``.
     on_status
         Called with whether the store is reachable, each time that changes.
+    on_restored
+        Called when the store has come back from a copy.
+
+    Attributes
+    ----------
+    era
+        Latest era of the store, None before the first reply.
     """
 
     def __init__(
-        self, address: str, telemetry: Telemetry, on_status: Callable[[bool], None]
+        self,
+        address: str,
+        telemetry: Telemetry,
+        on_status: Callable[[bool], None],
+        on_restored: Callable[[], None],
     ) -> None:
         self._host = address
+        self.era: int | None = None
         self._on_status = on_status
+        self._on_restored = on_restored
         self._telemetry = telemetry
         self._pool = ClientPool(address, 2, MAX_REPLY_BYTES, MAX_UNACKNOWLEDGED_MS)
         self._reachable = True
@@ -77,9 +104,15 @@
             is_write = request.method != "GET"
             kind = ErrorKind.UNCERTAIN if is_write else ErrorKind.UNAVAILABLE
             return self._fail(kind, result.reason.value)
+        era = read_era(result.headers)
+        if era is None:
+            era = self.era or 0
+        elif self.era is not None and era < self.era:
+            return self._fail(ErrorKind.UNCERTAIN, f"reply of era {era}, now {self.era}")
+        self._note_era(era)
         if result.status in (200, 201, 204):
             self._note_reachable(True, "")
-            return StoreReply(result.body)
+            return StoreReply(result.body, era)
         kind = _ERROR_KINDS.get(result.status, ErrorKind.INVALID)
         return self._fail(kind, f"status {result.status}")
 
@@ -100,6 +133,12 @@
             self._note_reachable(False, message)
         return StoreError(kind, message)
 
+    def _note_era(self, era: int) -> None:
+        known, self.era = self.era, era
+        if known is not None and era > known:
+            self._telemetry.events.write("store-restored", era=era)
+            self._on_restored()
+
     def _note_reachable(self, reachable: bool, cause: str) -> None:
         self._failures = 0 if reachable else self._failures + 1
         if reachable == self._reachable or 0 < self._failures < FAILURES_UNTIL_LOST:
--- a/packages/mesh/src/ragwort_mesh/_watch.py
+++ b/packages/mesh/src/ragwort_mesh/_watch.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 from ragwort_model import ErrorKind, InputError, StoreError
 from ragwort_platform import (
@@ -29,6 +30,15 @@
 
     objects: list[StoredObject]
     revision: int
+    era: int
+
+
+@dataclass(frozen=True, slots=True)
+class WatchedChanges:
+    """Changes of a kind, and the store's era."""
+
+    changes: Changes
+    era: int
 
 
 class KindReader:
@@ -50,6 +60,7 @@
         objects: list[StoredObject] = []
         after = ""
         revision: int | None = None
+        era: int | None = None
         while True:
             reply = await self._store.call(build_list(self._kind, after, stale))
             if not isinstance(reply, StoreReply):
@@ -57,14 +68,17 @@
             page = read_page(reply.body)
             if isinstance(page, InputError):
                 return self._reject(page)
+            if era not in (None, reply.era):
+                return StoreError(ErrorKind.UNAVAILABLE, "the store was restored between two pages")
+            era = reply.era
             objects += page.objects
             # Changes after the first page was read may be missing from it.
             revision = page.revision if revision is None else min(revision, page.revision)
             if not page.has_more or not page.objects:
-                return Listing(objects, revision)
+                return Listing(objects, revision, era)
             after = page.objects[-1].name
 
-    async def list_changes(self, revision: int, wait_s: float) -> Changes | StoreError:
+    async def list_changes(self, revision: int, wait_s: float) -> WatchedChanges | StoreError:
         """Return the changes after a revision, waiting up to ``wait_s`` for the first one.
 
         Without a wait, only the changes that exist already are returned.
@@ -74,7 +88,9 @@
         if not isinstance(reply, StoreReply):
             return reply
         changes = read_changes(reply.body)
-        return self._reject(changes) if isinstance(changes, InputError) else changes
+        if isinstance(changes, InputError):
+            return self._reject(changes)
+        return WatchedChanges(changes, reply.era)
 
     def _reject(self, error: InputError) -> StoreError:
         self._telemetry.events.write("store-reply-unreadable", mistake=str(error))
@@ -108,9 +124,9 @@
     Parameters
     ----------
     on_listed
-        Called with all objects after each listing.
+        Called with each listing.
     on_change
-        Called with each later change.
+        Called with each later change and the store's era.
     watch_enabled
         Set while changes are to be watched. Each time it is set, the watch starts with a listing.
         The first listing is done even if it is not set, unless ``skip_first_listing`` was called.
@@ -121,8 +137,8 @@
         settings: WatchSettings,
         store: StoreClient,
         telemetry: Telemetry,
-        on_listed: Callable[[list[StoredObject]], None],
-        on_change: Callable[[Change], None],
+        on_listed: Callable[[Listing], None],
+        on_change: Callable[[Change, int], None],
         watch_enabled: asyncio.Event,
     ) -> None:
         self._settings = settings
@@ -134,6 +150,8 @@
         self._watch_enabled = watch_enabled
         self._first_listing_done = False
         self._revision: int | None = None
+        self._must_list = False
+        self._step: asyncio.Task[StoreError | None] | None = None
         self._random = random.Random()
 
     def skip_first_listing(self) -> None:
@@ -144,6 +162,12 @@
         """Set how long later watch requests wait for a change, in seconds."""
         self._wait_s = wait_s
 
+    def list_again(self) -> None:
+        """Interrupt a waiting request and start with a listing, as after a restore of the store."""
+        self._must_list = True
+        if self._step is not None:
+            self._step.cancel()
+
     async def run(self) -> None:
         """List and watch until cancelled; list again if the store has compacted its history.
 
@@ -156,11 +180,15 @@
             if self._first_listing_done and not self._watch_enabled.is_set():
                 self._revision = None
                 await self._watch_enabled.wait()
+            if self._must_list:
+                self._must_list = False
+                self._revision = None
             revision, started = self._revision, loop.time()
-            if self._revision is None:
-                error = await self._list()
+            if revision is None:
+                error = await self._run_step(self._list())
             else:
-                error = await self._watch(self._revision, 0.0 if failures else self._wait_s)
+                wait_s = 0.0 if failures else self._wait_s
+                error = await self._run_step(self._watch(revision, wait_s))
             if error is None:
                 failures = 0
                 continue
@@ -177,22 +205,32 @@
             failures += 1
             await pause_before_retry(failures, self._random.random(), started)
 
+    async def _run_step(self, request: Coroutine[Any, Any, StoreError | None]) -> StoreError | None:
+        """Run a request that ``list_again`` may interrupt."""
+        self._step = asyncio.create_task(request)
+        try:
+            await asyncio.wait({self._step})
+            return None if self._step.cancelled() else self._step.result()
+        finally:
+            self._step.cancel()
+            self._step = None
+
     async def _list(self) -> StoreError | None:
         listing = await self._reader.list_objects(stale=False)
         if isinstance(listing, StoreError):
             return listing
         self._revision = listing.revision
         self._first_listing_done = True
-        self._on_listed(listing.objects)
+        self._on_listed(listing)
         return None
 
     async def _watch(self, revision: int, wait_s: float) -> StoreError | None:
         changes = await self._reader.list_changes(revision, wait_s)
         if isinstance(changes, StoreError):
             return changes
-        self._revision = changes.revision
-        for change in changes.changes:
-            self._on_change(change)
-        if changes.changes and self._settings.pause_s:
+        self._revision = changes.changes.revision
+        for change in changes.changes.changes:
+            self._on_change(change, changes.era)
+        if changes.changes.changes and self._settings.pause_s:
             await asyncio.sleep(self._settings.pause_s)
         return None
--- a/standins/src/ragwort_standins/store.py
+++ b/standins/src/ragwort_standins/store.py
@@ -28,6 +28,14 @@
     LOST_REPLIES = "loses-answers"
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The objects at a revision."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+
+
 @dataclass
 class Store:
     """The objects, their change history and the injected fault.
@@ -41,7 +49,9 @@
     calls
         Method and path of every request received.
     changed
-        Notified after a change or a compaction.
+        Notified after a change, a compaction or a restore.
+    era
+        Number of the copy that the store runs on; rises with each restore.
     """
 
     revision: int = 1
@@ -51,6 +61,7 @@
     fault: StoreFault = StoreFault.NONE
     calls: list[tuple[str, str]] = field(default_factory=list)
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
+    era: int = 1
 
     async def put(self, kind: str, name: str, spec: Any) -> int:
         """Write an object unconditionally, and return its revision."""
@@ -81,6 +92,23 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def copy_objects(self) -> StoreCopy:
+        """Return a copy of the current objects, for a later restore."""
+        return StoreCopy(self.revision, dict(self.objects))
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; revisions since then are given out again."""
+        self.era += 1
+        self.revision = self.compacted_revision = copy.revision
+        self.objects = dict(copy.objects)
+        self.history.clear()
+        async with self.changed:
+            self.changed.notify_all()
+
+    def lacks_history(self, after: int) -> bool:
+        """Return whether changes after a revision are not known to the store."""
+        return not self.compacted_revision <= after <= self.revision
+
     def list_events(self, kind: str, after: int) -> list[dict[str, Any]]:
         """Return the changes to objects of a kind after a revision."""
         return [
@@ -109,6 +137,7 @@
         if store.fault is StoreFault.SILENT:
             await asyncio.sleep(3600)
         reply = await handler(request)
+        reply.headers["Store-Era"] = str(store.era)
         if store.fault is StoreFault.LOST_REPLIES and request.method != "GET":
             assert request.transport is not None
             request.transport.abort()
@@ -126,12 +155,12 @@
 
     async def watch(kind: str, after: int, wait_ms: int) -> web.Response:
         def has_result() -> bool:
-            return after < store.compacted_revision or bool(store.list_events(kind, after))
+            return store.lacks_history(after) or bool(store.list_events(kind, after))
 
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_ms / 1000), store.changed:
                 await store.changed.wait_for(has_result)
-        if after < store.compacted_revision:
+        if store.lacks_history(after):
             return web.Response(status=410)
         return _reply({"events": store.list_events(kind, after), "asOf": store.revision})
 
--- a/tests/adapter/test_objects.py
+++ b/tests/adapter/test_objects.py
@@ -1,5 +1,6 @@
 import json
 
+import pytest
 from ragwort_model import InputError, NodeRecord
 from ragwort_platform import (
     StoredObject,
@@ -10,6 +11,7 @@
     decode_node,
     encode_node,
     read_changes,
+    read_era,
     read_page,
 )
 
@@ -51,3 +53,11 @@
 
 def test_node_record_round_trip():
     assert decode_node(StoredObject("n-1", 1, encode_node(RECORD))) == RECORD
+
+
+@pytest.mark.parametrize(
+    ("headers", "era"),
+    [([], None), ([(b"store-era", b"12")], 12), ([(b"store-era", b"new")], None)],
+)
+def test_era_of_the_store_is_read_from_its_replies(headers, era):
+    assert read_era(headers) == era
--- a/tests/mesh/test_watch.py
+++ b/tests/mesh/test_watch.py
@@ -88,7 +88,7 @@
             [(started + silence_start_s, ended)], [(0.0, 5, 1), (ended + write_s, 6, 2)]
         )
         telemetry = Telemetry(EventLog("n"))
-        client = StoreClient("127.0.0.1:1", telemetry, lambda _: None)
+        client = StoreClient("127.0.0.1:1", telemetry, lambda _: None, lambda: None)
         client._pool = store
         enabled = asyncio.Event()
         enabled.set()
