Hold a server's rate for a second after the last answer that stated it

Cause: answers arrive out of order, and one without the rate among others that state it would have let all waiting calls start at once.

Measured: a test of such answers.

--- a/packages/flow/src/ragwort_flow/_rate_limit.py
+++ b/packages/flow/src/ragwort_flow/_rate_limit.py
@@ -14,6 +14,10 @@
 MIN_CALLS_PER_S = 0.5
 """Least rate. Only answers to calls tell that the limit has ended, so some calls have to start."""
 
+HOLD_S = 1.0
+"""How long a stated rate holds although later answers don't state it: answers of calls that started
+before may arrive out of order."""
+
 
 @dataclass(slots=True)
 class RateLimit:
@@ -25,17 +29,24 @@
         Rate at which the bucket fills, None without a limit.
     tokens, updated
         Number of calls that may start, as of a time in seconds.
+    stated_at
+        When the server last stated the rate, in seconds.
     """
 
     calls_per_s: float | None = None
     tokens: float = 0.0
     updated: float = 0.0
+    stated_at: float = 0.0
 
 
 def set_rate(limit: RateLimit, now: float, calls_per_s: float | None) -> None:
-    """Set the rate that the server takes, or None if it has no limit."""
-    if calls_per_s is not None:
-        calls_per_s = max(MIN_CALLS_PER_S, calls_per_s)
+    """Set the rate that the server states in an answer, None if it states none."""
+    if calls_per_s is None:
+        if now - limit.stated_at > HOLD_S:
+            limit.calls_per_s = None
+        return
+    limit.stated_at = now
+    calls_per_s = max(MIN_CALLS_PER_S, calls_per_s)
     if calls_per_s == limit.calls_per_s:
         return
     # A limit starts with an empty bucket: the server states it because it got too many calls.
