Choose the ports of deployments where nothing else takes them

Cause: free ports were found by binding and closing sockets, and between that and the node's start the kernel gave the same ports to outgoing connections, and other test runs chose them too ("Address already in use").

Change: ports lie below the kernel's range for outgoing connections, and each is reserved by a socket on another loopback address while its deployment runs. The cluster of the mesh tests uses the same function.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -3,11 +3,14 @@
 import asyncio
 import contextlib
 import ctypes
+import errno
 import json
+import random
 import signal
 import socket
 import sys
 import tempfile
+from collections import deque
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -15,11 +18,21 @@
 import aiohttp
 from ruamel.yaml import YAML
 
+FIRST_PORT = 10_000
+RESERVATION_HOST = "127.0.0.2"
+MAX_RESERVATIONS = 400
+"""Maximum number of ports that a process reserves; a deployment uses a few dozen."""
+
+EPHEMERAL_PORTS = Path("/proc/sys/net/ipv4/ip_local_port_range")
+
 READY_TIMEOUT_S = 30
 STOP_TIMEOUT_S = 10
 PR_SET_PDEATHSIG = 1
 """Option number from the kernel header linux/prctl.h."""
 
+_random = random.SystemRandom()
+_reservations: deque[socket.socket] = deque()
+
 
 @dataclass(frozen=True, slots=True)
 class DeploymentPlan:
@@ -105,14 +118,37 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return distinct TCP ports that are currently free."""
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.bind(("127.0.0.1", 0))
-            ports.append(sock.getsockname()[1])
-        return ports
+    """Return distinct TCP ports of 127.0.0.1 that are free, and that stay free until they are used.
+
+    The kernel gives none of them to outgoing connections, since they lie below its range for these.
+    Other processes that call this function don't get them either: each port is reserved by a socket
+    of this process on another loopback address, to which no connection is made.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _random.randrange(FIRST_PORT, _read_first_ephemeral_port())
+        reservation = socket.socket()
+        try:
+            reservation.bind((RESERVATION_HOST, port))
+            with socket.socket() as probe:
+                # A port whose last connections have just closed can be listened on again.
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                probe.bind(("127.0.0.1", port))
+        except OSError as error:
+            reservation.close()
+            if error.errno != errno.EADDRINUSE:
+                raise
+            continue
+        _reservations.append(reservation)
+        ports.append(port)
+    while len(_reservations) > MAX_RESERVATIONS:
+        _reservations.popleft().close()
+    return ports
+
+
+def _read_first_ephemeral_port() -> int:
+    """Return the lowest port that the kernel gives to outgoing connections."""
+    return int(EPHEMERAL_PORTS.read_text().split()[0])
 
 
 @contextlib.asynccontextmanager
--- a/tests/mesh/test_main.py
+++ b/tests/mesh/test_main.py
@@ -7,12 +7,13 @@
 import time
 
 import pytest
-from mesh_cluster import find_ports
 from ragwort_mesh.main import load_settings
 
+from bench.deployment import find_free_ports
+
 
 def write_settings(path, **changes):
-    ports = [f"127.0.0.1:{port}" for port in find_ports(6)]
+    ports = [f"127.0.0.1:{port}" for port in find_free_ports(6)]
     names = ("inbound", "outbound", "ready", "control")
     settings = {
         "nodeName": "n1",
--- a/tests/mesh_cluster.py
+++ b/tests/mesh_cluster.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -16,18 +15,9 @@
 from ragwort_standins.application import Application, build_application, send_report
 from ragwort_standins.store import Store, build_store
 
-HOST = "calls.example"
-
+from bench.deployment import find_free_ports
 
-def find_ports(count):
-    """Return currently unused ports."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+HOST = "calls.example"
 
 
 def make_route(service, prefix="/a/", kind="idempotent", **fields):
@@ -98,7 +88,7 @@
         name = f"n{self.node_count}"
         application = application or Application(f"i-{name}", service)
         server = await self.serve(build_application(application))
-        ports = find_ports(4)
+        ports = find_free_ports(4)
         link, entry, ready, control = (f"127.0.0.1:{port}" for port in ports)
         settings = NodeSettings(
             NodeId(name),
