--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -173,7 +173,7 @@
 
 async def start_process(fleet: Fleet, *arguments: str) -> asyncio.subprocess.Process:
     """Start a Python process of the deployment and write its output to a log in its folder."""
-    output = (fleet.folder / f"{len(fleet.processes)}.log").open("wb")
+    output = _find_log(fleet, len(fleet.processes)).open("wb")
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         *arguments,
@@ -193,6 +193,11 @@
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+def _find_log(fleet: Fleet, number: int) -> Path:
+    """Return the path of the log of a process, given its position in the fleet's list."""
+    return fleet.folder / f"{number}.log"
+
+
 async def start_server(fleet: Fleet, place: Place) -> None:
     """Start a stand-in server."""
     plan = fleet.plan
@@ -329,6 +334,9 @@
                 if state["ready"] and state["peers"].get("alive") == len(fleet.places):
                     return
         if place.process is not None and place.process.returncode is not None:
+            # The folder of the logs is removed with the deployment.
+            log = _find_log(fleet, fleet.processes.index(place.process)).read_text()
+            print(f"log of node {place.node}:\n{log}", file=sys.stderr)
             raise RuntimeError(f"node {place.node} exited with status {place.process.returncode}")
         await asyncio.sleep(0.1)
 
