--- a/standins/src/ragwort_standins/application.py
+++ b/standins/src/ragwort_standins/application.py
@@ -30,6 +30,8 @@
         Service time of a call, in seconds.
     response_override
         Called with each accepted request; may return a response that replaces the usual one.
+    notices
+        Header fields added to the usual answers.
     runs, arrivals
         Number of runs and of received requests, by call id.
     requests
@@ -44,6 +46,7 @@
     service_time_s: float = 0.0
     slowdown_percent: int = 100
     response_override: Callable[[web.Request], web.Response | None] = lambda request: None
+    notices: dict[str, str] = field(default_factory=dict)
     running: int = 0
     runs: Counter[str] = field(default_factory=Counter)
     arrivals: Counter[str] = field(default_factory=Counter)
@@ -81,6 +84,7 @@
             ATTEMPT_ID_HEADER: call_id,
             SIGNATURE_HEADER: self.sign(call_id),
             "Ragwortvalve-Server-Load": load,
+            **self.notices,
         }
         return web.Response(body=b"%s:" % self.instance.encode() + body, headers=headers)
 
--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -196,6 +196,45 @@
     run_scenario(scenario)
 
 
+def test_calls_beyond_the_rate_of_a_server_run_on_another():
+    async def scenario(cluster):
+        await start(cluster)
+        limited, other = cluster.members
+        limited.application.notices["Server-Limit"] = "5.0"
+        while not limited.application.arrivals:
+            await cluster.call(limited, call_id="first")
+        started = time.monotonic()
+        before = limited.application.arrivals.total()
+        replies = []
+        for batch in range(20):
+            calls = [cluster.call(limited, call_id=f"c{batch}.{n}") for n in range(3)]
+            replies += await asyncio.gather(*calls)
+        elapsed_s = time.monotonic() - started
+        assert {status for status, _, _ in replies} == {200}
+        assert limited.application.arrivals.total() - before <= 5.0 * elapsed_s + 3
+        assert other.application.arrivals.total() > 30
+
+    run_scenario(scenario, ("s", "s"))
+
+
+def test_server_that_leaves_by_its_answers_gets_no_further_calls():
+    async def scenario(cluster):
+        await start(cluster)
+        leaving, other = cluster.members
+        leaving.application.notices["Server-Leaving"] = "1"
+        while not leaving.application.arrivals:
+            await cluster.call(leaving, call_id="first")
+        await leaving.send_heartbeat()
+        arrived = leaving.application.arrivals.total()
+        for member in cluster.members:
+            for number in range(10):
+                assert (await cluster.call(member, call_id=f"{number}"))[0] == 200
+        assert leaving.application.arrivals.total() == arrived
+        assert other.application.arrivals.total() >= 20
+
+    run_scenario(scenario, ("s", "s"))
+
+
 def test_leaving_server_finishes_running_calls_and_gets_no_new_ones():
     async def scenario(cluster):
         await start(cluster)
