--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -17,6 +17,7 @@
 from time import perf_counter
 
 from ragwort_common import FailureDomain, NodeId, Region, Revision
+from ragwort_node._rules_watch import WatchSettings
 from ragwort_policy import (
     UNKNOWN_DIGEST,
     RevisionId,
@@ -46,7 +47,7 @@
 LINK_BYTES_PER_MS = 30_000_000 / 8 / 1000
 GOSSIP_MS = 1000.0
 
-WATCH_WAIT_S = 30.0
+WATCH_WAIT_S = WatchSettings().wait_ms / 1000
 PLATFORM_REGION = Region("region-0")
 
 
--- a/packages/node/src/ragwort_node/_rules_watch.py
+++ b/packages/node/src/ragwort_node/_rules_watch.py
@@ -28,17 +28,19 @@
     Attributes
     ----------
     wait_ms
-        Duration of one long poll.
+        Duration of one long poll. A poll that the platform never answers is noticed only after this
+        time and the timeout of a call; both, and the longest delay between two attempts, have to
+        fit into the 4 s in which a change of the rules is in force.
     recheck_ms
         How often a node that is not a watcher checks whether it has become one.
     first_retry_ms, max_retry_ms
         First and maximum delay of the exponential backoff while the platform is down.
     """
 
-    wait_ms: int = 30_000
+    wait_ms: int = 1_000
     recheck_ms: float = 5_000
     first_retry_ms: float = 100
-    max_retry_ms: float = 10_000
+    max_retry_ms: float = 1_500
 
 
 async def watch_rules(
