--- a/packages/mesh/src/ragwort_mesh/_directory.py
+++ b/packages/mesh/src/ragwort_mesh/_directory.py
@@ -155,7 +155,7 @@
         changes = await self._reader.list_changes(since, wait_s=0.0)
         if isinstance(changes, StoreError):
             return changes.kind is ErrorKind.COMPACTED and await self._read(stale=False)
-        for change in changes.changes.changes:
+        for change in changes.changes:
             self._apply_change(change, changes.era)
         return True
 
--- a/packages/mesh/src/ragwort_mesh/_watch.py
+++ b/packages/mesh/src/ragwort_mesh/_watch.py
@@ -9,7 +9,6 @@
 from ragwort_model import ErrorKind, InputError, StoreError
 from ragwort_platform import (
     Change,
-    Changes,
     StoredObject,
     build_list,
     build_watch,
@@ -26,7 +25,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All objects of a kind, and the store revision after which changes may be missing."""
+    """All objects of a kind, and the store revision after which changes may be missing.
+
+    Revisions of different eras of the store are not comparable; see ``order_revision``.
+    """
 
     objects: list[StoredObject]
     revision: int
@@ -34,10 +36,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class WatchedChanges:
-    """Changes of a kind, and the store's era."""
+class EraChanges:
+    """Changes of a kind in order, and the store's era; the next watch starts at ``revision``."""
 
-    changes: Changes
+    changes: tuple[Change, ...]
+    revision: int
     era: int
 
 
@@ -78,7 +81,7 @@
                 return Listing(objects, revision, era)
             after = page.objects[-1].name
 
-    async def list_changes(self, revision: int, wait_s: float) -> WatchedChanges | StoreError:
+    async def list_changes(self, revision: int, wait_s: float) -> EraChanges | StoreError:
         """Return the changes after a revision, waiting up to ``wait_s`` for the first one.
 
         Without a wait, only the changes that exist already are returned.
@@ -90,7 +93,7 @@
         changes = read_changes(reply.body)
         if isinstance(changes, InputError):
             return self._reject(changes)
-        return WatchedChanges(changes, reply.era)
+        return EraChanges(changes.changes, changes.revision, reply.era)
 
     def _reject(self, error: InputError) -> StoreError:
         self._telemetry.events.write("store-reply-unreadable", mistake=str(error))
@@ -228,9 +231,9 @@
         changes = await self._reader.list_changes(revision, wait_s)
         if isinstance(changes, StoreError):
             return changes
-        self._revision = changes.changes.revision
-        for change in changes.changes.changes:
+        self._revision = changes.revision
+        for change in changes.changes:
             self._on_change(change, changes.era)
-        if changes.changes.changes and self._settings.pause_s:
+        if changes.changes and self._settings.pause_s:
             await asyncio.sleep(self._settings.pause_s)
         return None
