--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -4,6 +4,7 @@
 import contextlib
 import ctypes
 import errno
+import itertools
 import json
 import random
 import signal
@@ -11,7 +12,7 @@
 import sys
 import tempfile
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -99,13 +100,21 @@
 
 @dataclass(slots=True)
 class Fleet:
-    """The running processes of a deployment."""
+    """The running processes of a deployment.
+
+    Attributes
+    ----------
+    logs
+        Path of the log of each process, by its id.
+    """
 
     plan: DeploymentPlan
     folder: Path
     platform_port: int
     places: list[Place] = field(default_factory=list)
     processes: list[asyncio.subprocess.Process] = field(default_factory=list)
+    logs: dict[int, Path] = field(default_factory=dict)
+    log_numbers: Iterator[int] = field(default_factory=itertools.count)
 
     @property
     def platform_url(self) -> str:
@@ -173,7 +182,8 @@
 
 async def start_process(fleet: Fleet, *arguments: str) -> asyncio.subprocess.Process:
     """Start a Python process of the deployment and write its output to a log in its folder."""
-    output = _find_log(fleet, len(fleet.processes)).open("wb")
+    log = fleet.folder / f"{next(fleet.log_numbers)}.log"
+    output = log.open("wb")
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         *arguments,
@@ -185,6 +195,7 @@
     )
     output.close()
     fleet.processes.append(process)
+    fleet.logs[process.pid] = log
     return process
 
 
@@ -193,11 +204,6 @@
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
-def _find_log(fleet: Fleet, number: int) -> Path:
-    """Return the path of the log of a process, given its position in the fleet's list."""
-    return fleet.folder / f"{number}.log"
-
-
 async def start_server(fleet: Fleet, place: Place) -> None:
     """Start a stand-in server."""
     plan = fleet.plan
@@ -335,7 +341,7 @@
                     return
         if place.process is not None and place.process.returncode is not None:
             # The folder of the logs is removed with the deployment.
-            log = _find_log(fleet, fleet.processes.index(place.process)).read_text()
+            log = fleet.logs[place.process.pid].read_text()
             print(f"log of node {place.node}:\n{log}", file=sys.stderr)
             raise RuntimeError(f"node {place.node} exited with status {place.process.returncode}")
         await asyncio.sleep(0.1)
