--- a/tests/mesh/test_restore.py
+++ b/tests/mesh/test_restore.py
@@ -14,13 +14,17 @@
     for _ in range(count):
         await cluster.add("s", domain="d")
     await cluster.wait_until_linked()
-    await wait_until(lambda: any(m.node._peer_sync.watch_enabled.is_set() for m in cluster.members))
+    await wait_until(lambda: list_watchers(cluster))
 
 
 def get_versions(cluster):
     return {member.node._configuration.current.version for member in cluster.members}
 
 
+def list_watchers(cluster):
+    return [member for member in cluster.members if member.node._peer_sync.watch_enabled.is_set()]
+
+
 def list_published(cluster):
     return {name for kind, name in cluster.store.objects if kind == "nodes"}
 
@@ -49,7 +53,7 @@
         await configure(cluster, 2)
         await wait_until(lambda: get_versions(cluster) == {2})
         await cluster.store.restore(copy)
-        await wait_until(lambda: all(_has_seen_restore(m) for m in cluster.members if _watches(m)))
+        await wait_until(lambda: all(m.node._store.era == 2 for m in list_watchers(cluster)))
         assert get_versions(cluster) == {2}
         await configure(cluster, 2)
         await configure(cluster, 3)
@@ -58,14 +62,6 @@
     run_scenario(scenario, ())
 
 
-def _watches(member):
-    return member.node._peer_sync.watch_enabled.is_set()
-
-
-def _has_seen_restore(member):
-    return member.node._store.era == 2
-
-
 def test_records_that_a_restored_store_has_lost_are_published_again():
     async def scenario(cluster):
         await configure(cluster, 1)
@@ -73,7 +69,7 @@
         for _ in range(4):
             await cluster.add("s", domain="d")
         await cluster.wait_until_linked()
-        await wait_until(lambda: any(_watches(member) for member in cluster.members))
+        await wait_until(lambda: list_watchers(cluster))
         names = {member.settings.node for member in cluster.members}
         await cluster.store.restore(copy)
         await wait_until(lambda: list_published(cluster) == names)
