Refuse requests that crash the servers which run them

Cause: state that each part kept for itself and for one call only. A call has an id of its own, a gate sees its own server end, an entry forgets a call with its answer, so the same request was new each time.

Change: the gate beside a server tells a crash from a broken connection by one more connect, and tells all nodes which requests were running (fingerprints of caller, host, method, path and body, without and with the query). A request that was running in three crashes is refused at every entry and gate at once; an answered run clears it, a crash that another request explains better does not count, and a trial after 10 s and then ever more rarely undoes a false accusation. Crashes count for 15 minutes, 256 are kept. What recurs is stored, an object a node, and read by the nodes that watch the store.

OwnObject takes the writing of a node's own object out of the directory, for both kinds.

--- a/packages/common/src/ragwort_common/_ids.py
+++ b/packages/common/src/ragwort_common/_ids.py
@@ -21,7 +21,7 @@
 """Number of a call, unique per link."""
 
 RequestFingerprint = NewType("RequestFingerprint", bytes)
-"""Hash of what makes two calls the same request: caller, host, method, target and body."""
+"""Hash of what makes two calls the same request, such as caller, path and body."""
 
 Revision = NewType("Revision", int)
 """Version number of an accepted rules file; a higher one supersedes a lower one."""
--- a/packages/common/src/ragwort_common/_outcome.py
+++ b/packages/common/src/ragwort_common/_outcome.py
@@ -35,3 +35,4 @@
     KEY_IN_FUTURE = "key-in-future"
     NO_OWNER = "no-owner"
     NOT_READY = "not-ready"
+    CRASHES_SERVERS = "crashes-servers"
--- a/packages/flow/src/ragwort_flow/_fingerprint.py
+++ b/packages/flow/src/ragwort_flow/_fingerprint.py
@@ -10,8 +10,11 @@
 
 def fingerprint_request(
     caller: bytes, host: bytes, method: str, target: bytes, body: bytes
-) -> RequestFingerprint:
-    """Return the fingerprint of a request.
+) -> list[RequestFingerprint]:
+    """Return the fingerprints of a request.
+
+    The first one covers caller, host, method, path and body. For a request with a query, a second
+    one covers that too, since either the path alone or the query may decide what a server does.
 
     Parameters
     ----------
@@ -20,10 +23,14 @@
     target
         Path and query.
     """
+    path, separator, query = target.partition(b"?")
     digest = blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (caller, host, method.encode(), target):
+    for part in (caller, host, method.encode(), path, body):
         # The lengths keep two requests apart whose parts are the same bytes, divided differently.
         digest.update(len(part).to_bytes(4, "big"))
         digest.update(part)
-    digest.update(body)
-    return RequestFingerprint(digest.digest())
+    fingerprints = [RequestFingerprint(digest.digest())]
+    if separator:
+        digest.update(query)
+        fingerprints.append(RequestFingerprint(digest.digest()))
+    return fingerprints
--- a/packages/mesh/src/ragwort_mesh/_call.py
+++ b/packages/mesh/src/ragwort_mesh/_call.py
@@ -64,7 +64,10 @@
     took_ms: float
 
 
-def fingerprint_call(call: Call | Request) -> RequestFingerprint:
-    """Return the fingerprint of a call that the entry has accepted or a gate has received."""
+def fingerprint_call(call: Call | Request) -> list[RequestFingerprint]:
+    """Return the fingerprints of a call that the entry has accepted or a gate has received.
+
+    The first does without the query.
+    """
     host = find_header(call.headers, b"host") or b""
     return fingerprint_request(find_caller(call.headers), host, call.method, call.target, call.body)
--- a/packages/mesh/src/ragwort_mesh/_directory.py
+++ b/packages/mesh/src/ragwort_mesh/_directory.py
@@ -18,15 +18,12 @@
     NODES_KIND,
     Change,
     StoredObject,
-    build_create,
     build_delete,
-    build_get,
-    build_replace,
     decode_node,
     encode_node,
-    read_object,
 )
 
+from ragwort_mesh._own_object import OwnObject
 from ragwort_mesh._store import (
     StoreClient,
     StoreReply,
@@ -93,7 +90,7 @@
         self._announced: dict[NodeId, NodeRecord] = {}
         self._record_order: dict[NodeId, float] = {}
         self._newest_order = 0
-        self._own_object: StoredObject | None = None
+        self._own = OwnObject(NODES_KIND, own_record.node, store, telemetry)
         self._random = random.Random()
         self._own_record_missing = asyncio.Event()
         settings = WatchSettings(NODES_KIND, WATCH_WAIT_S, WATCH_PAUSE_S)
@@ -120,7 +117,7 @@
 
     def republish(self) -> None:
         """Publish this node's record again, because it is missing from the store."""
-        self._own_object = None
+        self._own.stored = None
         self._own_record_missing.set()
 
     async def _publish_and_catch_up(self) -> None:
@@ -163,23 +160,8 @@
         """Try to store this node's record, and return whether that succeeded."""
         if self._is_published():
             return True
-        content = encode_node(self._own_record)
-        stored = self._own_object
-        if stored is None:
-            request = build_create(NODES_KIND, self._own_record.node, content)
-        else:
-            request = build_replace(NODES_KIND, stored.name, content, stored.revision)
-        reply = await self._store.call(request)
-        if not isinstance(reply, StoreReply):
-            # The write may have succeeded even if its reply was lost, so read the stored record.
-            if reply.kind in (ErrorKind.CONFLICT, ErrorKind.UNCERTAIN):
-                await self._read_own()
+        if not await self._own.write(encode_node(self._own_record)):
             return self._is_published()
-        written = read_object(reply.body)
-        if isinstance(written, InputError):
-            self._telemetry.events.write("store-reply-unreadable", mistake=str(written))
-            return False
-        self._own_object = written
         self._telemetry.events.write("record-published", address=self._own_record.link_address)
         return True
 
@@ -187,7 +169,8 @@
         """Return whether the store holds the current record of this node, or needs none."""
         if self._withdrawn:
             return True
-        return self._own_object is not None and decode_node(self._own_object) == self._own_record
+        stored = self._own.stored
+        return stored is not None and decode_node(stored) == self._own_record
 
     def apply_announced(self, record: NodeRecord) -> None:
         """Apply a record that a peer sent over its own link.
@@ -202,17 +185,7 @@
     async def withdraw(self) -> None:
         """Remove this node's record permanently; done when its host is removed."""
         self._withdrawn = True
-        stored, self._own_object = self._own_object, None
-        if stored is not None:
-            await self._store.call(build_delete(NODES_KIND, stored.name, stored.revision))
-
-    async def _read_own(self) -> None:
-        """Read this node's record from the store."""
-        reply = await self._store.call(build_get(NODES_KIND, self._own_record.node))
-        if isinstance(reply, StoreReply):
-            stored = read_object(reply.body)
-            if not isinstance(stored, InputError):
-                self._own_object = stored
+        await self._own.remove()
 
     def _notify_changed(self) -> None:
         self._on_change(self._list_valid())
@@ -243,7 +216,7 @@
         names = {stored.name for stored in listing.objects}
         for node in [node for node in self._records if node not in names]:
             self._apply_removal(node)
-        self._own_object = None
+        self._own.stored = None
         for stored in listing.objects:
             self._apply_object(stored, listing.era)
         self.listed = True
@@ -273,7 +246,7 @@
 
     def _apply_object(self, stored: StoredObject, era: int) -> None:
         if stored.name == self._own_record.node:
-            self._own_object = stored
+            self._own.stored = stored
         record = decode_node(stored)
         if isinstance(record, InputError):
             self._telemetry.events.write("record-unreadable", mistake=str(record))
--- a/packages/mesh/src/ragwort_mesh/_dispatcher.py
+++ b/packages/mesh/src/ragwort_mesh/_dispatcher.py
@@ -29,6 +29,7 @@
 from ragwort_transport import NO_REPORT, exchange_call, make_refusal, wait_for_first_success
 
 from ragwort_mesh._call import Attempt, Call
+from ragwort_mesh._crash_ledger import CrashLedger, CrashRefusal
 from ragwort_mesh._gate import Gate
 from ragwort_mesh._peers import Peers
 from ragwort_mesh._targets import Targets
@@ -86,6 +87,8 @@
         Shortest retry delay named by a gate; 0 if none was named.
     attempts
         Log entries of the attempts.
+    crash_refusal
+        Why the call is not sent to a server, or not to another one, if it may crash it.
     """
 
     tried: set[NodeId] = field(default_factory=set)
@@ -95,6 +98,7 @@
     refusal: Refusal | None = None
     retry_after_ms: int = 0
     attempts: list[Attempt] = field(default_factory=list)
+    crash_refusal: CrashRefusal | None = None
 
 
 class Dispatcher:
@@ -106,6 +110,7 @@
         gate: Gate,
         peers: Peers,
         targets: Targets,
+        crashes: CrashLedger,
         telemetry: Telemetry,
         clock: Callable[[], float],
         limits: RetryLimits,
@@ -115,6 +120,7 @@
         self._gate = gate
         self._peers = peers
         self._targets = targets
+        self._crashes = crashes
         self._telemetry = telemetry
         self._clock = clock
         self._limits = limits
@@ -136,6 +142,9 @@
             now = self._clock()
             if now >= call.deadline:
                 return self._finish(progress, Reason.DEADLINE)
+            progress.crash_refusal = self._crashes.find_refusal(call)
+            if progress.crash_refusal is not None:
+                return self._finish_crashing(progress, progress.crash_refusal)
             placement = self._choose(call, progress, now)
             if placement is None:
                 return self._finish(progress, Reason.NO_SERVER)
@@ -197,6 +206,9 @@
         now = self._clock()
         if progress.sent + 1 >= call.route.max_servers:
             return None
+        if self._crashes.is_suspect(call):
+            self._telemetry.counters.add("entry.hedges_of_suspects")
+            return None
         placement = self._choose(call, progress, now)
         if (
             placement is None
@@ -269,6 +281,8 @@
             if reply.status < 500 or not call.route.idempotent:
                 return True
         elif reply.outcome == Outcome.NOT_RUN.value:
+            if reply.reason == Reason.CRASHES_SERVERS.value:
+                return True
             if Reason(reply.reason) not in _REACHED_SERVER:
                 # No server received the call, so a retry does not count against the budget.
                 return False
@@ -297,6 +311,16 @@
         refusal_reason = Reason(progress.refusal.reason)
         return make_refusal(Outcome.NOT_RUN, refusal_reason, progress.retry_after_ms)
 
+    def _finish_crashing(
+        self, progress: Progress, crash_refusal: CrashRefusal
+    ) -> Response | Refusal:
+        """Return the best result of a call whose request has crashed servers."""
+        progress.refusal = make_refusal(
+            Outcome.NOT_RUN, Reason.CRASHES_SERVERS, crash_refusal.retry_after_ms
+        )
+        progress.retry_after_ms = crash_refusal.retry_after_ms
+        return self._finish(progress, Reason.CRASHES_SERVERS)
+
     async def _send(self, target: Target, call: Call, may_move: bool) -> Response | Refusal:
         if target.node == self._node:
             return await self._gate.run_call(self._make_request(0, call, may_move))
--- a/packages/mesh/src/ragwort_mesh/_entry.py
+++ b/packages/mesh/src/ragwort_mesh/_entry.py
@@ -186,7 +186,12 @@
         took_ms = (self._clock() - arrived) * 1000
         self._telemetry.histograms.add("entry.call", took_ms)
         version = self._configuration.current.version if self._configuration.current else 0
-        broke_off = call is not None and reason == Reason.CONNECTION_LOST.value
+        described: dict[str, object] = {}
+        if call is not None and reason == Reason.CONNECTION_LOST.value:
+            described["request"] = fingerprint_call(call)[0].hex()
+        if progress.crash_refusal is not None:
+            described["request"] = progress.crash_refusal.request.hex()
+            described["crashes"] = progress.crash_refusal.crashes
         self._telemetry.events.write_call(
             "entry",
             status >= 500 or not status,
@@ -202,5 +207,5 @@
             objective_ms=round((call.objective - arrived) * 1000) if call else None,
             retry_after_ms=round(retry_after_ms),
             attempts=progress.attempts,
-            **({"request": fingerprint_call(call).hex()} if broke_off else {}),
+            **described,
         )
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -11,9 +11,11 @@
 
 from ragwort_common import CallId, Outcome, Reason, ServiceName
 from ragwort_flow import (
+    CrashDetector,
     Decision,
     InstanceTracker,
     PendingCall,
+    RunningCall,
     SchedulerState,
     SchedulingResult,
     Verdict,
@@ -28,8 +30,15 @@
     process_departure,
     process_heartbeat,
     process_leaving_notice,
+    record_accepted_connection,
+    record_broken_connection,
+    record_end,
+    record_refused_connection,
     record_reported_slowdown,
+    record_server_report,
+    record_start,
     record_unanswered_probe,
+    record_withdrawal,
     reset_server,
     review_waiting,
     stop_accepting,
@@ -49,9 +58,17 @@
     read_slowdown,
 )
 from ragwort_protocol import LoadReport, Refusal, Request, Response
-from ragwort_transport import BAD_ANSWER, Answer, ClientPool, Failure, InFlightCounter
+from ragwort_transport import (
+    BAD_ANSWER,
+    CONNECT_FAILED,
+    Answer,
+    ClientPool,
+    Failure,
+    InFlightCounter,
+)
 
 from ragwort_mesh._call import fingerprint_call
+from ragwort_mesh._crash_ledger import CrashLedger, CrashRefusal
 from ragwort_mesh._telemetry import Telemetry
 
 REVIEW_INTERVAL_S = 0.01
@@ -90,6 +107,8 @@
         The node's clock, in seconds.
     on_change
         Called when the server starts or stops accepting calls.
+    crashes
+        Is told of crashes of the server, and says which calls may not run because of them.
 
     Attributes
     ----------
@@ -104,6 +123,7 @@
         telemetry: Telemetry,
         clock: Callable[[], float],
         on_change: Callable[[], None],
+        crashes: CrashLedger,
     ) -> None:
         self._pool = ClientPool(address, max_idle=64, max_response_bytes=MAX_ANSWER_BYTES)
         self._address = address
@@ -111,6 +131,9 @@
         self._telemetry = telemetry
         self._clock = clock
         self._on_change = on_change
+        self._crashes = crashes
+        self._detector: CrashDetector[Request] = CrashDetector(_describe_running)
+        self._end_check: asyncio.Task[None] | None = None
         self._state = SchedulerState()
         self._tracker = InstanceTracker()
         self._stopping = False
@@ -159,6 +182,7 @@
             # A health check doesn't state when the server started.
             or before.born_ms not in (0, current.born_ms)
         )
+        self._report_crash(before, record_server_report(self._detector, is_new))
         if is_new:
             reset_server(self._state)
         if is_new or not self._state.accepting:
@@ -245,8 +269,9 @@
 
     async def close(self) -> None:
         """Close the connections to the server."""
-        if self._speed_query is not None:
-            self._speed_query.cancel()
+        for task in (self._speed_query, self._end_check):
+            if task is not None:
+                task.cancel()
         await self._pool.close()
 
     def stop_accepting(self) -> None:
@@ -325,25 +350,72 @@
         self, request: Request, pending: PendingCall, arrived: float
     ) -> Response | Refusal:
         started = self._clock()
+        refusal = self._crashes.find_gate_refusal(request)
+        if refusal is not None:
+            return self._refuse_crashing(request, pending, arrived, refusal)
         start = self._describe_start(started)
         succeeded = False
         done = False
         sent_to = self._tracker.current
+        record_start(self._detector, pending.call_id, request)
         try:
             result = await self._send(request, (pending.deadline - started) * 1000)
             done = True
+            if isinstance(result, Failure) and result.reason is Reason.CONNECTION_LOST:
+                self._check_for_crash()
             reply = self._make_reply(request, result, sent_to)
             succeeded = isinstance(reply, Response) and reply.status < 500
         finally:
             now = self._clock()
             if done:
+                record_end(self._detector, pending.call_id)
                 self._apply_result(complete_call(self._state, now, pending.call_id, succeeded))
             else:
+                record_withdrawal(self._detector, now, pending.call_id)
                 self._apply_result(cancel_call(self._state, now, pending.call_id))
                 self._log_cancelled(request, arrived, started)
         self._log_run(request, reply, arrived, started, now, start)
         return reply
 
+    def _refuse_crashing(
+        self, request: Request, pending: PendingCall, arrived: float, refusal: CrashRefusal
+    ) -> Refusal:
+        """Refuse an admitted call whose request has crashed servers."""
+        now = self._clock()
+        self._apply_result(cancel_call(self._state, now, pending.call_id))
+        reply = self._refuse(
+            request, Outcome.NOT_RUN, Reason.CRASHES_SERVERS, refusal.retry_after_ms
+        )
+        described = {"request": refusal.request.hex(), "crashes": refusal.crashes}
+        self._log_run(request, reply, arrived, None, now, described)
+        return reply
+
+    def _check_for_crash(self) -> None:
+        """Check whether the server still accepts connections, now that one has broken."""
+        if record_broken_connection(self._detector, self._clock()):
+            self._end_check = asyncio.create_task(self._check_whether_ended())
+
+    async def _check_whether_ended(self) -> None:
+        refused = await self._pool.is_refused(HEALTH_TIMEOUT_S)
+        self._end_check = None
+        if refused:
+            self._report_crash(self._tracker.current, record_refused_connection(self._detector))
+            self._mark_unavailable("unreachable", CONNECT_FAILED)
+        else:
+            record_accepted_connection(self._detector)
+
+    def _report_crash(self, server: Heartbeat | None, calls: list[RunningCall]) -> None:
+        """Report the end of a server that was not about to leave, if it was running calls."""
+        if not calls or server is None or server.state is not InstanceState.READY:
+            return
+        self._telemetry.counters.add("gate.crashes")
+        self._telemetry.events.write(
+            "server-crashed",
+            server=server.instance,
+            calls=[{"id": call.call_id, "request": call.requests[0].hex()} for call in calls],
+        )
+        self._crashes.report_crash(server.instance, calls)
+
     def _describe_start(self, now: float) -> dict[str, object]:
         """Return what is known of the server when a call starts there, for the log."""
         speed = self._state.speed
@@ -384,6 +456,7 @@
         """
         if isinstance(result, Failure):
             if result.reason is Reason.CONNECT_FAILED:
+                self._report_crash(sent_to, record_refused_connection(self._detector))
                 self._mark_unavailable("unreachable", result)
             if result.limit:
                 self._telemetry.counters.add("gate.answers_over_limit")
@@ -407,6 +480,7 @@
         if not fields.is_signed:
             return self._refuse(request, BAD_ANSWER.outcome, BAD_ANSWER.reason, 0)
         self._telemetry.counters.add("gate.answered")
+        self._crashes.note_answered(request)
         return Response(
             request.call_id,
             result.status,
@@ -516,8 +590,12 @@
         self._telemetry.events.write(event, report=repr(report))
 
 
+def _describe_running(call: Request) -> RunningCall:
+    return RunningCall(find_call_id(call.headers).decode("latin-1"), fingerprint_call(call))
+
+
 def _describe_request(request: Request, reply: Response | Refusal) -> dict[str, object]:
-    """Return the fingerprint of a call that its server broke off, for the log."""
+    """Return the first fingerprint of a call that its server broke off, for the log."""
     if isinstance(reply, Response) or reply.reason != Reason.CONNECTION_LOST.value:
         return {}
-    return {"request": fingerprint_call(request).hex()}
+    return {"request": fingerprint_call(request)[0].hex()}
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -11,9 +11,12 @@
 from typing import Any
 
 from ragwort_common import Incarnation, NodeId
-from ragwort_flow import RetryLimits
+from ragwort_flow import Distance, RetryLimits
 from ragwort_model import Bounds, NodeRecord, NodeSettings
 from ragwort_protocol import (
+    CrashCleared,
+    CrashNotice,
+    CrashTrial,
     Hello,
     LoadReport,
     Message,
@@ -32,6 +35,8 @@
     build_readiness_handler,
     build_report_handler,
 )
+from ragwort_mesh._crash_archive import CrashArchive
+from ragwort_mesh._crash_ledger import CrashLedger
 from ragwort_mesh._directory import Directory
 from ragwort_mesh._dispatcher import Dispatcher
 from ragwort_mesh._entry import Entry
@@ -77,7 +82,7 @@
         self._store = StoreClient(
             addresses.store, telemetry, self._on_store_status, self._on_store_restored
         )
-        watch_enabled = asyncio.Event()
+        watch_enabled = self._watch_enabled = asyncio.Event()
         self._configuration = ActiveConfiguration(
             self._store,
             telemetry,
@@ -85,8 +90,16 @@
             watch_enabled,
             settings.bounds.settle_s,
         )
+        self._crashes = CrashLedger(
+            settings.node, lambda: self._peers.list_links(), telemetry, read_clock
+        )
         self._gate = Gate(
-            addresses.server, settings.service, telemetry, read_clock, self._broadcast_load
+            addresses.server,
+            settings.service,
+            telemetry,
+            read_clock,
+            self._broadcast_load,
+            self._crashes,
         )
         self._calls = PeerCalls(self._gate.run_call, telemetry.counters, self._receive_other)
         hello = Hello(settings.node, Incarnation(time.time_ns() // 1_000_000))
@@ -110,7 +123,21 @@
             watch_enabled,
         )
         self._peer_sync = PeerSync(
-            own_record, self._configuration, self._directory, self._peers, telemetry, watch_enabled
+            own_record,
+            self._configuration,
+            self._directory,
+            self._peers,
+            telemetry,
+            watch_enabled,
+            lambda: self._crash_archive.read_again(),
+        )
+        self._crash_archive = CrashArchive(
+            settings.node,
+            self._crashes,
+            self._store,
+            telemetry,
+            self._list_domain_links,
+            watch_enabled,
         )
         self._load_publisher = LoadPublisher(
             self._peers, self._gate.make_report, self._targets.find_distance
@@ -120,6 +147,7 @@
             self._gate,
             self._peers,
             self._targets,
+            self._crashes,
             telemetry,
             read_clock,
             _make_retry_limits(settings.bounds),
@@ -168,6 +196,8 @@
             self._directory.run(),
             self._directory.run_watch(),
             self._peer_sync.run(),
+            self._crash_archive.run(),
+            self._crash_archive.run_reading(),
             self._allow_watching(),
             self._peers.run(),
             self._check_health(),
@@ -249,6 +279,7 @@
     def _on_store_restored(self) -> None:
         self._configuration.list_again()
         self._directory.list_again()
+        self._crash_archive.publish_again()
 
     def _on_records(self, records: dict[NodeId, NodeRecord]) -> None:
         self._targets.set_records(records)
@@ -257,9 +288,19 @@
         self._peers.dial_missing()
 
     def _on_link_opened(self, link: Link) -> None:
-        """Send this node's load and configuration revision to a newly linked peer."""
+        """Send this node's load, configuration revision and crashes to a newly linked peer."""
         link.send(self._gate.make_report())
         self._peer_sync.announce(link)
+        if self._watch_enabled.is_set() and self._is_domain_peer(link.peer):
+            self._crashes.send_all(link)
+        else:
+            self._crashes.send_own(link)
+
+    def _is_domain_peer(self, node: NodeId | None) -> bool:
+        return node is not None and self._targets.find_distance(node) is Distance.SAME_DOMAIN
+
+    def _list_domain_links(self) -> list[Link]:
+        return [link for node, link in self._peers.list_links() if self._is_domain_peer(node)]
 
     def _on_link_closed(self, link: Link) -> None:
         self._calls.drop_link(link)
@@ -295,6 +336,8 @@
             self._apply_report(link, message.report)
         elif kind is LoadReport:
             self._apply_report(link, message)
+        elif kind in (CrashNotice, CrashCleared, CrashTrial):
+            self._crashes.receive(link, message)
         else:
             self._peer_sync.receive(link, message)
 
--- a/packages/mesh/src/ragwort_mesh/_peer_sync.py
+++ b/packages/mesh/src/ragwort_mesh/_peer_sync.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 import zlib
+from collections.abc import Callable
 
 from ragwort_common import FailureDomain, NodeId, Region, ServiceName
 from ragwort_flow import is_watcher_among
@@ -54,6 +55,11 @@
 class PeerSync:
     """Announces this node and its configuration to peers, and fetches newer configurations.
 
+    Parameters
+    ----------
+    on_watching
+        Called each time that this node begins to watch the store for its failure domain.
+
     Attributes
     ----------
     watch_enabled
@@ -68,8 +74,10 @@
         peers: Peers,
         telemetry: Telemetry,
         watch_enabled: asyncio.Event,
+        on_watching: Callable[[], None],
     ) -> None:
         self.watch_enabled = watch_enabled
+        self._on_watching = on_watching
         self._own_record = own_record
         self._configuration = configuration
         self._directory = directory
@@ -138,6 +146,7 @@
             return
         if chosen:
             self.watch_enabled.set()
+            self._on_watching()
         else:
             self.watch_enabled.clear()
         self._telemetry.events.write("store-duty", on_duty=chosen, candidates=len(candidates))
--- a/packages/model/src/ragwort_model/__init__.py
+++ b/packages/model/src/ragwort_model/__init__.py
@@ -8,6 +8,7 @@
     RouteName,
     WeightedService,
 )
+from ragwort_model._crash import CrashId, CrashRecord
 from ragwort_model._input_error import InputError
 from ragwort_model._instance import Departure, Heartbeat, InstanceId, InstanceState
 from ragwort_model._node import Addresses, Bounds, NodeRecord, NodeSettings
@@ -20,6 +21,8 @@
     "CallerLimits",
     "Configuration",
     "ConfigurationVersion",
+    "CrashId",
+    "CrashRecord",
     "Departure",
     "ErrorKind",
     "FindRoute",
--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -20,6 +20,7 @@
     ProtocolError,
     encode_frame,
 )
+from ragwort_protocol._crashes import CrashCleared, CrashNotice, CrashTrial
 from ragwort_protocol._gossip import (
     Digest,
     LoadNotice,
@@ -54,6 +55,9 @@
     "ClaimRequest",
     "ClaimResult",
     "ClaimVerdict",
+    "CrashCleared",
+    "CrashNotice",
+    "CrashTrial",
     "Data",
     "Digest",
     "Document",
--- a/packages/transport/src/ragwort_transport/_client.py
+++ b/packages/transport/src/ragwort_transport/_client.py
@@ -395,6 +395,25 @@
             if connection is not None:
                 self._release(connection)
 
+    async def is_refused(self, timeout_s: float) -> bool:
+        """Return whether nothing accepts connections at the address.
+
+        A connection that is accepted is kept for a later request.
+        """
+        connection: ClientConnection | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._connect()
+        except ConnectionError:
+            return True
+        except OSError:
+            # Neither accepted nor refused, as after a timeout or without a free descriptor.
+            return False
+        finally:
+            if connection is not None:
+                self._release(connection)
+        return False
+
     async def close(self) -> None:
         """Close the idle connections."""
         for connection in self._idle:
--- a/tests/crashing_server.py
+++ b/tests/crashing_server.py
@@ -9,6 +9,9 @@
 CRASH_DELAY_S = 0.02
 """How long a request runs until it crashes its server."""
 
+SERVICE_TIME_S = 0.1
+"""How long any other request runs."""
+
 
 class CrashingServer:
     """A server and what it ran; it reports to its node when it starts.
@@ -17,8 +20,8 @@
     ----------
     crashes
         Number of crashes so far.
-    runs
-        Number of runs, by body.
+    runs, call_ids
+        Number of runs, by body, and the ids of all calls that it ran.
     down_s
         How long the server stays away after a crash, in seconds.
     keeps_id
@@ -32,6 +35,7 @@
         self.keeps_id = keeps_id
         self.crashes = 0
         self.runs = Counter()
+        self.call_ids = set()
         self.control = ""
         self._born = 1
         self._port = 0
@@ -91,11 +95,13 @@
         fields = dict(line.lower().split(b": ", 1) for line in lines[1:] if line)
         body = await reader.readexactly(int(fields.get(b"content-length", b"0")))
         self.runs[body] += 1
-        await asyncio.sleep(CRASH_DELAY_S)
+        call_id = fields.get(b"ragwortvalve-attempt-id", b"")
+        self.call_ids.add(call_id.decode())
         if body == b"crash":
+            await asyncio.sleep(CRASH_DELAY_S)
             self.crash()
             return
-        call_id = fields.get(b"ragwortvalve-attempt-id", b"")
+        await asyncio.sleep(SERVICE_TIME_S)
         writer.write(
             b"HTTP/1.1 200 OK\r\nRagwortvalve-Response-Signature: s\r\n"
             b"Ragwortvalve-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s"
--- a/tests/mesh/test_crashing_request.py
+++ b/tests/mesh/test_crashing_request.py
@@ -1,14 +1,17 @@
 """A request that crashes each server that runs it, played through whole nodes."""
 
 import asyncio
+import json
 
 import pytest
 from crashing_server import CrashingServer
 from helper import wait_until
 from mesh_cluster import make_route, run_scenario, stop_quickly
+from ragwort_flow import MAX_AGE_S
 from ragwort_mesh._events import EventLog
 from ragwort_mesh._node import Node
 from ragwort_mesh._telemetry import Telemetry
+from ragwort_standins.application import deregister
 
 SETTLE_S = 0.5
 """How long after the third crash further runs don't count: the fleet has to hear of it."""
@@ -20,6 +23,9 @@
 """How long the request comes again after it may no longer run."""
 
 
+CRASHES = "/-/objects/crashes"
+
+
 class Fleet:
     """Servers that a request crashes, in a failure domain each, and hosts that callers call."""
 
@@ -28,6 +34,7 @@
         self.servers = []
         self.fronts = []
         self.calls = 0
+        self.others = 3
 
     async def start(self, kind="idempotent", servers=4, fronts=2, **options):
         for number in range(servers):
@@ -56,10 +63,17 @@
         return await self.cluster.call(member, path, "POST", call_id=f"c{self.calls}", data=body)
 
     async def press(self, until):
-        """Send the request again and again, at every front, until a condition holds."""
+        """Send the request again and again, at every front, until a condition holds.
+
+        Other requests run beside it, each once.
+        """
         pending = set()
         while not until():
-            call = asyncio.create_task(self.call(b"crash"))
+            for _ in range(self.others):
+                other = asyncio.create_task(self.call(b"other", path=f"/a/{self.calls}"))
+                pending.add(other)
+                other.add_done_callback(pending.discard)
+            call = asyncio.create_task(self.call(b"crash", path=f"/a/x?page={self.calls}"))
             pending.add(call)
             call.add_done_callback(pending.discard)
             await asyncio.sleep(0.05)
@@ -121,3 +135,128 @@
         await fleet.check_it_stays_refused()
 
     run_fleet(scenario)
+
+
+def list_events(member, name):
+    """Return the lines of an event that a node has logged so far."""
+    lines = [json.loads(line) for line in list(member.node._telemetry.events._queue.queue)]
+    return [line for line in lines if line["event"] == name]
+
+
+async def crash_three_servers(fleet):
+    await fleet.press(lambda: fleet.count_crashes() >= 3)
+    await wait_until(
+        lambda: all(len(member.node._crashes._history.crashes) >= 3 for member in fleet.fronts)
+    )
+
+
+async def wait_for_servers(fleet):
+    """Wait until all servers are back."""
+    await wait_until(
+        lambda: all(
+            member.node._gate.accepting and server._server.is_serving()
+            for member, server in zip(fleet.cluster.members, fleet.servers, strict=False)
+        )
+    )
+
+
+@pytest.mark.parametrize("keeps_id", [True, False])
+def test_refusal_comes_at_once_and_its_log_line_names_the_crashes(keeps_id):
+    async def scenario(fleet):
+        await crash_three_servers(fleet)
+        await wait_for_servers(fleet)
+        sent = {call_id for server in fleet.servers for call_id in server.call_ids}
+        for member in fleet.fronts:
+            status, headers, _ = await fleet.call(b"crash", member)
+            call_id = f"c{fleet.calls}"
+            assert status == 503 and float(headers["Retry-After"]) > 1.0
+            (line,) = [line for line in list_events(member, "entry") if line["id"] == call_id]
+            assert line["reason"] == "crashes-servers" and line["attempts"] == []
+            assert len(line["crashes"]) >= 3
+            for crash in line["crashes"]:
+                (at_node,) = [m for m in fleet.cluster.members if m.settings.node == crash["node"]]
+                told = [
+                    found
+                    for found in list_events(at_node, "server-crashed")
+                    if found["server"] == crash["server"]
+                ]
+                requests = {call["request"] for found in told for call in found["calls"]}
+                assert line["request"] in requests
+                assert {call["id"] for found in told for call in found["calls"]} <= sent
+
+    run_fleet(scenario, keeps_id=keeps_id)
+
+
+def test_other_bodies_other_callers_and_other_paths_are_served_as_before():
+    async def scenario(fleet):
+        other_caller = await fleet.cluster.add("other-front")
+        await fleet.cluster.wait_until_linked()
+        await crash_three_servers(fleet)
+        await wait_for_servers(fleet)
+        assert (await fleet.call(b"another", path="/a/x?page=1"))[0] == 200
+        assert (await fleet.call(b"crash", path="/a/y"))[0] == 502
+        await wait_for_servers(fleet)
+        # Of another caller the same path and body reach a server, which this one crashes too.
+        assert (await fleet.call(b"crash", other_caller, path="/a/x"))[0] == 502
+
+    run_fleet(scenario)
+
+
+def test_node_that_starts_after_the_crashes_refuses_the_request():
+    async def scenario(fleet):
+        await crash_three_servers(fleet)
+        late = await fleet.cluster.add("front", domain="d0")
+        await fleet.cluster.wait_until_linked()
+        await wait_for_servers(fleet)
+        await wait_until(lambda: len(late.node._crashes._history.crashes) >= 3)
+        assert (await fleet.call(b"crash", late))[0] == 503
+
+    run_fleet(scenario)
+
+
+def test_server_that_leaves_while_calls_run_accuses_none_of_them():
+    async def scenario(fleet):
+        server, member = fleet.servers[0], fleet.cluster.members[0]
+        calls = [
+            asyncio.create_task(fleet.call(b"other", member, path=f"/a/{number}"))
+            for number in range(4)
+        ]
+        await wait_until(lambda: server.runs[b"other"])
+        await deregister(server.control, server.application)
+        await server.stop()
+        await asyncio.gather(*calls)
+        assert list_events(member, "server-crashed") == []
+
+    run_fleet(scenario, servers=1)
+
+
+def test_a_day_without_crashes_costs_one_listing_for_each_watcher():
+    async def scenario(fleet):
+        for _ in range(60):
+            await fleet.call(b"other")
+        calls = [call for call in fleet.cluster.store.calls if call[1].startswith(CRASHES)]
+        watchers = [m for m in fleet.cluster.members if m.node._watch_enabled.is_set()]
+        assert calls == [("GET", CRASHES)] * len(watchers)
+
+    run_fleet(scenario)
+
+
+def test_crashes_are_stored_with_few_calls_and_removed_once_they_no_longer_count():
+    async def scenario(fleet):
+        await crash_three_servers(fleet)
+        await asyncio.sleep(SETTLE_S)
+        writes = [
+            call
+            for call in fleet.cluster.store.calls
+            if call[1].startswith(CRASHES) and call[0] != "GET"
+        ]
+        # A write each for a crash at most, and one again after the next shows what recurs.
+        assert 2 <= len(writes) <= 2 * fleet.count_crashes()
+        for member in fleet.cluster.members:
+            for crash in member.node._crashes._history.crashes.values():
+                crash.happened_at -= MAX_AGE_S
+            member.node._crashes.forget_old()
+        kinds = fleet.cluster.store.objects
+        await wait_until(lambda: not [name for kind, name in kinds if kind == "crashes"])
+
+    run_fleet(scenario)
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -5,9 +5,10 @@
 
 import pytest
 from helper import wait_until
-from ragwort_common import Counters, Outcome, Reason
+from ragwort_common import Counters, NodeId, Outcome, Reason
 from ragwort_flow import record_reported_slowdown
 from ragwort_mesh._clock import read_clock
+from ragwort_mesh._crash_ledger import CrashLedger
 from ragwort_mesh._events import EventLog
 from ragwort_mesh._gate import Gate
 from ragwort_mesh._telemetry import Telemetry
@@ -62,7 +63,8 @@
 
 def make_gate(clock=read_clock, pool=None, reported=True):
     telemetry = Telemetry(EventLog("n"), Counters())
-    gate = Gate("127.0.0.1:1", "s", telemetry, clock, lambda: None)
+    crashes = CrashLedger(NodeId("n"), list, telemetry, clock)
+    gate = Gate("127.0.0.1:1", "s", telemetry, clock, lambda: None, crashes)
     gate._pool = pool or FakePool()
     if reported:
         gate.apply_server_report(HEARTBEAT)
