Let a trial of a refused request go on until it has reached a server

Cause: a trial was announced, and when the first gate was too busy for it, the entry took its own trial for a reason to refuse the call. A false accusation then stood for 10 s more. The entry now asks again only once a server has been reached.

--- a/packages/flow/src/ragwort_flow/_crash_history.py
+++ b/packages/flow/src/ragwort_flow/_crash_history.py
@@ -20,7 +20,7 @@
 """How long a crash counts, in seconds."""
 
 MAX_CRASHES = 256
-"""Most crashes that are kept: 50 KB with their requests."""
+"""Most crashes that are kept: 1.4 MB with twelve requests each, 6.5 MB with the most."""
 
 FIRST_TRIAL_S = 10.0
 """Time from the third crash of a request until it may run again, as a trial, in seconds. A request
--- a/packages/mesh/src/ragwort_mesh/_dispatcher.py
+++ b/packages/mesh/src/ragwort_mesh/_dispatcher.py
@@ -142,7 +142,9 @@
             now = self._clock()
             if now >= call.deadline:
                 return self._finish(progress, Reason.DEADLINE)
-            progress.crash_refusal = self._crashes.find_refusal(call)
+            # A trial may be refused by busy gates, so it isn't checked again until it has run.
+            if progress.sent or not progress.attempts:
+                progress.crash_refusal = self._crashes.find_refusal(call)
             if progress.crash_refusal is not None:
                 return self._finish_crashing(progress, progress.crash_refusal)
             placement = self._choose(call, progress, now)
--- a/tests/adapter/test_objects.py
+++ b/tests/adapter/test_objects.py
@@ -1,14 +1,17 @@
 import json
 
 import pytest
-from ragwort_model import InputError, NodeRecord
+from ragwort_common import NodeId, RequestFingerprint
+from ragwort_model import CrashId, CrashRecord, InputError, InstanceId, NodeRecord
 from ragwort_platform import (
     StoredObject,
     build_create,
     build_list,
     build_replace,
     build_watch,
+    decode_crashes,
     decode_node,
+    encode_crashes,
     encode_node,
     read_changes,
     read_era,
@@ -61,3 +64,23 @@
 )
 def test_era_of_the_store_is_read_from_its_replies(headers, era):
     assert read_era(headers) == era
+
+
+def test_crashes_are_read_as_they_were_stored():
+    records = [
+        CrashRecord(
+            CrashId(NodeId("n1"), 1789356886000),
+            InstanceId("i-1"),
+            frozenset({RequestFingerprint(b"12345678"), RequestFingerprint(b"\x00\xff345678")}),
+        )
+    ]
+    assert decode_crashes(StoredObject("n1", 3, encode_crashes(records))) == records
+
+
+@pytest.mark.parametrize(
+    "content",
+    [b"null", b'{"crashes":[{}]}', b'{"crashes":[{"instance":"i","atMs":1,"requests":["xy"]}]}'],
+)
+def test_unreadable_crashes_are_an_error_that_names_the_node(content):
+    error = decode_crashes(StoredObject("n1", 3, content))
+    assert isinstance(error, InputError) and "'n1'" in str(error)
--- a/tests/crashing_server.py
+++ b/tests/crashing_server.py
@@ -67,8 +67,9 @@
 
     def _break_off(self):
         self._server.close()
-        for writer in list(self._writers):
+        for writer in self._writers:
             writer.transport.abort()
+        self._writers.clear()
 
     async def _start_again(self):
         await asyncio.sleep(self.down_s)
@@ -99,7 +100,9 @@
         self.call_ids.add(call_id.decode())
         if body == b"crash":
             await asyncio.sleep(CRASH_DELAY_S)
-            self.crash()
+            # Another request may have crashed the server meanwhile.
+            if writer in self._writers:
+                self.crash()
             return
         await asyncio.sleep(SERVICE_TIME_S)
         writer.write(
--- a/tests/mesh/test_crashing_request.py
+++ b/tests/mesh/test_crashing_request.py
@@ -6,12 +6,16 @@
 import pytest
 from crashing_server import CrashingServer
 from helper import wait_until
-from mesh_cluster import make_route, run_scenario, stop_quickly
-from ragwort_flow import MAX_AGE_S
+from mesh_cluster import HOST, make_route, run_scenario, stop_quickly
+from ragwort_flow import MAX_AGE_S, RunningCall
+from ragwort_flow._crash_history import FIRST_TRIAL_S
+from ragwort_mesh._call import fingerprint_call
 from ragwort_mesh._events import EventLog
 from ragwort_mesh._node import Node
 from ragwort_mesh._telemetry import Telemetry
+from ragwort_protocol import Refusal, Request
 from ragwort_standins.application import deregister
+from ragwort_transport import NO_REPORT
 
 SETTLE_S = 0.5
 """How long after the third crash further runs don't count: the fleet has to hear of it."""
@@ -260,3 +264,56 @@
         await wait_until(lambda: not [name for kind, name in kinds if kind == "crashes"])
 
     run_fleet(scenario)
+
+
+def test_request_that_is_refused_though_it_crashes_no_server_is_served_again_after_a_trial():
+    async def scenario(fleet):
+        path = "/a/innocent"
+        assert (await fleet.call(b"other", path=path))[0] == 200
+        members = fleet.cluster.members
+        for member in members[:3]:
+            call = RunningCall("c", fingerprint_call(make_request(b"other", path)))
+            member.node._crashes.report_crash("i", [call])
+        await wait_until(
+            lambda: all(len(m.node._crashes._history.crashes) == 3 for m in fleet.fronts)
+        )
+        for front in fleet.fronts:
+            assert (await fleet.call(b"other", front, path))[0] == 503
+        for member in members:
+            for crash in member.node._crashes._history.crashes.values():
+                crash.happened_at -= FIRST_TRIAL_S
+        statuses = [(await fleet.call(b"other", front, path))[0] for front in fleet.fronts * 3]
+        assert statuses == [200] * len(statuses)
+        await wait_until(
+            lambda: not any(member.node._crashes._history.by_request for member in members)
+        )
+
+    run_fleet(scenario)
+
+
+def make_request(body, path):
+    """Return a call as a gate receives it from a front."""
+    headers = [(b"host", HOST.encode()), (b"ragwortvalve-caller-service", b"front")]
+    return Request(0, "POST", path.encode(), headers, body, 1000.0)
+
+
+def test_trial_that_busy_gates_refuse_is_not_used_up():
+    async def scenario(fleet):
+        path = "/a/innocent"
+        for member in fleet.cluster.members[:3]:
+            call = RunningCall("c", fingerprint_call(make_request(b"other", path)))
+            member.node._crashes.report_crash("i", [call])
+        front = fleet.fronts[0]
+        await wait_until(lambda: len(front.node._crashes._history.crashes) == 3)
+        for member in fleet.cluster.members:
+            for crash in member.node._crashes._history.crashes.values():
+                crash.happened_at -= FIRST_TRIAL_S
+        # All gates but one refuse calls; the trial goes on until it reaches the last one.
+        for member in fleet.cluster.members[:3]:
+            member.node._calls._run_call = refuse_as_overloaded
+        assert (await fleet.call(b"other", front, path))[0] == 200
+
+    async def refuse_as_overloaded(request):
+        return Refusal(request.call_id, "not-run", "overloaded", 50, NO_REPORT)
+
+    run_fleet(scenario)
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -1,13 +1,33 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from ragwort_protocol import Cancel, Data, FrameReader, ProtocolError, Request, encode_frame
+from ragwort_protocol import (
+    Cancel,
+    CrashCleared,
+    CrashNotice,
+    CrashTrial,
+    Data,
+    FrameReader,
+    ProtocolError,
+    Request,
+    encode_frame,
+)
 
 messages = st.one_of(
     st.builds(Cancel, call_id=st.integers(0, 2**40)),
     st.builds(
         Data, call_id=st.integers(0, 2**40), body=st.binary(max_size=300), more=st.booleans()
     ),
+    st.builds(
+        CrashNotice,
+        node_id=st.text(max_size=20),
+        at_ms=st.integers(0, 2**42),
+        age_ms=st.integers(0, 2**30),
+        instance=st.text(max_size=20),
+        requests=st.lists(st.binary(min_size=8, max_size=8), max_size=64),
+    ),
+    st.builds(CrashCleared, request=st.binary(max_size=8)),
+    st.builds(CrashTrial, request=st.binary(max_size=8)),
 )
 
 
