Show the crashes behind a refusal in ragwortctl story

Cause: a call that its entry refuses names the crashes it rests on, but story showed only lines of the nodes that took part in the call, and the crashes lie on others, minutes before. Their lines are shown with it, found by node, server and time; a test plays a server that keeps its id.

--- a/packages/control/src/ragwort_control/_story.py
+++ b/packages/control/src/ragwort_control/_story.py
@@ -27,18 +27,26 @@
     changes
         Log lines about server and configuration changes on the nodes that took part, during the
         call or up to a few seconds before.
+    crashes
+        Log lines about the crashes of servers that the call was refused for, on any node.
     """
 
     call_id: str
     lines: list[dict[str, Any]] = field(default_factory=list)
     changes: list[dict[str, Any]] = field(default_factory=list)
+    crashes: list[dict[str, Any]] = field(default_factory=list)
 
 
 LOOKBACK_S = 3.0
 """How long before a call changes are shown that may explain it; spans two server reports."""
 
 CALL_EVENTS = frozenset({"entry", "gate"})
-_FIELDS_ON_OWN_LINES = ("attempts",)
+CRASH_EVENT = "server-crashed"
+
+CRASH_LINE_S = 1.0
+"""Longest time between a crash and its log line; a server that keeps its id is back later."""
+
+_FIELDS_ON_OWN_LINES = ("attempts", "crashes")
 
 
 async def show_call_log(context: Context) -> Outcome:
@@ -80,17 +88,35 @@
             call_log.lines.append(line)
     if not call_log.lines:
         return Error(fail(f"no log line mentions call '{call_id}'"))
+    named = [crash for line in call_log.lines for crash in line.get("crashes") or []]
+    call_log.crashes.extend(
+        line for line in lines if any(_tells_of(line, crash) for crash in named)
+    )
     nodes = {line["node"] for line in call_log.lines}
     first, last = call_log.lines[0]["t"] - LOOKBACK_S, call_log.lines[-1]["t"]
     call_log.changes.extend(
         line
         for line in lines
-        if line["event"] not in CALL_EVENTS and line["node"] in nodes and first <= line["t"] <= last
+        if line["event"] not in CALL_EVENTS
+        and line["node"] in nodes
+        and first <= line["t"] <= last
+        and line not in call_log.crashes
+    )
+    entries = sorted(
+        [*call_log.lines, *call_log.changes, *call_log.crashes], key=lambda line: line["t"]
     )
-    entries = sorted([*call_log.lines, *call_log.changes], key=lambda line: line["t"])
     return Ok(Report("\n".join(_describe(line, first) for line in entries), call_log))
 
 
+def _tells_of(line: dict[str, Any], crash: dict[str, Any]) -> bool:
+    """Return whether a log line tells of a crash that a refusal names."""
+    return (
+        line["event"] == CRASH_EVENT
+        and (line["node"], line.get("server")) == (crash["node"], crash["server"])
+        and abs(line["t"] - crash["t"]) <= CRASH_LINE_S
+    )
+
+
 def _describe(line: dict[str, Any], first: float) -> str:
     shown = [f"{line['t'] - first:8.3f} s  {line['node']}  {line['event']}"]
     for name, value in line.items():
@@ -104,6 +130,11 @@
             f" {attempt['took_ms']} ms, expected {attempt['expected_ms']} ms based on a report"
             f" {attempt['report_age_ms']} ms old"
         )
+    for crash in line.get("crashes") or []:
+        text += (
+            f"\n{'':12}refused since the server {crash['server']} at {crash['node']} crashed"
+            f" {line['t'] - crash['t']:.1f} s before"
+        )
     return text
 
 
--- a/tests/control/test_story.py
+++ b/tests/control/test_story.py
@@ -79,3 +79,27 @@
     status, printed = run_story("c1", "missing.log")
     assert status == 2
     assert printed.err == "missing.log: No such file or directory\n"
+
+
+def test_a_refusal_is_shown_with_the_crashes_that_it_rests_on(tmp_path, run_story):
+    crashes = [{"node": f"n{number}", "t": float(number), "server": "i"} for number in (1, 2, 3)]
+    refused = make_line(
+        20.0, "n9", "entry", id="c9", status=503, reason="crashes-servers", crashes=crashes
+    )
+    crashed = [
+        make_line(
+            float(number),
+            f"n{number}",
+            "server-crashed",
+            server="i",
+            calls=[{"id": f"c{number}", "request": "ab"}],
+        )
+        for number in (1, 2, 3, 4)
+    ]
+    path = write(tmp_path, "crashes.log", refused, *crashed)
+    status, printed = run_story("c9", path)
+    text = printed.out
+    assert status == 0
+    assert text.count("server-crashed") == 3
+    assert "refused since the server i at n2 crashed 18.0 s before" in text
+    assert "'id': 'c2'" in text and "'id': 'c4'" not in text
