Name the cause of a crash also where the port accepts calls for an ended server

Cause: between a crash and the server's next report, each further broken connection replaced the list of calls that ran, so behind a port that still accepts connections (a proxy, a socket that a supervisor holds) later calls took the place of the cause. Calls are now added until the server reports, 64 about at most. The new test failed before.

--- a/packages/flow/src/ragwort_flow/_crash_detector.py
+++ b/packages/flow/src/ragwort_flow/_crash_detector.py
@@ -13,6 +13,9 @@
 MAX_WITHDRAWN = 32
 """Most such calls that are kept; a call is withdrawn at a fraction of the rate of calls."""
 
+MAX_SUSPECTS = 64
+"""Number of suspects from which on no further ones are added."""
+
 CallT = TypeVar("CallT")
 
 
@@ -74,8 +77,9 @@
 def record_broken_connection(detector: CrashDetector[CallT], now: float) -> bool:
     """Record that the connection of a running call broke before any response.
 
-    The connections of a crashed server break one after the other. The calls that ran when the
-    first one broke are kept.
+    The connections of a crashed server break one after the other. All calls that ran since the
+    first one broke are kept until the server reports, since a port may accept connections for a
+    server that is gone.
 
     Returns
     -------
@@ -84,8 +88,11 @@
     """
     if detector.is_checking or detector.has_crashed:
         return False
+    known = {call.call_id for call in detector.suspects}
     recent = [call for at, call in detector.withdrawn if now - at <= WITHDRAWN_S]
-    detector.suspects = [*map(detector.describe, detector.running.values()), *recent]
+    ran = [*map(detector.describe, detector.running.values()), *recent]
+    if len(detector.suspects) < MAX_SUSPECTS:
+        detector.suspects += [call for call in ran if call.call_id not in known]
     detector.is_checking = True
     return True
 
--- a/tests/flow/test_crash_detector.py
+++ b/tests/flow/test_crash_detector.py
@@ -85,6 +85,7 @@
     record_broken_connection(detector, 1.0)
     record_end(detector, 0)
     record_accepted_connection(detector)
+    record_server_report(detector, is_new_start=False)
     assert record_broken_connection(detector, 2.0)
     assert get_names(record_refused_connection(detector)) == ["b"]
 
@@ -94,3 +95,15 @@
     record_broken_connection(detector, 1.0)
     record_server_report(detector, is_new_start=False)
     assert get_names(record_refused_connection(detector)) == ["a"]
+
+
+def test_the_cause_is_named_although_the_port_accepts_calls_for_the_ended_server():
+    detector = make_detector("cause")
+    record_broken_connection(detector, 1.0)
+    record_end(detector, 0)
+    record_accepted_connection(detector)
+    record_start(detector, 1, "later")
+    record_broken_connection(detector, 2.0)
+    record_end(detector, 1)
+    record_accepted_connection(detector)
+    assert get_names(record_server_report(detector, is_new_start=True)) == ["cause", "later"]
