Refuse waiting calls whose deadline passed while their node was paused

What callers saw: nothing, since they had given up, but their calls ran after all, with a deadline of 1 ms. Cause: when a slot frees, waiting calls start without a look at their deadline; only the review of the queue, every 10 ms, had one. After a pause the end of a running call may come first. Whatever frees a slot starts calls in one place, which now refuses them.

--- a/packages/flow/src/ragwort_flow/_scheduler.py
+++ b/packages/flow/src/ragwort_flow/_scheduler.py
@@ -283,8 +283,8 @@
             kept.append(call)
             ahead.append(call.pending)
     state.waiting = kept
-    started = _start_waiting(state, now).started
-    return SchedulingResult(started, refused)
+    result = _start_waiting(state, now)
+    return SchedulingResult(result.started, refused + result.refused)
 
 
 def build_load_report(state: SchedulerState, now: float) -> LoadReport:
@@ -453,16 +453,20 @@
 
 
 def _start_waiting(state: SchedulerState, now: float) -> SchedulingResult:
+    """Start waiting calls; those whose deadline has passed, as after a pause, are refused."""
     started = []
+    refused = []
     kept = []
     for call in state.waiting:
-        if _has_room(state, now) and _may_start(state, now, call.pending):
+        if call.pending.deadline <= now:
+            refused.append((call.call_id, EXPIRED))
+        elif _has_room(state, now) and _may_start(state, now, call.pending):
             _start(state, now, call.pending)
             started.append(call.call_id)
         else:
             kept.append(call)
     state.waiting = kept
-    return SchedulingResult(started=started)
+    return SchedulingResult(started, refused)
 
 
 def _average(values: list[float]) -> float:
