Keep the likeliest causes of a crash, and play crashing requests in the soak

Cause: of a crash with more than 32 calls the last ones were kept, but behind a port that accepts calls for an ended server the cause is among the first (seen in the soak: 64 to 66 calls named). The calls of the first broken connection now come first, the latest start before others.

The soak has a new kind, crashing-calls: a request ends the server process that runs it and comes again at other hosts for 9 s; checks.check_crashing_requests has the users' bound.

--- a/packages/flow/src/ragwort_flow/_crash_detector.py
+++ b/packages/flow/src/ragwort_flow/_crash_detector.py
@@ -40,7 +40,8 @@
     withdrawn
         Calls whose callers left, with the time.
     suspects
-        Calls that ran when a connection broke; the server may have crashed, until that is known.
+        Calls that ran when a connection broke, those that started last first, then those that ran
+        when further ones broke; the server may have crashed, until that is known.
     is_checking
         Whether the server is being checked since a connection broke.
     has_crashed
@@ -89,8 +90,8 @@
     if detector.is_checking or detector.has_crashed:
         return False
     known = {call.call_id for call in detector.suspects}
-    recent = [call for at, call in detector.withdrawn if now - at <= WITHDRAWN_S]
-    ran = [*map(detector.describe, detector.running.values()), *recent]
+    recent = [call for at, call in reversed(detector.withdrawn) if now - at <= WITHDRAWN_S]
+    ran = [*map(detector.describe, reversed(detector.running.values())), *recent]
     if len(detector.suspects) < MAX_SUSPECTS:
         detector.suspects += [call for call in ran if call.call_id not in known]
     detector.is_checking = True
--- a/packages/mesh/src/ragwort_mesh/_crash_ledger.py
+++ b/packages/mesh/src/ragwort_mesh/_crash_ledger.py
@@ -31,8 +31,8 @@
 from ragwort_mesh._telemetry import Telemetry
 
 MAX_CALLS = 32
-"""Most calls of a crash that are kept, the latest, since a crash soon follows the start of its
-cause; over twice the calls that a server of today's deployments runs at once."""
+"""Most calls of a crash that are kept; over twice the calls that a server of today's deployments
+runs at once."""
 
 MAX_REQUESTS = 2 * MAX_CALLS
 """Most fingerprints of a crash; a call has two at most."""
@@ -87,10 +87,13 @@
         self._latest_ms = 0
 
     def report_crash(self, instance: InstanceId, calls: list[RunningCall]) -> None:
-        """Record a crash of the server beside this node, and tell all peers."""
+        """Record a crash of the server beside this node, and tell all peers.
+
+        The first of the calls are kept, so the likeliest causes come first.
+        """
         # The time of day may have been set back since the last crash.
         self._latest_ms = max(self._read_time_ms(), self._latest_ms + 1)
-        requests = {request for call in calls[-MAX_CALLS:] for request in call.requests}
+        requests = {request for call in calls[:MAX_CALLS] for request in call.requests}
         record = CrashRecord(CrashId(self._node, self._latest_ms), instance, frozenset(requests))
         self._add(record, 0.0)
         notice = self._make_notice(self._history.crashes[record.crash_id])
@@ -168,7 +171,7 @@
         """Handle a peer's message about crashes; other messages are ignored."""
         if type(message) is CrashNotice:
             crash_id = CrashId(NodeId(message.node_id), message.at_ms)
-            requests = frozenset(map(RequestFingerprint, message.requests[-MAX_REQUESTS:]))
+            requests = frozenset(map(RequestFingerprint, message.requests[:MAX_REQUESTS]))
             record = CrashRecord(crash_id, InstanceId(message.instance), requests)
             self._add(record, max(0, message.age_ms) / 1000)
         elif type(message) is CrashCleared:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers that keep their connections open and record the result of each call."""
 
 import asyncio
+import contextlib
 import itertools
 import random
 import time
@@ -110,6 +111,22 @@
     return result
 
 
+async def send_crashing_call(
+    session: aiohttp.ClientSession, member: Member, service: str, name: str
+) -> None:
+    """Send a request that crashes the server that runs it; its result doesn't count."""
+    headers = {
+        "Host": HOST,
+        ATTEMPT_ID_HEADER: f"{name}-{time.time_ns()}",
+        "Ragwortvalve-Deadline-Ms": str(DEADLINE_MS),
+    }
+    url = f"http://{member.outbound_address}/{service}/{name}"
+    with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+        async with asyncio.timeout(CALLER_TIMEOUT_S):
+            async with session.post(url, headers=headers, data=name.encode()) as reply:
+                await reply.read()
+
+
 @dataclass(frozen=True, slots=True)
 class VersionObservation:
     """Whether a node had the route that a version of the configuration added.
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -29,6 +29,12 @@
 MIN_SERVED_SHARE = 0.9
 """Share of the calls after the last fault that must be served."""
 
+CRASHES_TO_LEARN = 3
+CRASH_SETTLE_S = 4.0
+MAX_LATER_CRASHES = 3
+"""The users' bound on a request that crashes servers: how often it may still crash one, from some
+time after it has crashed the third."""
+
 UndisturbedCheck = Callable[[int, float, float], bool]
 """Returns whether no fault affected a member between two times."""
 
@@ -170,6 +176,22 @@
     return violations
 
 
+def check_crashing_requests(events: list[ServerEvent]) -> list[str]:
+    """Report requests that still reached servers after they had crashed three."""
+    crashes: dict[str, list[float]] = defaultdict(list)
+    for event in events:
+        if event.kind == "crash":
+            crashes[event.call_id].append(event.at)
+    violations = []
+    for request, times in crashes.items():
+        times.sort()
+        since = times[min(CRASHES_TO_LEARN, len(times)) - 1] + CRASH_SETTLE_S
+        later = sum(at > since for at in times)
+        if later > MAX_LATER_CRASHES:
+            violations.append(f"{request}: crashed {later} more servers after it was known")
+    return violations
+
+
 def check_recovery(results: list[CallResult], fault_free_since: float) -> list[str]:
     """Report a run in which too few calls were served after the last fault."""
     last = [result for result in results if result.sent_at > fault_free_since]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,10 +1,15 @@
 """Injects the scheduled faults into the processes of a run; faults of a member may overlap."""
 
 import asyncio
+import contextlib
+import random
 import signal
 import time
 from collections.abc import Awaitable, Callable
 
+import aiohttp
+
+from soak.callers import send_crashing_call
 from soak.fleet import GRACE_S, Fleet, Member
 from soak.plan import Fault, ScheduledFault
 
@@ -14,6 +19,12 @@
 SERVER_DELAY_S = 0.15
 """Delay of each chunk of data between a node and its server during a server-delay fault."""
 
+CRASHING_CALL_INTERVAL_S = 0.15
+"""Mean interval between two of these calls."""
+
+SERVER_DOWN_S = 0.5
+"""How long a server stays down after such a crash."""
+
 
 async def inject_faults(fleet: Fleet, schedule: list[ScheduledFault], started_at: float) -> None:
     """Inject every fault at its time, and return once all have ended."""
@@ -26,6 +37,9 @@
             if scheduled.fault is Fault.STORE_PAUSE:
                 group.create_task(_pause_store(fleet, scheduled))
                 continue
+            if scheduled.fault is Fault.CRASHING_CALLS:
+                group.create_task(_send_crashing_calls(fleet, scheduled))
+                continue
             for number in scheduled.member_numbers:
                 group.create_task(_inject_fault(fleet, fleet.members[number], scheduled))
 
@@ -42,6 +56,37 @@
     fleet.signal(fleet.store, signal.SIGCONT)
 
 
+async def _send_crashing_calls(fleet: Fleet, scheduled: ScheduledFault) -> None:
+    """Send a request that crashes the servers of a service, from the hosts of another one."""
+    name = f"crash-{scheduled.start_s:.2f}"
+    service = ("lookup", "confirm")[scheduled.member_numbers[0] % 2]
+    callers = [member for member in fleet.members if member.service == "inner"]
+    rng = random.Random(name)
+    until = time.time() + scheduled.duration_s
+    with contextlib.ExitStack() as stack:
+        for member in fleet.members:
+            stack.enter_context(member.record_disturbance())
+        async with asyncio.TaskGroup() as group, aiohttp.ClientSession() as session:
+            group.create_task(_restart_crashed_servers(fleet, until + SETTLE_S))
+            while time.time() < until:
+                call = send_crashing_call(session, rng.choice(callers), service, name)
+                group.create_task(call)
+                await asyncio.sleep(rng.expovariate(1 / CRASHING_CALL_INTERVAL_S))
+            await asyncio.sleep(SETTLE_S)
+
+
+async def _restart_crashed_servers(fleet: Fleet, until: float) -> None:
+    while time.time() < until:
+        for member in fleet.members:
+            if member.server_lock.locked():
+                continue
+            async with member.server_lock:
+                if member.server is not None and member.server.returncode is not None:
+                    await asyncio.sleep(SERVER_DOWN_S)
+                    await fleet.start_server(member)
+        await asyncio.sleep(0.05)
+
+
 async def _restart_node(
     fleet: Fleet, member: Member, signum: signal.Signals, timeout_s: float
 ) -> None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -14,6 +14,11 @@
 """Shortest and longest duration of a fault."""
 
 
+CRASHING_CALLS_S = 9.0
+"""How long a request that crashes servers comes again: three crashes, the users' time until the
+fleet has to know of it, and some seconds in which it must be refused."""
+
+
 class Fault(Enum):
     """Kind of fault injected into a process or a connection."""
 
@@ -32,6 +37,7 @@
     STORE_CUT_REPLIES = "store-cut-replies"
     DOMAIN_KILL = "domain-kill"
     CONFIGURE = "configure"
+    CRASHING_CALLS = "crashing-calls"
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +84,9 @@
             chosen = tuple(rng.choice(domains))
         else:
             chosen = tuple(rng.sample(members, rng.choice((1, 1, 2))))
-        schedule.append(ScheduledFault(start_s, rng.uniform(*DURATION_RANGE_S), fault, chosen))
+        duration_s = rng.uniform(*DURATION_RANGE_S)
+        if fault is Fault.CRASHING_CALLS:
+            duration_s = CRASHING_CALLS_S
+        schedule.append(ScheduledFault(start_s, duration_s, fault, chosen))
         start_s += rng.expovariate(1 / MEAN_INTERVAL_S)
     return schedule
--- a/soak/run.py
+++ b/soak/run.py
@@ -146,6 +146,7 @@
         *checks.check_unanswered(results, was_undisturbed),
         *checks.check_versions(observations, fleet.accepted_versions, was_undisturbed),
         *checks.check_retry_budget(results, events),
+        *checks.check_crashing_requests(events),
         *checks.check_recovery(results, until - FAULT_FREE_S),
     ]
     return report
--- a/soak/server.py
+++ b/soak/server.py
@@ -2,7 +2,8 @@
 
 Each line holds a time, an event and the id of the call, if there is one. Lines are written
 unbuffered, so that the log of a killed server is complete. ``arrive`` is logged for each request,
-``run`` when a call that was run ends, and ``leaving`` when the node has acknowledged the drain.
+``run`` when a call that was run ends, ``crash`` when a request ends the process, with its body in
+place of the id, and ``leaving`` when the node has acknowledged the drain.
 """
 
 import asyncio
@@ -39,6 +40,12 @@
 SERVICE_TIME_S = 0.02
 """Service time of a call."""
 
+CRASH_PREFIX = b"crash-"
+"""Start of the body of a request that ends the process."""
+
+CRASH_DELAY_S = 0.01
+"""How long such a request runs before."""
+
 INNER_CALL_INTERVAL = 3
 """One in this many calls makes an inner call through the node."""
 
@@ -77,6 +84,11 @@
             return web.Response(status=503 if stop_requested.is_set() else 200, headers=headers)
         call_id = request.headers.get(ATTEMPT_ID_HEADER, "")
         log_event("arrive", call_id)
+        body = await request.read()
+        if body.startswith(CRASH_PREFIX):
+            await asyncio.sleep(CRASH_DELAY_S)
+            log_event("crash", body.decode())
+            os._exit(1)
         runs_before = application.runs[call_id]
         if (
             FLAGS.service != "inner"
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -4,6 +4,7 @@
 from soak.checks import (
     ServerEvent,
     check_answers,
+    check_crashing_requests,
     check_drains,
     check_recovery,
     check_refusals,
@@ -108,3 +109,13 @@
         ServerEvent("i", 1.5, "run", "c-1"),
         ServerEvent("i", 2.5, "leaving", ""),
     ]
+
+
+def test_check_crashing_requests_reports_a_request_that_goes_on_crashing_servers():
+    def make_crashes(*times):
+        return [ServerEvent("i-0-1", at, "crash", "crash-1") for at in times]
+
+    assert check_crashing_requests(make_crashes(1.0, 1.1)) == []
+    assert check_crashing_requests(make_crashes(1.0, 1.1, 1.2, 2.0, 3.0, 4.0, 5.0)) == []
+    assert check_crashing_requests(make_crashes(1.0, 1.1, 1.2, 6.0, 7.0, 8.0)) == []
+    assert check_crashing_requests(make_crashes(1.0, 1.1, 1.2, 6.0, 7.0, 8.0, 9.0))
