--- a/soak/plan.py
+++ b/soak/plan.py
@@ -14,7 +14,7 @@
 """Shortest and longest duration of a fault."""
 
 
-CRASHING_CALLS_S = 9.0
+CRASHING_CALLS_S = 20.0
 """How long a request that crashes servers comes again: three crashes, the users' time until the
 fleet has to know of it, and some seconds in which it must be refused."""
 
