Share the false accusation between the tests that undo one

Two tests made the nodes believe in three crashes, and three let crashes grow old, each with its own copy. The assertions are as before.

--- a/tests/mesh/test_crashing_request.py
+++ b/tests/mesh/test_crashing_request.py
@@ -166,6 +166,24 @@
     )
 
 
+async def accuse_falsely(fleet, body, path):
+    """Make every node believe that a request of the fronts has crashed three servers."""
+    headers = [(b"host", HOST.encode()), (b"ragwortvalve-caller-service", b"front")]
+    request = Request(0, "POST", path.encode(), headers, body, 1000.0)
+    for member in fleet.cluster.members[:3]:
+        member.node._crashes.report_crash("i", [RunningCall("c", fingerprint_call(request))])
+    await wait_until(
+        lambda: all(len(m.node._crashes._history.crashes) == 3 for m in fleet.cluster.members)
+    )
+
+
+def age_crashes(fleet, age_s):
+    """Let all crashes that the nodes know lie further back."""
+    for member in fleet.cluster.members:
+        for crash in member.node._crashes._history.crashes.values():
+            crash.happened_at -= age_s
+
+
 @pytest.mark.parametrize("keeps_id", [True, False])
 def test_refusal_comes_at_once_and_its_log_line_names_the_crashes(keeps_id):
     async def scenario(fleet):
@@ -263,9 +281,8 @@
         ]
         # A write each for a crash at most, and one again after the next shows what recurs.
         assert 2 <= len(writes) <= 2 * fleet.count_crashes()
+        age_crashes(fleet, MAX_AGE_S)
         for member in fleet.cluster.members:
-            for crash in member.node._crashes._history.crashes.values():
-                crash.happened_at -= MAX_AGE_S
             member.node._crashes.forget_old()
         kinds = fleet.cluster.store.objects
         await wait_until(lambda: not [name for kind, name in kinds if kind == "crashes"])
@@ -277,48 +294,28 @@
     async def scenario(fleet):
         path = "/a/innocent"
         assert (await fleet.call(b"other", path=path))[0] == 200
-        members = fleet.cluster.members
-        for member in members[:3]:
-            call = RunningCall("c", fingerprint_call(make_request(b"other", path)))
-            member.node._crashes.report_crash("i", [call])
-        await wait_until(
-            lambda: all(len(m.node._crashes._history.crashes) == 3 for m in fleet.fronts)
-        )
+        await accuse_falsely(fleet, b"other", path)
         for front in fleet.fronts:
             assert (await fleet.call(b"other", front, path))[0] == 503
-        for member in members:
-            for crash in member.node._crashes._history.crashes.values():
-                crash.happened_at -= FIRST_TRIAL_S
+        age_crashes(fleet, FIRST_TRIAL_S)
         statuses = [(await fleet.call(b"other", front, path))[0] for front in fleet.fronts * 3]
         assert statuses == [200] * len(statuses)
         await wait_until(
-            lambda: not any(member.node._crashes._history.by_request for member in members)
+            lambda: not any(m.node._crashes._history.by_request for m in fleet.cluster.members)
         )
 
     run_fleet(scenario)
 
 
-def make_request(body, path):
-    """Return a call as a gate receives it from a front."""
-    headers = [(b"host", HOST.encode()), (b"ragwortvalve-caller-service", b"front")]
-    return Request(0, "POST", path.encode(), headers, body, 1000.0)
-
-
 def test_trial_that_busy_gates_refuse_is_not_used_up():
     async def scenario(fleet):
         path = "/a/innocent"
-        for member in fleet.cluster.members[:3]:
-            call = RunningCall("c", fingerprint_call(make_request(b"other", path)))
-            member.node._crashes.report_crash("i", [call])
-        front = fleet.fronts[0]
-        await wait_until(lambda: len(front.node._crashes._history.crashes) == 3)
-        for member in fleet.cluster.members:
-            for crash in member.node._crashes._history.crashes.values():
-                crash.happened_at -= FIRST_TRIAL_S
+        await accuse_falsely(fleet, b"other", path)
+        age_crashes(fleet, FIRST_TRIAL_S)
         # All gates but one refuse calls; the trial goes on until it reaches the last one.
         for member in fleet.cluster.members[:3]:
             member.node._calls._run_call = refuse_as_overloaded
-        assert (await fleet.call(b"other", front, path))[0] == 200
+        assert (await fleet.call(b"other", path=path))[0] == 200
 
     async def refuse_as_overloaded(request):
         return Refusal(request.call_id, "not-run", "overloaded", 50, NO_REPORT)
