--- a/packages/common/src/ragwort_common/__init__.py
+++ b/packages/common/src/ragwort_common/__init__.py
@@ -3,9 +3,11 @@
 from ragwort_common._counters import MAX_TIMINGS, Counters
 from ragwort_common._ids import (
     CallId,
+    CustomerName,
     Epoch,
     FailureDomain,
     Incarnation,
+    KeyDigest,
     Member,
     NodeId,
     Region,
@@ -18,9 +20,11 @@
 __all__ = [
     "CallId",
     "Counters",
+    "CustomerName",
     "Epoch",
     "FailureDomain",
     "Incarnation",
+    "KeyDigest",
     "MAX_TIMINGS",
     "Member",
     "NodeId",
--- a/packages/common/src/ragwort_common/_ids.py
+++ b/packages/common/src/ragwort_common/_ids.py
@@ -17,6 +17,12 @@
 Member = NewType("Member", str)
 """Name of an organization that owns services."""
 
+CustomerName = NewType("CustomerName", str)
+"""Name of a customer, whose callers identify themselves with its keys."""
+
+KeyDigest = NewType("KeyDigest", bytes)
+"""Hash of a customer's key, which stands for the key everywhere inside the system."""
+
 CallId = NewType("CallId", int)
 """Number of a call, unique per link."""
 
--- a/packages/common/src/ragwort_common/_outcome.py
+++ b/packages/common/src/ragwort_common/_outcome.py
@@ -36,3 +36,7 @@
     NO_OWNER = "no-owner"
     NOT_READY = "not-ready"
     CRASHES_SERVERS = "crashes-servers"
+    NO_HOME_SERVER = "no-home-server"
+    EVACUATED = "evacuated"
+    UNKNOWN_KEY = "unknown-key"
+    CUSTOMER_LIMIT = "customer-limit"
--- a/packages/model/src/ragwort_model/__init__.py
+++ b/packages/model/src/ragwort_model/__init__.py
@@ -2,8 +2,10 @@
 
 from ragwort_model._configuration import (
     CallerLimits,
+    ColdStart,
     Configuration,
     ConfigurationVersion,
+    Customer,
     Route,
     RouteName,
     WeightedService,
@@ -19,10 +21,12 @@
     "Addresses",
     "Bounds",
     "CallerLimits",
+    "ColdStart",
     "Configuration",
     "ConfigurationVersion",
     "CrashId",
     "CrashRecord",
+    "Customer",
     "Departure",
     "ErrorKind",
     "FindRoute",
--- a/packages/model/src/ragwort_model/_node.py
+++ b/packages/model/src/ragwort_model/_node.py
@@ -57,6 +57,14 @@
         ``retry_window_s`` seconds, at most ``retry_ratio`` of its calls plus ``retry_extra``.
     settle_s
         Time after the end of a disruption from which the bounds on delays hold again, in seconds.
+    evacuation_s
+        Time within which an evacuation takes effect, in seconds; None if there are no evacuations.
+    cold_excess, cold_slack
+        Most calls that a cold server may get in any second: ``cold_excess`` times its rate plus
+        ``cold_slack``.
+    limit_window_s, limit_excess, limit_slack
+        Most calls of a customer that may run in any window of ``limit_window_s`` seconds, over all
+        nodes: what its limit allows times one plus ``limit_excess``, plus ``limit_slack``.
     """
 
     grace_s: float = 6.0
@@ -64,6 +72,12 @@
     retry_extra: float = 60.0
     retry_window_s: float = 10.0
     settle_s: float = 4.0
+    evacuation_s: float | None = None
+    cold_excess: float = 1.0
+    cold_slack: float = 1.0
+    limit_window_s: float = 5.0
+    limit_excess: float = 0.0
+    limit_slack: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/adapter/test_configuration.py
+++ b/tests/adapter/test_configuration.py
@@ -1,8 +1,8 @@
 import json
 
 import pytest
-from ragwort_model import CallerLimits, InputError, WeightedService
-from ragwort_platform import decode_configuration
+from ragwort_model import CallerLimits, ColdStart, InputError, WeightedService
+from ragwort_platform import decode_configuration, digest_key, redact_keys
 
 ROUTE = {
     "host": "h.example",
@@ -77,3 +77,51 @@
 def test_version_of_another_form_is_rejected(version):
     content = {"version": version, "routes": {}}
     assert isinstance(decode_configuration(json.dumps(content).encode()), InputError)
+
+
+TENANTS = {
+    "a": {"apiKeys": ["ka", "kb"], "priority": 1, "ratePerS": 5, "burst": 2},
+    "b": {"apiKeys": ["kc"], "allowedRegions": ["north"]},
+}
+
+
+def test_customers_are_decoded_with_digests_of_their_keys():
+    configuration = decode(tenants=TENANTS)
+    first, second = configuration.customers["a"], configuration.customers["b"]
+    assert (first.rank, first.calls_per_s, first.burst) == (1, 5, 2)
+    assert (second.rank, second.calls_per_s, second.allowed_regions) == (None, None, {"north"})
+    assert configuration.customer_by_key == {
+        digest_key(b"ka"): "a",
+        digest_key(b"kb"): "a",
+        digest_key(b"kc"): "b",
+    }
+
+
+@pytest.mark.parametrize("tenant", [{"apiKeys": ["ka"]}, {"ratePerS": -1}, {"burst": -1}])
+def test_a_shared_key_or_a_negative_limit_makes_the_configuration_invalid(tenant):
+    assert isinstance(decode(tenants={**TENANTS, "c": tenant}), InputError)
+
+
+def test_a_redacted_configuration_holds_no_key_and_decodes_to_the_same_customers():
+    content = json.dumps({"version": "r12", "routes": {"a": ROUTE}, "tenants": TENANTS}).encode()
+    redacted = redact_keys(content)
+    assert b"ka" not in redacted and b"kc" not in redacted
+    assert decode_configuration(redacted) == decode_configuration(content)
+    assert redact_keys(redacted) == redacted
+
+
+def test_content_without_customers_is_not_changed_by_redaction():
+    assert redact_keys(b"{}") == b"{}"
+    assert redact_keys(b'{"tenants": 3}') == b'{"tenants": 3}'
+
+
+def test_cold_starts_are_decoded_for_services_that_set_a_rate():
+    services = {"s": {"coldStartS": 4, "coldPerS": 10}, "t": {"coldStartS": 4}}
+    (cold_start,) = decode(services=services).cold_starts.items()
+    assert cold_start == ("s", ColdStart(4, 10))
+
+
+def test_allowed_regions_and_the_exemption_from_keys_are_decoded():
+    route = decode({**ROUTE, "allowedRegions": ["n"], "authExempt": True}).routes[0]
+    assert route.allowed_regions == {"n"} and not route.needs_key
+    assert decode().routes[0].needs_key and not decode().routes[0].allowed_regions
