--- a/packages/mesh/src/ragwort_mesh/_call.py
+++ b/packages/mesh/src/ragwort_mesh/_call.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ragwort_common import RequestFingerprint, ServiceName
+from ragwort_common import CustomerName, Region, RequestFingerprint, ServiceName
 from ragwort_flow import fingerprint_request
 from ragwort_model import Route
 from ragwort_platform import find_caller
@@ -23,6 +23,13 @@
     arrived, first_arrived, objective, caller_deadline, deadline
         Arrival time, that of the caller's first attempt, end of the latency objective, the caller's
         deadline, and the earlier of that and the route's timeout; in seconds on the node's clock.
+    allowed_regions
+        Regions whose servers may run the call, by its route and its customer; None if all may.
+    customer
+        Customer whose key the caller sent; None in a deployment without customers, for routes that
+        need no key and for nested calls.
+    rank
+        Priority of the call, of its customer and its route; 0 is the highest, None for the route's.
     """
 
     call_id: str
@@ -37,6 +44,9 @@
     objective: float
     caller_deadline: float
     deadline: float
+    allowed_regions: frozenset[Region] | None = None
+    customer: CustomerName | None = None
+    rank: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
