Bound the requests to a store that serves no node

Each node that lost the store handed its watch on, so all 81 watched; each of a node's tasks tried again by itself, up to 3 requests a second.

A node that the store does not serve sends one probe per interval, whatever its tasks; the interval grows with the linked nodes of its failure domain that are not served either, so that a domain sends 4 a second. A reply whose parts keep arriving may take up to 10 s.

--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -84,7 +84,13 @@
     should_probe,
 )
 from ragwort_flow._split import SplitState, choose_service_index
-from ragwort_flow._watchers import WATCHERS_PER_DOMAIN, hash_node, is_watcher_among
+from ragwort_flow._watchers import (
+    DOMAIN_PROBES_PER_S,
+    WATCHERS_PER_DOMAIN,
+    find_probe_interval,
+    hash_node,
+    is_watcher_among,
+)
 from ragwort_flow._work import WorkEstimates, estimate_work, record_work
 
 __all__ = [
@@ -92,6 +98,7 @@
     "Crash",
     "CrashDetector",
     "CrashHistory",
+    "DOMAIN_PROBES_PER_S",
     "Decision",
     "Distance",
     "EXPIRED",
@@ -134,6 +141,7 @@
     "estimate_work",
     "find_blame",
     "find_distance",
+    "find_probe_interval",
     "fingerprint_request",
     "forget_old_crashes",
     "get_hedge_delay",
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -80,7 +80,11 @@
         random_source = random.Random()
         addresses = settings.addresses
         self._store = StoreClient(
-            addresses.store, telemetry, self._on_store_status, self._on_store_restored
+            addresses.store,
+            telemetry,
+            self._on_store_status,
+            self._on_store_restored,
+            lambda: self._peer_sync.find_probe_interval(),
         )
         watch_enabled = self._watch_enabled = asyncio.Event()
         self._configuration = ActiveConfiguration(
--- a/packages/mesh/src/ragwort_mesh/_peer_sync.py
+++ b/packages/mesh/src/ragwort_mesh/_peer_sync.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from ragwort_common import FailureDomain, NodeId, Region, ServiceName
-from ragwort_flow import is_watcher_among
+from ragwort_flow import find_probe_interval, is_watcher_among
 from ragwort_model import NodeRecord
 from ragwort_protocol import (
     MAX_FRAME_BYTES,
@@ -159,6 +159,10 @@
             if link is not None:
                 link.send(StoreNotice(store_available))
 
+    def find_probe_interval(self) -> float:
+        """Return how often this node tries a store that does not serve it, in seconds."""
+        return find_probe_interval(len(self._unserved & self._domain_peers))
+
     def announce_revision(self) -> None:
         """Handle a new active configuration; a watcher announces its revision to every peer."""
         self._activated.set()
--- a/packages/mesh/src/ragwort_mesh/_store.py
+++ b/packages/mesh/src/ragwort_mesh/_store.py
@@ -1,6 +1,8 @@
 """Client of the platform's store."""
 
 import asyncio
+import contextlib
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -16,6 +18,13 @@
 WATCH_SLACK_S = 0.6
 """Time added to the wait of a watch request to get its timeout."""
 
+MAX_TRANSFER_S = 10.0
+"""Maximum time for a reply whose parts keep arriving. With a fixed timeout of a second, no listing
+of a large configuration ended while all nodes restarted and shared one link."""
+
+MIN_PROBE_INTERVAL_S = 0.75
+"""Shortest interval between the requests of one node to a store that does not serve it."""
+
 MAX_REPLY_BYTES = 8 << 20
 """Maximum size of a reply: several objects of a megabyte."""
 
@@ -66,6 +75,8 @@
         Called with whether the store is reachable, each time that changes.
     on_restored
         Called when the store has come back from a copy.
+    get_probe_interval
+        Returns how often this node tries a store that does not serve it, in seconds.
 
     Attributes
     ----------
@@ -79,6 +90,7 @@
         telemetry: Telemetry,
         on_status: Callable[[bool], None],
         on_restored: Callable[[], None],
+        get_probe_interval: Callable[[], float] = lambda: MIN_PROBE_INTERVAL_S,
     ) -> None:
         self._host = address
         self.era: int | None = None
@@ -88,18 +100,32 @@
         self._pool = ClientPool(address, 2, MAX_REPLY_BYTES, MAX_UNACKNOWLEDGED_MS)
         self._reachable = True
         self._failures = 0
+        self._get_probe_interval = get_probe_interval
+        self._next_probe = 0.0
+        self._regained = asyncio.Event()
+        self._random = random.Random()
 
     async def call(self, request: StoreRequest, wait_s: float = 0.0) -> StoreReply | StoreError:
         """Send a request, and return the reply or an error.
 
+        While the store does not serve this node, requests are sent only as often as probes are due;
+        the others fail after ``CALL_TIMEOUT_S`` without having been sent.
+
         Parameters
         ----------
         wait_s
             How long the store may delay its reply to a watch, in seconds.
         """
+        if not self._reachable and not await self._await_probe():
+            return StoreError(ErrorKind.UNAVAILABLE, "not sent: the store does not serve this node")
         timeout_s = wait_s + WATCH_SLACK_S if wait_s else CALL_TIMEOUT_S
         self._telemetry.counters.add("store.calls")
-        result = await self._pool.exchange(self._encode(request), timeout_s)
+        result = await self._pool.exchange(
+            self._encode(request),
+            timeout_s,
+            max_stall_s=CALL_TIMEOUT_S,
+            max_transfer_s=wait_s + MAX_TRANSFER_S,
+        )
         if isinstance(result, Failure):
             is_write = request.method != "GET"
             kind = ErrorKind.UNCERTAIN if is_write else ErrorKind.UNAVAILABLE
@@ -121,6 +147,23 @@
         """Close the connections."""
         await self._pool.close()
 
+    async def _await_probe(self) -> bool:
+        """Return whether a request may be sent, after waiting for the store or the next probe."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + CALL_TIMEOUT_S
+        while not self._reachable:
+            now = loop.time()
+            if now >= self._next_probe:
+                interval_s = max(MIN_PROBE_INTERVAL_S, self._get_probe_interval())
+                self._next_probe = now + interval_s * (0.75 + 0.5 * self._random.random())
+                return True
+            if now >= deadline:
+                return False
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(min(deadline, self._next_probe) - now):
+                    await self._regained.wait()
+        return True
+
     def _encode(self, request: StoreRequest) -> bytes:
         lines = [f"{request.method} {request.target} HTTP/1.1", f"host: {self._host}"]
         if request.method != "GET":
@@ -145,6 +188,10 @@
         if reachable == self._reachable or 0 < self._failures < FAILURES_UNTIL_LOST:
             return
         self._reachable = reachable
+        if reachable:
+            self._regained.set()
+        else:
+            self._regained.clear()
         event = "store-regained" if reachable else "store-lost"
         self._telemetry.events.write(event, cause=cause, failures=self._failures)
         self._on_status(reachable)
--- a/packages/transport/src/ragwort_transport/_client.py
+++ b/packages/transport/src/ragwort_transport/_client.py
@@ -122,6 +122,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._pending: asyncio.Future[Answer | Failure] | None = None
         self._find_owner: ResponseCheck = accept_any
+        self._on_data: Callable[[], None] | None = None
         self._without_body = False
         self._reusable = True
         self._keep_alive_s: float | None = None
@@ -158,11 +159,13 @@
         request: bytes,
         without_body: bool = False,
         find_owner: ResponseCheck = accept_any,
+        on_data: Callable[[], None] | None = None,
     ) -> Answer | Failure:
         """Send a request and return the response, or why there is none.
 
         A response that ``find_owner`` assigns to an earlier request is dropped, and the connection
         is not reused after this request. One that may belong to either fails the request.
+        ``on_data`` is called each time that a part of the response has arrived.
         """
         if self._transport is None:
             # The connection closed after it was taken from the pool; nothing has been sent on it.
@@ -173,6 +176,7 @@
         self._start_response()
         self._without_body = without_body
         self._find_owner = find_owner
+        self._on_data = on_data
         self._pending = asyncio.get_running_loop().create_future()
         self._transport.write(request)
         try:
@@ -206,6 +210,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._end(BAD_ANSWER, reusable=False)
         self._enforce_limits()
+        if self._on_data is not None and self._pending is not None:
+            self._on_data()
 
     def _enforce_limits(self) -> None:
         """End the request and close the connection if what was received for it is over a limit.
@@ -354,6 +360,8 @@
         find_owner: ResponseCheck = accept_any,
         max_idle_s: float = float("inf"),
         may_resend: bool = False,
+        max_stall_s: float = 0.0,
+        max_transfer_s: float = 0.0,
     ) -> Answer | Failure:
         """Send one request and return its complete response, or why there is none.
 
@@ -369,16 +377,28 @@
         may_resend
             Whether the request is sent again on a new connection when a pooled one breaks before
             any response, as it does when the server has closed it while idle.
+        max_stall_s, max_transfer_s
+            While parts of the response arrive at most ``max_stall_s`` seconds apart, the time limit
+            is extended up to ``max_transfer_s`` seconds after the start.
         """
         connection: ClientConnection | None = None
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + max_transfer_s
         # Result of a failed connect: NOT_RUN only as long as nothing has been sent.
         connect_failure = CONNECT_FAILED
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
+
+                def extend_limit() -> None:
+                    extended = min(loop.time() + max_stall_s, latest)
+                    if not limit.expired() and extended > (limit.when() or 0.0):
+                        limit.reschedule(extended)
+
+                on_data = extend_limit if max_stall_s else None
                 connection = self._acquire_idle(max_idle_s)
                 if connection is not None and may_resend:
                     self.requests_sent += 1
-                    result = await connection.exchange(request, without_body, find_owner)
+                    result = await connection.exchange(request, without_body, find_owner, on_data)
                     if result != CONNECTION_LOST:
                         return result
                     connection.close()
@@ -386,7 +406,7 @@
                 if connection is None:
                     connection = await self._connect()
                 self.requests_sent += 1
-                return await connection.exchange(request, without_body, find_owner)
+                return await connection.exchange(request, without_body, find_owner, on_data)
         except TimeoutError:
             return connect_failure if connection is None else TIMED_OUT
         except OSError:
--- a/tests/mesh/test_watch.py
+++ b/tests/mesh/test_watch.py
@@ -8,8 +8,9 @@
 from mesh_cluster import make_configuration, make_route
 from ragwort_mesh._configuration import ActiveConfiguration
 from ragwort_mesh._events import EventLog
-from ragwort_mesh._store import StoreClient
+from ragwort_mesh._store import StoreClient, StoreReply
 from ragwort_mesh._telemetry import Telemetry
+from ragwort_platform import build_list
 from ragwort_standins.store import make_object
 from ragwort_transport import TIMED_OUT, Answer
 
@@ -27,13 +28,17 @@
         Start and end times of the silences; requests that meet one are never answered.
     writes
         Time, revision and version of each configuration.
+    requests
+        Number of requests that were sent.
     """
 
     def __init__(self, silences, writes):
         self.silences = silences
         self.writes = writes
+        self.requests = 0
 
-    async def exchange(self, request, timeout_s):
+    async def exchange(self, request, timeout_s, **_):
+        self.requests += 1
         sent = read_clock()
         try:
             async with asyncio.timeout(timeout_s):
@@ -116,3 +121,46 @@
     ]
     if late:
         pytest.fail("a configuration came into force later than its bound")
+
+
+def count_requests(lost_s, probe_interval_s, callers):
+    """Return how many requests a node sends to a store that is silent for ``lost_s`` seconds.
+
+    Each of the callers sends one request after the other, and the last ones are answered.
+    """
+
+    async def play():
+        started = read_clock()
+        store = SilentStore([(started, started + lost_s)], [(started, 5, 1)])
+        telemetry = Telemetry(EventLog("n"))
+        client = StoreClient(
+            "127.0.0.1:1",
+            telemetry,
+            lambda _: None,
+            lambda: None,
+            lambda: probe_interval_s,
+        )
+        client._pool = store
+
+        async def call_until_answered():
+            while not isinstance(await client.call(build_list("config", "", False)), StoreReply):
+                pass
+            return read_clock() - started
+
+        regained = await asyncio.gather(*(call_until_answered() for _ in range(callers)))
+        return store.requests, max(regained)
+
+    return run_virtual(play())
+
+
+def test_an_outage_costs_one_probe_per_interval_however_many_tasks_need_the_store():
+    for callers in (1, 4):
+        requests, _ = count_requests(30.0, 5.0, callers)
+        # Each caller's first requests, until the store is found lost, and a probe each 3.75 s.
+        assert requests <= 2 * callers + 9
+
+
+def test_every_task_goes_on_when_one_probe_finds_the_store_back():
+    _, regained_s = count_requests(30.0, 2.0, 4)
+    # The silence, the longest pause between probes, and the timeout of one that it still met.
+    assert regained_s <= 30.0 + 2.5 + 1.0 + 0.5
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -143,6 +143,32 @@
     assert asyncio.run(scenario()) == Failure(Outcome.UNKNOWN, Reason.DEADLINE)
 
 
+def test_a_long_response_may_take_longer_than_the_timeout_while_its_parts_arrive():
+    head, parts = b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n", [b"a"] * 8
+
+    async def scenario(part_count, max_transfer_s):
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            for part in [head, *parts[:part_count]]:
+                writer.write(part)
+                await asyncio.sleep(0.05)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        pool = ClientPool(address, 4, 1000)
+        result = await pool.exchange(REQUEST, 0.2, max_stall_s=0.2, max_transfer_s=max_transfer_s)
+        server.close()
+        return result
+
+    timed_out = Failure(Outcome.UNKNOWN, Reason.DEADLINE)
+    assert asyncio.run(scenario(8, 10.0)) == Answer(200, [(b"content-length", b"8")], b"a" * 8)
+    # A response that stalls, and one that goes on for too long.
+    assert asyncio.run(scenario(7, 10.0)) == timed_out
+    assert asyncio.run(scenario(8, 0.25)) == timed_out
+
+
 def test_a_request_is_resent_after_a_pooled_connection_breaks_only_if_allowed():
     async def scenario(may_resend):
         answers = iter([[make_response(0)], [None], [make_response(0)]])
