Read a caller's key and tell servers its customer

A caller identifies itself by a key that no server may get; servers get the customer's name instead, whatever the caller wrote there. The adapter had neither.

read_key returns the digest of the one key that a call carries. build_forwarded_headers removes every Authorization field and the customer field, and sets the customer's name, in a deployment with customers; without any, headers pass as before. Redaction no longer misses a table whose name is spelled with JSON escapes, and a customer's name that can't stand in a header field makes the configuration invalid.

--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -4,9 +4,11 @@
     build_forwarded_headers,
     build_refusal_headers,
     build_server_request,
+    digest_key,
     is_readiness_check,
     make_answer_check,
     read_call_fields,
+    read_key,
     read_notices,
     read_server_answer,
 )
@@ -39,6 +41,30 @@
     ]
 
 
+@pytest.mark.parametrize("value", [b"Bearer k-1", b"bearer  k-1 ", b"BEARER\tk-1"])
+def test_key_is_read_from_the_authorization_field(value):
+    assert read_key([(b"host", b"h"), (b"authorization", value)]) == digest_key(b"k-1")
+
+
+@pytest.mark.parametrize(
+    "values", [[], [b"k-1"], [b"Bearer"], [b"Bearer "], [b"Basic k-1"], [b"Bearer k-1"] * 2]
+)
+def test_missing_malformed_or_ambiguous_key_is_none(values):
+    assert read_key([(b"authorization", value) for value in values]) is None
+
+
+@pytest.mark.parametrize("customer", [None, "Büro"])
+def test_server_gets_the_customer_in_place_of_what_the_caller_wrote(customer):
+    headers = [(b"host", b"h"), (b"authorization", b"Bearer k"), (b"authorization", b"k")]
+    headers += [(b"ragwortvalve-tenant-id", b"forged")] * 2
+    caller = (b"ragwortvalve-caller-service", b"s")
+    kept = [(b"host", b"h"), caller]
+    if customer is not None:
+        kept.append((b"ragwortvalve-tenant-id", customer.encode()))
+    assert build_forwarded_headers(headers, "s", True, customer) == kept
+    assert build_forwarded_headers(headers, "s") == [*headers, caller]
+
+
 def test_server_request_has_target_instance_and_deadline():
     data = build_server_request("POST", b"/a?b", [(b"host", b"h")], b"xy", InstanceId("i"), 12.7)
     head, _, body = data.partition(b"\r\n\r\n")
@@ -121,6 +147,10 @@
     assert b"retry-after" not in dict(build_refusal_headers(b"c1", 0))
 
 
+def test_refusal_for_a_missing_key_names_the_scheme():
+    assert dict(build_refusal_headers(b"", 0, needs_key=True)) == {b"www-authenticate": b"Bearer"}
+
+
 def test_readiness_check_is_recognized():
     assert is_readiness_check("GET", b"/-/ready")
     assert not is_readiness_check("POST", b"/-/ready")
--- a/tests/adapter/test_configuration.py
+++ b/tests/adapter/test_configuration.py
@@ -110,6 +110,16 @@
     assert redact_keys(redacted) == redacted
 
 
+def test_a_name_spelled_with_escapes_does_not_keep_a_key_from_redaction():
+    content = b'{"t\\u0065nants": {"a": {"api\\u004beys": ["key-1"]}}}'
+    assert b"key-1" not in redact_keys(content)
+
+
+@pytest.mark.parametrize("name", ["", "a\r\nx: y"])
+def test_a_customer_whose_name_breaks_a_header_field_makes_the_configuration_invalid(name):
+    assert isinstance(decode(tenants={name: {}}), InputError)
+
+
 def test_content_without_customers_is_not_changed_by_redaction():
     assert redact_keys(b"{}") == b"{}"
     assert redact_keys(b'{"tenants": 3}') == b'{"tenants": 3}'
