Count calls and refusals by customer, the 20 largest by name

Operators need to see which customers call and are refused, but a metric for each of thousands of customers would grow the metrics page without bound.

--- a/packages/mesh/src/ragwort_mesh/_metrics.py
+++ b/packages/mesh/src/ragwort_mesh/_metrics.py
@@ -8,6 +8,8 @@
 
 from ragwort_common import Counters
 
+from ragwort_mesh._customer_counts import CustomerCounts
+
 BUCKETS_MS = (5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 300.0, 500.0, 1_000.0, 2_000.0, 5_000.0)
 """Upper bounds of the histogram buckets, chosen around the users' latency objectives."""
 
@@ -42,7 +44,7 @@
         return lines
 
 
-def render_metrics(counters: Counters, histograms: Histograms) -> bytes:
+def render_metrics(counters: Counters, histograms: Histograms, customers: CustomerCounts) -> bytes:
     """Return all counters, gauges and histograms in the exposition format."""
     lines = []
     for name, total in sorted(counters.totals.items()):
@@ -52,6 +54,7 @@
         ]
     for name, value in sorted(counters.gauges.items()):
         lines += [f"# TYPE {_make_metric_name(name)} gauge", f"{_make_metric_name(name)} {value}"]
+    lines += customers.render(PREFIX)
     lines += histograms.render()
     return ("\n".join(lines) + "\n").encode()
 
--- a/packages/mesh/src/ragwort_mesh/_telemetry.py
+++ b/packages/mesh/src/ragwort_mesh/_telemetry.py
@@ -4,6 +4,7 @@
 
 from ragwort_common import Counters
 
+from ragwort_mesh._customer_counts import CustomerCounts
 from ragwort_mesh._events import EventLog
 from ragwort_mesh._metrics import Histograms, render_metrics
 
@@ -15,8 +16,9 @@
     events: EventLog
     counters: Counters = field(default_factory=Counters)
     histograms: Histograms = field(default_factory=Histograms)
+    customers: CustomerCounts = field(default_factory=CustomerCounts)
 
     def render(self) -> bytes:
         """Return the metrics in the Prometheus exposition format."""
         self.counters.set_gauge("log.dropped_lines", self.events.dropped)
-        return render_metrics(self.counters, self.histograms)
+        return render_metrics(self.counters, self.histograms, self.customers)
