Find the customer of each call, and refuse calls without a key

In a deployment with customers, a route that is not exempt needs a key that a customer holds. The entry served every call, and servers saw the key.

The entry refuses a call without a known key with 401, after 404 and 503, and logs the route and the start of the key's digest. Customer and rank go to the gate as Request.member and Request.rank.

--- a/packages/mesh/src/ragwort_mesh/_entry.py
+++ b/packages/mesh/src/ragwort_mesh/_entry.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable
 
-from ragwort_common import Outcome, Reason, ServiceName
+from ragwort_common import KeyDigest, Outcome, Reason, ServiceName
 from ragwort_flow import (
     SplitState,
     UnservedCall,
@@ -19,12 +19,14 @@
     build_forwarded_headers,
     build_refusal_headers,
     read_call_fields,
+    read_key,
 )
 from ragwort_protocol import Refusal, Response
 from ragwort_transport import HttpLimits, HttpRequest, HttpResponse, find_header, make_refusal
 
 from ragwort_mesh._call import Call, fingerprint_call
 from ragwort_mesh._configuration import ActiveConfiguration
+from ragwort_mesh._customers import CallTerms, find_call_terms
 from ragwort_mesh._dispatcher import Dispatcher, Progress
 from ragwort_mesh._telemetry import Telemetry
 
@@ -34,6 +36,9 @@
 MIN_RETRY_MS = 30
 """Minimum retry delay: a caller's round trip, and time for a few running calls to finish."""
 
+LOGGED_DIGEST_BYTES = 4
+"""Bytes of a key's digest in the log: enough to tell the keys of a deployment apart."""
+
 RETRY_SPREAD = 0.5
 """Random fraction added to retry delays, so that callers do not all retry at once."""
 
@@ -43,6 +48,9 @@
     Reason.CONNECTION_LOST: 502,
 }
 
+_NOT_RUN_STATUSES = {Reason.UNKNOWN_KEY: 401, Reason.CUSTOMER_LIMIT: 429}
+"""Statuses of calls that have not run; 503 for other reasons."""
+
 
 class Entry:
     """Handles incoming calls; keeps traffic split state and unserved calls between calls.
@@ -85,8 +93,9 @@
         """Route one call and return its response."""
         arrived = self._clock()
         fields = read_call_fields(request.headers)
+        configuration = self._configuration.current
         find_route = self._configuration.get_route_finder()
-        if find_route is None:
+        if configuration is None or find_route is None:
             refusal = make_refusal(Outcome.NOT_RUN, Reason.NOT_READY, NOT_READY_RETRY_MS)
             return self._make_reply(fields, refusal, arrived, None, Progress())
         host = find_header(request.headers, b"host") or b""
@@ -96,18 +105,29 @@
             self._telemetry.counters.add("entry.no_route")
             self._log(fields, arrived, None, 404, "no-route", Progress())
             return HttpResponse(404, build_refusal_headers(fields.call_id, 0))
-        call = self._make_call(request, fields, route, arrived)
+        key = read_key(request.headers) if configuration.customers else None
+        terms = find_call_terms(configuration, route, key)
+        if terms is None:
+            return self._refuse_key(fields, arrived, route, key)
+        call = self._make_call(request, fields, route, terms, arrived)
         progress = Progress()
+        # A refusal by the customer's limit (``Reason.CUSTOMER_LIMIT``) belongs here.
         try:
             reply = await self._dispatcher.run_call(call, progress)
         except asyncio.CancelledError:
             self._telemetry.counters.add("entry.caller_left")
+            self._count_for_customer(call, refused=False)
             self._log(fields, arrived, call, 0, Reason.CANCELLED.value, progress)
             raise
         return self._make_reply(fields, reply, arrived, call, progress)
 
     def _make_call(
-        self, request: HttpRequest, fields: CallFields, route: Route, arrived: float
+        self,
+        request: HttpRequest,
+        fields: CallFields,
+        route: Route,
+        terms: CallTerms,
+        arrived: float,
     ) -> Call:
         caller_timeout_ms = route.timeout_ms if fields.deadline_ms is None else fields.deadline_ms
         caller_deadline = arrived + caller_timeout_ms / 1000
@@ -118,15 +138,38 @@
             service=self._choose_service(route),
             method=request.method,
             target=request.target,
-            headers=build_forwarded_headers(request.headers, self._service),
+            headers=build_forwarded_headers(
+                request.headers, self._service, terms.has_customers, terms.customer
+            ),
             body=request.body,
             arrived=arrived,
             first_arrived=first_arrived,
             caller_deadline=caller_deadline,
             objective=first_arrived + route.objective_ms / 1000,
             deadline=arrived + min(caller_timeout_ms, route.timeout_ms) / 1000,
+            allowed_regions=terms.allowed_regions,
+            customer=terms.customer,
+            rank=terms.rank,
         )
 
+    def _refuse_key(
+        self, fields: CallFields, arrived: float, route: Route, key: KeyDigest | None
+    ) -> HttpResponse:
+        """Refuse a call that needs a customer's key and has none, or one that nobody holds."""
+        reason = Reason.UNKNOWN_KEY
+        self._telemetry.counters.add(f"entry.{Outcome.NOT_RUN.value}.{reason.value}")
+        status = _NOT_RUN_STATUSES[reason]
+        described = {
+            "refused_route": route.name,
+            "key": key[:LOGGED_DIGEST_BYTES].hex() if key is not None else "",
+        }
+        self._log(fields, arrived, None, status, reason.value, Progress(), described=described)
+        return HttpResponse(status, build_refusal_headers(fields.call_id, 0, needs_key=True))
+
+    def _count_for_customer(self, call: Call, refused: bool) -> None:
+        if call.customer is not None:
+            self._telemetry.customers.add(call.customer, refused)
+
     def _choose_service(self, route: Route) -> ServiceName:
         if len(route.parts) == 1:
             return route.parts[0].service
@@ -149,6 +192,8 @@
         if call is not None and (response.status >= 500 or response.status == 429):
             unserved = UnservedCall(call.route.name, call.caller_deadline, call.first_arrived)
             record_unserved(self._unserved, self._clock(), unserved)
+        if call is not None:
+            self._count_for_customer(call, refused=_is_not_run(reply))
         return response
 
     def _build_response(
@@ -165,9 +210,10 @@
             return HttpResponse(reply.status, reply.headers, reply.body)
         outcome, reason = Outcome(reply.outcome), Reason(reply.reason)
         self._telemetry.counters.add(f"entry.{outcome.value}.{reason.value}")
-        status = 503 if outcome is Outcome.NOT_RUN else _STATUSES.get(reason, 502)
+        status = _STATUSES.get(reason, 502)
         retry_after_ms = 0.0
-        if status == 503:
+        if outcome is Outcome.NOT_RUN:
+            status = _NOT_RUN_STATUSES.get(reason, 503)
             retry_after_ms = max(MIN_RETRY_MS, reply.retry_after_ms)
             retry_after_ms *= 1.0 + RETRY_SPREAD * self._random.random()
         self._log(fields, arrived, call, status, reason.value, progress, retry_after_ms)
@@ -182,11 +228,14 @@
         reason: str,
         progress: Progress,
         retry_after_ms: float = 0.0,
+        described: dict[str, object] | None = None,
     ) -> None:
         took_ms = (self._clock() - arrived) * 1000
         self._telemetry.histograms.add("entry.call", took_ms)
         version = self._configuration.current.version if self._configuration.current else 0
-        described: dict[str, object] = {}
+        described = dict(described or {})
+        if call is not None and call.customer is not None:
+            described["customer"] = call.customer
         if call is not None and reason == Reason.CONNECTION_LOST.value:
             described["request"] = fingerprint_call(call)[0].hex()
         if progress.crash_refusal is not None:
@@ -209,3 +258,7 @@
             attempts=progress.attempts,
             **described,
         )
+
+
+def _is_not_run(reply: Response | Refusal) -> bool:
+    return isinstance(reply, Refusal) and reply.outcome == Outcome.NOT_RUN.value
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -575,6 +575,7 @@
             retry_after_ms=0 if is_response else reply.retry_after_ms,
             **(start or {}),
             **_describe_request(request, reply),
+            **({"customer": request.member} if request.member else {}),
         )
 
     def _log_cancelled(self, request: Request, arrived: float, started: float | None) -> None:
