Keep no customer's key in the configuration that nodes send each other

A node keeps the configuration as the store holds it and sends it to peers, so keys went over links and stayed in memory. They are now replaced by their digests when a configuration becomes active, whatever its source. Newer and older are still told by the revision and the version, never by the content.

--- a/packages/mesh/src/ragwort_mesh/_configuration.py
+++ b/packages/mesh/src/ragwort_mesh/_configuration.py
@@ -17,6 +17,7 @@
     Change,
     StoredObject,
     decode_configuration,
+    redact_keys,
 )
 
 from ragwort_mesh._store import WATCH_SLACK_S, StoreClient, order_revision
@@ -44,7 +45,7 @@
         The active configuration, None until one is loaded, and its limits on callers.
     revision, content
         Order of the configuration's store revision (``order_revision``), 0 until one is loaded, and
-        its encoded bytes.
+        its encoded bytes with digests in place of customers' keys.
 
     Parameters
     ----------
@@ -124,7 +125,7 @@
             events.write("configuration-older", version=configuration.version, revision=revision)
             return
         self.revision = revision
-        self.content = content
+        self.content = redact_keys(content) if configuration.customers else content
         self.current = configuration
         self.limits = configuration.limits
         self._find_route = build_route_finder(configuration)
--- a/tests/mesh/test_customers.py
+++ b/tests/mesh/test_customers.py
@@ -171,6 +171,22 @@
     run_scenario(scenario, ("s", "s"))
 
 
+def test_document_with_keys_from_a_node_that_does_not_redact_is_kept_without_them():
+    async def scenario(cluster):
+        (member,) = cluster.members
+        content = {**make_configuration(1, {}), "tenants": make_tenants(acme="k-1")}
+        active = member.node._configuration
+        active.apply_document(7, json.dumps(content).encode(), "n9")
+        assert active.current.customer_by_key == {digest_key(b"k-1"): "acme"}
+        assert b"k-1" not in active.content
+        # The same revision from the store, with keys, is still recognized as the one in force.
+        kept = active.content
+        active.apply_document(7, json.dumps(content).encode(), "store")
+        assert active.content is kept
+
+    run_scenario(scenario)
+
+
 def test_refusal_by_a_limit_is_429_with_a_retry_delay_and_counts_for_the_customer():
     async def scenario(cluster):
         await configure(cluster, 1, make_tenants(acme="k-1"))
