Test the order of calls with the ranks of customers

The rank of a customer's call is in the thousands, where routes alone give single digits. The scheduler compares ranks and does nothing else with them, so it needs no change. Its tests of the order of starts and of calls served late now run with such ranks too, which guards against a change that counts on small numbers.

tests/flow/test_scheduler.py passes.

--- a/tests/flow/test_scheduler.py
+++ b/tests/flow/test_scheduler.py
@@ -87,12 +87,17 @@
     assert build_load_report(state, 3.0).limit == state.limit
 
 
-def test_calls_start_by_priority_and_then_by_latest_start_time():
+# Ranks of customers are in the thousands; see ``RANKS_PER_CUSTOMER``.
+RANKS = pytest.mark.parametrize(("urgent", "other"), [(1, 2), (2, 1000), (1999, 999_999_000)])
+
+
+@RANKS
+def test_calls_start_by_priority_and_then_by_latest_start_time(urgent, other):
     state = make_state()
     fill(state)
-    admit_call(state, 0.0, make_pending_call(1, rank=2, objective_s=0.8))
-    admit_call(state, 0.0, make_pending_call(2, rank=2, objective_s=0.5))
-    admit_call(state, 0.0, make_pending_call(3, rank=1, objective_s=0.9))
+    admit_call(state, 0.0, make_pending_call(1, rank=other, objective_s=0.8))
+    admit_call(state, 0.0, make_pending_call(2, rank=other, objective_s=0.5))
+    admit_call(state, 0.0, make_pending_call(3, rank=urgent, objective_s=0.9))
     assert complete_call(state, 0.1, CallId(1000), True).started == [3]
     assert complete_call(state, 0.1, CallId(1001), True).started == [2]
     assert complete_call(state, 0.2, CallId(3), True).started == [1]
@@ -371,17 +376,20 @@
     assert admit_call(state, 0.0, short).verdict is Verdict.QUEUED
 
 
-def test_high_priority_and_small_calls_are_served_late_rather_than_refused():
+@RANKS
+def test_high_priority_and_small_calls_are_served_late_rather_than_refused(urgent, other):
     state = make_state()
     record_work(state.work, "small", 0.01)
     fill(state)
     for number in range(1, 5):
-        admit_call(state, 0.0, make_pending_call(number, rank=2, objective_s=9.0, deadline_s=9.0))
+        admit_call(
+            state, 0.0, make_pending_call(number, rank=other, objective_s=9.0, deadline_s=9.0)
+        )
     verdicts = [
-        admit_call(state, 0.0, make_pending_call(10, rank=2, objective_s=0.05)).verdict,
-        admit_call(state, 0.0, make_pending_call(11, rank=1, objective_s=0.05)).verdict,
+        admit_call(state, 0.0, make_pending_call(10, rank=other, objective_s=0.05)).verdict,
+        admit_call(state, 0.0, make_pending_call(11, rank=urgent, objective_s=0.05)).verdict,
         admit_call(
-            state, 0.0, make_pending_call(12, rank=2, objective_s=0.05, kind="small")
+            state, 0.0, make_pending_call(12, rank=other, objective_s=0.05, kind="small")
         ).verdict,
     ]
     assert verdicts == [Verdict.REFUSED, Verdict.QUEUED, Verdict.QUEUED]
