--- a/tests/adapter/test_names.py
+++ b/tests/adapter/test_names.py
@@ -8,9 +8,9 @@
 ROOT = Path(__file__).parents[2]
 SOURCES = sorted((ROOT / "packages").rglob("*.py"))
 NAMES = re.compile(
-    r"(?i:ragwortvalve-|server-limit|server-leaving|store-era)|RAGWORTVALVE_|/-/|\b(?:appAddr|listenAddrs|heartbeatAddr|coldRemainingMs|"
+    r"(?i:ragwortvalve-|tenant|server-limit|server-leaving|store-era)|RAGWORTVALVE_|/-/|\b(?:appAddr|listenAddrs|heartbeatAddr|coldRemainingMs|"
     r"pathPrefix|targetLatencyMs|maxAttempts|asOf|hasMore|allowStale|waitMs|deletionPending|"
-    r"nodeName|seedNodes|budgetExtraTries|non_idempotent|sidecar)\b"
+    r"apiKeys|keyDigests|authExempt|nodeName|seedNodes|budgetExtraTries|non_idempotent|sidecar)\b"
 )
 
 
