--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -4,9 +4,11 @@
     build_forwarded_headers,
     build_refusal_headers,
     build_server_request,
+    digest_key,
     is_readiness_check,
     make_answer_check,
     read_call_fields,
+    read_key,
     read_notices,
     read_server_answer,
 )
@@ -39,6 +41,23 @@
     ]
 
 
+def test_key_is_read_unless_it_is_missing_malformed_or_ambiguous():
+    for value in (b"Bearer k-1", b"bearer  k-1 ", b"BEARER\tk-1"):
+        assert read_key([(b"host", b"h"), (b"authorization", value)]) == digest_key(b"k-1")
+    for values in ([], [b"k-1"], [b"Bearer"], [b"Bearer "], [b"Basic k-1"], [b"Bearer k-1"] * 2):
+        assert read_key([(b"authorization", value) for value in values]) is None
+
+
+def test_server_gets_the_customer_in_place_of_what_the_caller_wrote():
+    headers = [(b"authorization", b"Bearer k"), (b"authorization", b"k")]
+    headers += [(b"ragwortvalve-tenant-id", b"forged")] * 2
+    kept = [(b"ragwortvalve-caller-service", b"s")]
+    assert build_forwarded_headers(headers, "s", True) == kept
+    named = [*kept, (b"ragwortvalve-tenant-id", "Büro".encode())]
+    assert build_forwarded_headers(headers, "s", True, "Büro") == named
+    assert build_forwarded_headers(headers, "s") == [*headers, *kept]
+
+
 def test_server_request_has_target_instance_and_deadline():
     data = build_server_request("POST", b"/a?b", [(b"host", b"h")], b"xy", InstanceId("i"), 12.7)
     head, _, body = data.partition(b"\r\n\r\n")
@@ -119,6 +138,7 @@
     headers = dict(build_refusal_headers(b"c1", 45))
     assert headers[b"retry-after"] == b"0.045"
     assert b"retry-after" not in dict(build_refusal_headers(b"c1", 0))
+    assert build_refusal_headers(b"", 0, needs_key=True) == [(b"www-authenticate", b"Bearer")]
 
 
 def test_readiness_check_is_recognized():
