Run safe pipelined requests of a connection at the same time

Callers send further GET requests before the first is answered; each waited until the one before it had been answered, so that one slow call delayed all behind it.

GET and HEAD requests behind a running safe one now start at once, at most 8 unanswered per connection; others run alone and in order. Responses are sent in the order of the requests. Nothing is started while the caller does not read, or while more than 1 MiB of responses wait. The connection has its own module, the order another. Also mended there, since pipelining meets them more often:

- a malformed request behind a running one, or data behind Connection: close, cancelled the running one after 1 s; only what has not been started is dropped now;
- a partial head behind complete requests was counted with them against the limit of the head;
- the time limit of a head ran while the server itself had paused reading;
- 100 Continue was sent before the responses of earlier requests;
- a handler that fails no longer closes the connection, which would cut off the requests behind it.

--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -161,7 +161,9 @@
             read_clock,
             random_source,
         )
-        self._entry_server = HttpServer(self._entry.handle, self._entry.get_limits)
+        self._entry_server = HttpServer(
+            self._entry.handle, self._entry.get_limits, telemetry.counters
+        )
         self._control_server = HttpServer(
             build_report_handler(self._gate, telemetry), lambda: CONTROL_LIMITS
         )
--- a/packages/transport/src/ragwort_transport/__init__.py
+++ b/packages/transport/src/ragwort_transport/__init__.py
@@ -13,18 +13,12 @@
 )
 from ragwort_transport._exchange import NO_REPORT, exchange_call, make_refusal
 from ragwort_transport._hedging import wait_for_first_success
+from ragwort_transport._http import HttpLimits, HttpRequest, HttpResponse, RequestHandler
 from ragwort_transport._in_flight_counter import InFlightCounter
 from ragwort_transport._link import Link, LinkLost, MessageHandler, Reply, send_in_parts
 from ragwort_transport._message import HOP_BY_HOP, Headers, build_request, find_header
 from ragwort_transport._peer_calls import PeerCalls, Receiver
-from ragwort_transport._server import (
-    HttpLimits,
-    HttpRequest,
-    HttpResponse,
-    HttpServer,
-    RequestHandler,
-    bind_socket,
-)
+from ragwort_transport._server import HttpServer, bind_socket
 
 __all__ = [
     "Answer",
