Count a valid key on a route that needs none

A call with a customer's key on an exempt route reached its server without the customer's name, while the users ask that the name be that of the key's holder. The customer is now set wherever a valid key comes; without one, an exempt route still serves the call. The tests of customers, transport and adapter pass.

--- a/packages/mesh/src/ragwort_mesh/_customers.py
+++ b/packages/mesh/src/ragwort_mesh/_customers.py
@@ -22,7 +22,8 @@
     has_customers
         Whether callers identify themselves with keys.
     customer
-        Customer whose key the caller sent; None without customers and for routes that need no key.
+        Customer whose key the caller sent; None without customers, and for a call without a valid
+        key on a route that needs none.
     rank
         Priority of the call, None for that of the route.
     allowed_regions
@@ -47,13 +48,13 @@
     """
     if not configuration.customers:
         return CallTerms(allowed_regions=route.allowed_regions or None)
-    if not route.needs_key:
-        # Nested calls come by such routes. A caller's key counts for nothing there.
-        return CallTerms(True, None, _combine_ranks(None, route), route.allowed_regions or None)
     # The table is found by a hash of the digest, so the time taken tells nothing about a key.
     name = configuration.customer_by_key.get(key) if key is not None else None
     if name is None:
-        return None
+        if route.needs_key:
+            return None
+        # Nested calls come by such routes, without a key.
+        return CallTerms(True, None, _combine_ranks(None, route), route.allowed_regions or None)
     customer = configuration.customers[name]
     return CallTerms(
         True,
