Keep calls within the home regions of their routes

Routes state allowed regions, but every call could still run in any region: the dispatcher chose among all reachable servers of the service.

flow/_eligibility.py decides whether a server may get a call, from its location, the call's allowed regions and the evacuated failure domains. The dispatcher filters its candidates with it before each choice, so first attempts, retries, hedges and the search for an alternative follow it. No domain is evacuated yet.

tests/flow/test_eligibility.py and tests/mesh/test_home_regions.py: 18 passed. With the filter taken out of the dispatcher, all four tests of test_home_regions.py fail. Linters and import contracts pass.

--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -30,6 +30,7 @@
 )
 from ragwort_flow._decision import EXPIRED, QUEUED, RUN, Decision, Verdict
 from ragwort_flow._distance import Distance, RandomSource, find_distance
+from ragwort_flow._eligibility import Eligibility, check_eligibility, explain_absence
 from ragwort_flow._fingerprint import fingerprint_request
 from ragwort_flow._hedging import get_hedge_delay
 from ragwort_flow._instance_tracker import (
@@ -94,6 +95,7 @@
     "CrashHistory",
     "Decision",
     "Distance",
+    "Eligibility",
     "EXPIRED",
     "FULL_SLOWDOWN",
     "InstanceTracker",
@@ -123,6 +125,7 @@
     "admit_call",
     "build_load_report",
     "cancel_call",
+    "check_eligibility",
     "choose_service_index",
     "choose_target",
     "claim_first_arrival",
@@ -132,6 +135,7 @@
     "estimate_response_time",
     "estimate_slowdown",
     "estimate_work",
+    "explain_absence",
     "find_blame",
     "find_distance",
     "fingerprint_request",
--- a/packages/flow/src/ragwort_flow/_placement.py
+++ b/packages/flow/src/ragwort_flow/_placement.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
-from ragwort_common import NodeId
+from ragwort_common import FailureDomain, NodeId, Region
 from ragwort_protocol import LoadReport
 
 from ragwort_flow._distance import Distance, RandomSource
@@ -85,6 +85,8 @@
         Send times of the calls since the report.
     suspended_until
         Time until which it gets no calls because it refuses them or is unreachable.
+    failure_domain, region
+        Location of its host.
     """
 
     node: NodeId
@@ -93,6 +95,8 @@
     reported_at: float = 0.0
     sent: deque[float] = field(default_factory=deque)
     suspended_until: float = 0.0
+    failure_domain: FailureDomain = FailureDomain("")
+    region: Region = Region("")
 
 
 class Timing(Enum):
--- a/packages/mesh/src/ragwort_mesh/_dispatcher.py
+++ b/packages/mesh/src/ragwort_mesh/_dispatcher.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, field
 
-from ragwort_common import NodeId, Outcome, Reason, ServiceName
+from ragwort_common import FailureDomain, NodeId, Outcome, Reason, ServiceName
 from ragwort_flow import (
     Distance,
+    Eligibility,
     Placement,
     RetryBudget,
     RetryLimits,
@@ -15,9 +16,11 @@
     Timing,
     WorkEstimates,
     acquire_retry,
+    check_eligibility,
     choose_target,
     count_call,
     estimate_work,
+    explain_absence,
     get_hedge_delay,
     has_spare_capacity,
     record_sent,
@@ -89,6 +92,8 @@
         Log entries of the attempts.
     crash_refusal
         Why the call is not sent to a server, or not to another one, if it may crash it.
+    reachable
+        Reachable servers of its service by their eligibility, if none was left for the call.
     """
 
     tried: set[NodeId] = field(default_factory=set)
@@ -99,10 +104,17 @@
     retry_after_ms: int = 0
     attempts: list[Attempt] = field(default_factory=list)
     crash_refusal: CrashRefusal | None = None
+    reachable: dict[str, int] | None = None
 
 
 class Dispatcher:
-    """Routes calls to servers; keeps work estimates, body sizes and retry budgets per service."""
+    """Routes calls to servers; keeps work estimates, body sizes and retry budgets per service.
+
+    Parameters
+    ----------
+    list_evacuated
+        Returns the failure domains whose servers may get no calls.
+    """
 
     def __init__(
         self,
@@ -115,6 +127,7 @@
         clock: Callable[[], float],
         limits: RetryLimits,
         random_source: random.Random,
+        list_evacuated: Callable[[], Collection[FailureDomain]] = frozenset,
     ) -> None:
         self._node = node
         self._gate = gate
@@ -125,6 +138,7 @@
         self._clock = clock
         self._limits = limits
         self._random = random_source
+        self._list_evacuated = list_evacuated
         self._work = WorkEstimates()
         self._mean_body_kb: dict[RouteName, float] = {}
         self._retry_budgets: dict[ServiceName, RetryBudget] = {}
@@ -149,7 +163,7 @@
                 return self._finish_crashing(progress, progress.crash_refusal)
             placement = self._choose(call, progress, now)
             if placement is None:
-                return self._finish(progress, Reason.NO_SERVER)
+                return self._finish(progress, self._explain_absence(call, progress, now))
             reply = await self._try_hedged(call, placement, progress)
             if self._is_final(call, reply, progress):
                 return reply if isinstance(reply, Response) else self._finish(progress, Reason.NONE)
@@ -158,7 +172,7 @@
         if len(progress.tried) >= MAX_GATES:
             return None
         return choose_target(
-            self._list_usable(call.service, now),
+            self._list_eligible(call, now),
             now,
             self._random,
             progress.tried,
@@ -167,6 +181,22 @@
             self._mean_body_kb.get(call.route.name, 0.0),
         )
 
+    def _list_eligible(self, call: Call, now: float) -> Iterator[Target]:
+        regions, evacuated = call.allowed_regions, self._list_evacuated()
+        for target in self._list_usable(call.service, now):
+            if check_eligibility(target, regions, evacuated) is Eligibility.ELIGIBLE:
+                yield target
+
+    def _explain_absence(self, call: Call, progress: Progress, now: float) -> Reason:
+        """Return why there is no further server for a call, and record what there is."""
+        regions, evacuated = call.allowed_regions, self._list_evacuated()
+        if regions is None and not evacuated:
+            return Reason.NO_SERVER
+        reachable = list(self._list_usable(call.service, now))
+        found = [check_eligibility(target, regions, evacuated) for target in reachable]
+        progress.reachable = {kind.value: found.count(kind) for kind in Eligibility}
+        return explain_absence(reachable, regions, evacuated)
+
     def _list_usable(self, service: ServiceName, now: float) -> Iterator[Target]:
         for target in self._targets.list_targets(service):
             if target.node == self._node:
@@ -308,10 +338,12 @@
             if progress.refusal is not None and progress.refusal.outcome != Outcome.NOT_RUN.value:
                 return progress.refusal
             return make_refusal(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
-        if progress.refusal is None:
-            return make_refusal(Outcome.NOT_RUN, reason, NO_SERVER_RETRY_MS)
-        refusal_reason = Reason(progress.refusal.reason)
-        return make_refusal(Outcome.NOT_RUN, refusal_reason, progress.retry_after_ms)
+        refusal = progress.refusal
+        # An evacuated host's gate may refuse a call before this node knows of the evacuated domain.
+        if refusal is None or refusal.reason == Reason.EVACUATED.value:
+            retry_after_ms = progress.retry_after_ms or NO_SERVER_RETRY_MS
+            return make_refusal(Outcome.NOT_RUN, reason, retry_after_ms)
+        return make_refusal(Outcome.NOT_RUN, Reason(refusal.reason), progress.retry_after_ms)
 
     def _finish_crashing(
         self, progress: Progress, crash_refusal: CrashRefusal
--- a/packages/mesh/src/ragwort_mesh/_entry.py
+++ b/packages/mesh/src/ragwort_mesh/_entry.py
@@ -125,6 +125,7 @@
             caller_deadline=caller_deadline,
             objective=first_arrived + route.objective_ms / 1000,
             deadline=arrived + min(caller_timeout_ms, route.timeout_ms) / 1000,
+            allowed_regions=route.allowed_regions or None,
         )
 
     def _choose_service(self, route: Route) -> ServiceName:
@@ -192,6 +193,9 @@
         if progress.crash_refusal is not None:
             described["request"] = progress.crash_refusal.request.hex()
             described["crashes"] = progress.crash_refusal.crashes
+        if call is not None and progress.reachable is not None:
+            described["reachable"] = progress.reachable
+            described["allowed_regions"] = call.allowed_regions and sorted(call.allowed_regions)
         self._telemetry.events.write_call(
             "entry",
             status >= 500 or not status,
--- a/packages/mesh/src/ragwort_mesh/_targets.py
+++ b/packages/mesh/src/ragwort_mesh/_targets.py
@@ -27,7 +27,12 @@
                 target = known[1]
             else:
                 location = (record.failure_domain, record.region)
-                target = Target(node, find_distance(self._location, location))
+                target = Target(
+                    node,
+                    find_distance(self._location, location),
+                    failure_domain=record.failure_domain,
+                    region=record.region,
+                )
                 if node in self._early_reports:
                     update_report(target, *self._early_reports.pop(node))
             nodes[node] = (record, target)
