Evacuate failure domains on the operators' request

The operators' store may hold an object for a failure domain whose servers are to get no calls. Nothing read it.

mesh/_evacuations.py keeps the evacuated domains with the store's order at which they were read. The nodes that watch the store list and watch the objects, and tell all peers of each change; every node tells each newly linked peer (EvacuationNotice, tag 60). The dispatcher leaves out the servers of these domains. The gate of an evacuated host refuses waiting and new calls as not run, and reports that it accepts none; running calls end. At the end it asks the health path, in Gate.expect_cold. A node that starts accepts no calls until it knows the set from the store or a peer, or until the bound has passed without either. All of it runs only if the bound evacuationMs is set. KindWatch reports the revision of each reply, since the revision of a removed object may be that of its last change.

--- a/packages/flow/src/ragwort_flow/_scheduler.py
+++ b/packages/flow/src/ragwort_flow/_scheduler.py
@@ -118,6 +118,8 @@
 
     Attributes
     ----------
+    closed_reason
+        Reason to refuse calls while they are not accepted.
     limit
         Current concurrency limit, at most the number of slots.
     max_rank
@@ -127,6 +129,7 @@
     """
 
     accepting: bool = False
+    closed_reason: Reason = Reason.LEAVING
     slots: int = 1
     limit: int = 1
     cold_until: float = 0.0
@@ -184,10 +187,11 @@
     state.cold_until = now + cold_s
 
 
-def stop_accepting(state: SchedulerState) -> SchedulingResult:
-    """Stop accepting calls and refuse the waiting ones."""
+def stop_accepting(state: SchedulerState, reason: Reason = Reason.LEAVING) -> SchedulingResult:
+    """Stop accepting calls, and refuse the waiting ones and all others for the given reason."""
     state.accepting = False
-    refused = [(call.call_id, _refuse_leaving()) for call in state.waiting]
+    state.closed_reason = reason
+    refused = [(call.call_id, _refuse_closed(state)) for call in state.waiting]
     state.waiting.clear()
     return SchedulingResult(refused=refused)
 
@@ -217,7 +221,7 @@
 def admit_call(state: SchedulerState, now: float, pending: PendingCall) -> Decision:
     """Decide whether a new call runs, is queued for a later step, or is refused."""
     if not state.accepting:
-        return _refuse_leaving()
+        return _refuse_closed(state)
     if pending.deadline <= now:
         return EXPIRED
     state.max_rank = max(state.max_rank, pending.rank)
@@ -385,8 +389,8 @@
     return latest_start if latest_start >= now else now + LATE_CALL_DELAY_S
 
 
-def _refuse_leaving() -> Decision:
-    return Decision(Verdict.REFUSED, Reason.LEAVING)
+def _refuse_closed(state: SchedulerState) -> Decision:
+    return Decision(Verdict.REFUSED, state.closed_reason)
 
 
 def _may_start(state: SchedulerState, now: float, pending: PendingCall) -> bool:
--- a/packages/mesh/src/ragwort_mesh/_configuration.py
+++ b/packages/mesh/src/ragwort_mesh/_configuration.py
@@ -72,7 +72,7 @@
         self._telemetry = telemetry
         self._on_change = on_change
         self._reader = KindReader(CONFIGURATION_KIND, store, telemetry)
-        settings = WatchSettings(CONFIGURATION_KIND, _choose_watch_wait(settle_s), WATCH_PAUSE_S)
+        settings = WatchSettings(CONFIGURATION_KIND, choose_watch_wait(settle_s), WATCH_PAUSE_S)
         self._watch = KindWatch(
             settings, store, telemetry, self._apply_listing, self._apply_change, watch_enabled
         )
@@ -80,7 +80,7 @@
 
     def set_settle_time(self, settle_s: float) -> None:
         """Apply a changed bound; see ``Bounds``."""
-        self._watch.set_wait(_choose_watch_wait(settle_s))
+        self._watch.set_wait(choose_watch_wait(settle_s))
 
     def get_route_finder(self) -> FindRoute | None:
         """Return the function that finds routes, or None until a configuration is loaded."""
@@ -139,7 +139,7 @@
         self._on_change()
 
 
-def _choose_watch_wait(settle_s: float) -> float:
+def choose_watch_wait(settle_s: float) -> float:
     """Return how long a watch request waits, in seconds.
 
     A connection can go silent without closing, so a lost request shows only by its timeout. By the
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -109,6 +109,9 @@
         Called when the server starts or stops accepting calls.
     crashes
         Is told of crashes of the server, and says which calls may not run because of them.
+    evacuated
+        Whether the server's failure domain is evacuated; None until that is known, and until then
+        no calls are accepted either.
 
     Attributes
     ----------
@@ -124,6 +127,7 @@
         clock: Callable[[], float],
         on_change: Callable[[], None],
         crashes: CrashLedger,
+        evacuated: bool | None = False,
     ) -> None:
         self._pool = ClientPool(address, max_idle=64, max_response_bytes=MAX_ANSWER_BYTES)
         self._address = address
@@ -137,6 +141,8 @@
         self._state = SchedulerState()
         self._tracker = InstanceTracker()
         self._stopping = False
+        self._evacuated = evacuated
+        self._is_available = False
         self._pending: dict[CallId, asyncio.Future[Decision]] = {}
         self._review: asyncio.TimerHandle | None = None
         self._ids = itertools.count(1)
@@ -185,14 +191,38 @@
         self._report_crash(before, record_server_report(self._detector, is_new))
         if is_new:
             reset_server(self._state)
-        if is_new or not self._state.accepting:
+        if is_new or not self._is_available:
             self._log_server("server-ready", report)
-        if self._stopping:
+        self._is_available = True
+        self._accept(current, now)
+
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Refuse all calls while the server's domain is evacuated; running ones continue."""
+        was_evacuated = self._evacuated
+        if evacuated == was_evacuated:
             return
-        was_accepting = self._state.accepting
-        update_server(self._state, now, current.slots, current.cold_ms / 1000)
-        if not was_accepting:
-            self._on_change()
+        self._evacuated = evacuated
+        if evacuated or was_evacuated:
+            self._telemetry.events.write(
+                "server-evacuated",
+                evacuated=evacuated,
+                running=len(self._state.running),
+                waiting=len(self._state.waiting),
+            )
+        if evacuated:
+            self._stop_admission(Reason.EVACUATED)
+            return
+        self._apply_result(stop_accepting(self._state))
+        if was_evacuated:
+            self.expect_cold()
+        current = self._tracker.current
+        if current is not None and self._is_available:
+            self._accept(current, self._clock())
+
+    def expect_cold(self) -> None:
+        """Ask the health path for the server's state, since it may have turned cold unnoticed."""
+        if self._health_target is not None and self._speed_query is None:
+            self._speed_query = asyncio.create_task(self._query_speed(self._health_target))
 
     def set_health_target(self, target: str | None) -> None:
         """Set the path of the server's health check, or None if it has none."""
@@ -279,13 +309,25 @@
         self._stopping = True
         self._stop_admission()
 
-    def _stop_admission(self) -> None:
-        self._apply_result(stop_accepting(self._state))
+    def _stop_admission(self, reason: Reason = Reason.LEAVING) -> None:
+        self._apply_result(stop_accepting(self._state, reason))
         self._on_change()
 
+    def _accept(self, server: Heartbeat, now: float) -> None:
+        """Accept calls for the server, given its latest report, unless the gate is closed."""
+        if self._stopping or self._evacuated is not False:
+            return
+        was_accepting = self._state.accepting
+        cold_s = server.cold_ms / 1000 - (now - self._tracker.last_heartbeat_at)
+        update_server(self._state, now, server.slots, max(0.0, cold_s))
+        if not was_accepting:
+            self._on_change()
+
     def _mark_unavailable(self, cause: str, report: object) -> None:
-        if self._state.accepting:
+        if self._is_available:
+            self._is_available = False
             self._log_server(f"server-{cause}", report)
+        if self._state.accepting:
             self._stop_admission()
 
     def _release_detached(self, run: "asyncio.Task[Response | Refusal]") -> None:
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -17,6 +17,7 @@
     CrashCleared,
     CrashNotice,
     CrashTrial,
+    EvacuationNotice,
     Hello,
     LoadReport,
     Message,
@@ -40,6 +41,7 @@
 from ragwort_mesh._directory import Directory
 from ragwort_mesh._dispatcher import Dispatcher
 from ragwort_mesh._entry import Entry
+from ragwort_mesh._evacuations import Evacuations
 from ragwort_mesh._events import EventHandler, EventLog
 from ragwort_mesh._gate import Gate
 from ragwort_mesh._load_publisher import LoadPublisher
@@ -90,6 +92,14 @@
             watch_enabled,
             settings.bounds.settle_s,
         )
+        self._evacuations = Evacuations(
+            settings.bounds,
+            self._store,
+            telemetry,
+            lambda: self._peers.list_links(),
+            self._on_evacuations,
+            watch_enabled,
+        )
         self._crashes = CrashLedger(
             settings.node, lambda: self._peers.list_links(), telemetry, read_clock
         )
@@ -100,6 +110,7 @@
             read_clock,
             self._broadcast_load,
             self._crashes,
+            None if self._evacuations.is_enabled else False,
         )
         self._calls = PeerCalls(self._gate.run_call, telemetry.counters, self._receive_other)
         hello = Hello(settings.node, Incarnation(time.time_ns() // 1_000_000))
@@ -152,6 +163,7 @@
             read_clock,
             _make_retry_limits(settings.bounds),
             random_source,
+            lambda: self._evacuations.failure_domains,
         )
         self._entry = Entry(
             settings.service,
@@ -193,6 +205,7 @@
             await self._metrics_server.listen(self._metrics_address)
         for coroutine in (
             self._configuration.run(),
+            self._evacuations.run(),
             self._directory.run(),
             self._directory.run_watch(),
             self._peer_sync.run(),
@@ -214,6 +227,7 @@
         self._settings = settings
         self._dispatcher.set_retry_limits(_make_retry_limits(settings.bounds))
         self._configuration.set_settle_time(settings.bounds.settle_s)
+        self._evacuations.set_bounds(settings.bounds)
 
     def follow_settings(self, load: LoadSettings) -> SettingsWatch:
         """Start polling the settings file, and return the watch so that a signal can reload it."""
@@ -278,6 +292,7 @@
 
     def _on_store_restored(self) -> None:
         self._configuration.list_again()
+        self._evacuations.list_again()
         self._directory.list_again()
         self._crash_archive.publish_again()
 
@@ -288,9 +303,10 @@
         self._peers.dial_missing()
 
     def _on_link_opened(self, link: Link) -> None:
-        """Send this node's load, configuration revision and crashes to a newly linked peer."""
+        """Send this node's load and what it knows from the store to a newly linked peer."""
         link.send(self._gate.make_report())
         self._peer_sync.announce(link)
+        self._evacuations.announce(link)
         if self._watch_enabled.is_set() and self._is_domain_peer(link.peer):
             self._crashes.send_all(link)
         else:
@@ -311,6 +327,10 @@
     def _broadcast_load(self) -> None:
         self._load_publisher.broadcast()
 
+    def _on_evacuations(self) -> None:
+        domains = self._evacuations.failure_domains
+        self._gate.set_evacuated(self._settings.failure_domain in domains)
+
     def _on_configuration(self) -> None:
         self._peer_sync.announce_revision()
         current = self._configuration.current
@@ -338,6 +358,8 @@
             self._apply_report(link, message)
         elif kind in (CrashNotice, CrashCleared, CrashTrial):
             self._crashes.receive(link, message)
+        elif kind is EvacuationNotice:
+            self._evacuations.receive(link, message)
         else:
             self._peer_sync.receive(link, message)
 
--- a/packages/mesh/src/ragwort_mesh/_watch.py
+++ b/packages/mesh/src/ragwort_mesh/_watch.py
@@ -133,6 +133,9 @@
     watch_enabled
         Set while changes are to be watched. Each time it is set, the watch starts with a listing.
         The first listing is done even if it is not set, unless ``skip_first_listing`` was called.
+    on_read
+        Called after the changes of a reply, with the store's revision up to which there are no
+        others, and its era.
     """
 
     def __init__(
@@ -143,6 +146,7 @@
         on_listed: Callable[[Listing], None],
         on_change: Callable[[Change, int], None],
         watch_enabled: asyncio.Event,
+        on_read: Callable[[int, int], None] | None = None,
     ) -> None:
         self._settings = settings
         self._wait_s = settings.wait_s
@@ -151,6 +155,7 @@
         self._on_listed = on_listed
         self._on_change = on_change
         self._watch_enabled = watch_enabled
+        self._on_read = on_read
         self._first_listing_done = False
         self._revision: int | None = None
         self._must_list = False
@@ -234,6 +239,8 @@
         self._revision = changes.revision
         for change in changes.changes:
             self._on_change(change, changes.era)
+        if self._on_read is not None:
+            self._on_read(changes.revision, changes.era)
         if changes.changes and self._settings.pause_s:
             await asyncio.sleep(self._settings.pause_s)
         return None
--- a/packages/model/src/ragwort_model/_node.py
+++ b/packages/model/src/ragwort_model/_node.py
@@ -58,7 +58,8 @@
     settle_s
         Time after the end of a disruption from which the bounds on delays hold again, in seconds.
     evacuation_s
-        Time within which an evacuation takes effect, in seconds; None if there are no evacuations.
+        Time within which evacuating a failure domain takes effect, in seconds; None if the
+        deployment evacuates none.
     cold_excess, cold_slack
         Most calls that a cold server may get in any second: ``cold_excess`` times its rate plus
         ``cold_slack``.
--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -21,6 +21,7 @@
     encode_frame,
 )
 from ragwort_protocol._crashes import CrashCleared, CrashNotice, CrashTrial
+from ragwort_protocol._evacuations import EvacuationNotice
 from ragwort_protocol._gossip import (
     Digest,
     LoadNotice,
@@ -62,6 +63,7 @@
     "Digest",
     "Document",
     "DocumentRequest",
+    "EvacuationNotice",
     "FrameReader",
     "Hello",
     "LoadNotice",
--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ragwort_protocol import _calls, _claims, _crashes, _gossip, _load, _revision
+from ragwort_protocol import _calls, _claims, _crashes, _evacuations, _gossip, _load, _revision
 from ragwort_protocol._message import Message
 
 PROTOCOL_VERSION = 1
@@ -55,6 +55,7 @@
     | _crashes.CrashNotice
     | _crashes.CrashCleared
     | _crashes.CrashTrial
+    | _evacuations.EvacuationNotice
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_MESSAGES)
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -61,10 +61,10 @@
         return Answer(200, SIGNED + self.headers, b"")
 
 
-def make_gate(clock=read_clock, pool=None, reported=True):
+def make_gate(clock=read_clock, pool=None, reported=True, evacuated=False):
     telemetry = Telemetry(EventLog("n"), Counters())
     crashes = CrashLedger(NodeId("n"), list, telemetry, clock)
-    gate = Gate("127.0.0.1:1", "s", telemetry, clock, lambda: None, crashes)
+    gate = Gate("127.0.0.1:1", "s", telemetry, clock, lambda: None, crashes, evacuated)
     gate._pool = pool or FakePool()
     if reported:
         gate.apply_server_report(HEARTBEAT)
@@ -167,6 +167,48 @@
     run_scenario(scenario)
 
 
+def test_evacuated_server_finishes_its_calls_and_gets_no_others_until_the_end():
+    async def scenario(gate):
+        gate.set_health_target("/healthz")
+        calls = [asyncio.create_task(gate.run_call(make_request())) for _ in range(5)]
+        await wait_until(lambda: gate.make_report().queued)
+        started = len(gate._pool.held)
+        gate.set_evacuated(True)
+        gate.apply_server_report(replace(HEARTBEAT, sequence=2))
+        assert not gate.make_report().accepting
+        calls.append(asyncio.create_task(gate.run_call(make_request())))
+        for held in gate._pool.held:
+            held.set_result(Answer(200, SIGNED, b""))
+        replies = await asyncio.gather(*calls)
+        assert len(gate._pool.held) == started
+        refused = [reply for reply in replies if isinstance(reply, Refusal)]
+        assert len(refused) == 6 - started
+        assert {(r.outcome, r.reason) for r in refused} == {("not-run", "evacuated")}
+        assert not gate._pool.speed_queries
+        gate.set_evacuated(False)
+        assert gate.accepting
+        await wait_until(lambda: gate._pool.speed_queries)
+
+    run_scenario(scenario)
+
+
+def test_server_that_left_while_it_was_evacuated_gets_no_calls_after_the_end():
+    gate = make_gate()
+    gate.set_evacuated(True)
+    gate.apply_server_report(replace(HEARTBEAT, sequence=2, state=InstanceState.DRAINING))
+    gate.set_evacuated(False)
+    assert not gate.accepting
+    gate.apply_server_report(replace(HEARTBEAT, instance=InstanceId("j"), born_ms=2))
+    assert gate.accepting
+
+
+def test_gate_is_closed_until_the_evacuated_domains_are_known():
+    gate = make_gate(evacuated=None)
+    assert not gate.accepting
+    gate.set_evacuated(False)
+    assert gate.accepting
+
+
 def make_noisy(gate, now):
     """Put the gate on a host with noisy neighbours, with a speed reported one second ago."""
     gate.set_health_target("/healthz")
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -7,6 +7,7 @@
     CrashNotice,
     CrashTrial,
     Data,
+    EvacuationNotice,
     FrameReader,
     ProtocolError,
     Request,
@@ -28,6 +29,11 @@
     ),
     st.builds(CrashCleared, request=st.binary(max_size=8)),
     st.builds(CrashTrial, request=st.binary(max_size=8)),
+    st.builds(
+        EvacuationNotice,
+        order=st.integers(0, 2**60),
+        failure_domains=st.lists(st.text(max_size=20), max_size=16),
+    ),
 )
 
 
