--- a/packages/mesh/src/ragwort_mesh/_entry.py
+++ b/packages/mesh/src/ragwort_mesh/_entry.py
@@ -195,7 +195,8 @@
             described["crashes"] = progress.crash_refusal.crashes
         if call is not None and progress.reachable is not None:
             described["reachable"] = progress.reachable
-            described["allowed_regions"] = call.allowed_regions and sorted(call.allowed_regions)
+            regions = call.allowed_regions
+            described["allowed_regions"] = None if regions is None else sorted(regions)
         self._telemetry.events.write_call(
             "entry",
             status >= 500 or not status,
