--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -30,6 +30,7 @@
 )
 from ragwort_flow._decision import EXPIRED, QUEUED, RUN, Decision, Verdict
 from ragwort_flow._distance import Distance, RandomSource, find_distance
+from ragwort_flow._eligibility import Eligibility, check_eligibility, explain_absence
 from ragwort_flow._fingerprint import fingerprint_request
 from ragwort_flow._hedging import get_hedge_delay
 from ragwort_flow._instance_tracker import (
@@ -101,6 +102,7 @@
     "DOMAIN_PROBES_PER_S",
     "Decision",
     "Distance",
+    "Eligibility",
     "EXPIRED",
     "FULL_SLOWDOWN",
     "InstanceTracker",
@@ -130,6 +132,7 @@
     "admit_call",
     "build_load_report",
     "cancel_call",
+    "check_eligibility",
     "choose_service_index",
     "choose_target",
     "claim_first_arrival",
@@ -139,6 +142,7 @@
     "estimate_response_time",
     "estimate_slowdown",
     "estimate_work",
+    "explain_absence",
     "find_blame",
     "find_distance",
     "find_probe_interval",
--- a/packages/mesh/src/ragwort_mesh/_entry.py
+++ b/packages/mesh/src/ragwort_mesh/_entry.py
@@ -241,6 +241,10 @@
         if progress.crash_refusal is not None:
             described["request"] = progress.crash_refusal.request.hex()
             described["crashes"] = progress.crash_refusal.crashes
+        if call is not None and progress.reachable is not None:
+            described["reachable"] = progress.reachable
+            regions = call.allowed_regions
+            described["allowed_regions"] = None if regions is None else sorted(regions)
         self._telemetry.events.write_call(
             "entry",
             status >= 500 or not status,
