Limit the calls that a cold server gets

Cause: a cold server crashes at a rate well above its coldPerS, and the gate only assumed that it is slower. Change: flow/_cold_start.py holds a token bucket that fills at coldPerS, holds half of coldSlack and starts empty; the scheduler asks it for room, expected wait and the limit in the load report. Coldness is known from reports, health checks (ten a second while the server gets calls, as reports come only every 1.5 s), a new start, and Gate.expect_cold. Without coldPerS nothing changes. A report without coldRemainingMs no longer counts as one of a warm server.

--- a/packages/flow/src/ragwort_flow/_scheduler.py
+++ b/packages/flow/src/ragwort_flow/_scheduler.py
@@ -19,6 +19,18 @@
 from ragwort_common import CallId, Reason
 from ragwort_protocol import LoadReport
 
+from ragwort_flow._cold_start import (
+    ColdState,
+    bound_concurrency,
+    estimate_cold_wait,
+    forget_server,
+    has_cold_token,
+    is_cold,
+    is_expected_cold,
+    record_cold_start,
+    record_statement,
+    take_cold_token,
+)
 from ragwort_flow._concurrency_limit import (
     MIN_CALLS_BELOW_KNEE,
     KneeState,
@@ -129,7 +141,7 @@
     accepting: bool = False
     slots: int = 1
     limit: int = 1
-    cold_until: float = 0.0
+    cold: ColdState = field(default_factory=ColdState)
     speed: SpeedState = field(default_factory=SpeedState)
     work: WorkEstimates = field(default_factory=WorkEstimates)
     running: dict[CallId, "_Running"] = field(default_factory=dict)
@@ -173,15 +185,25 @@
     state.speed = SpeedState()
     state.knee = KneeState()
     state.rate = RateLimit()
+    forget_server(state.cold)
     state.failure_ratio = 0.0
 
 
-def update_server(state: SchedulerState, now: float, slots: int, cold_s: float) -> None:
-    """Accept calls, with the server's number of slots and the remaining time of its cold start."""
+def update_server(
+    state: SchedulerState, now: float, slots: int, cold_s: float | None, is_new: bool = False
+) -> None:
+    """Accept calls, with the server's number of slots and how long it states that it stays cold.
+
+    ``cold_s`` is None if the server doesn't state that. A new server is then cold for as long as
+    its service's servers usually are.
+    """
     state.accepting = True
     state.slots = slots
     state.limit = choose_limit(state.knee, slots)
-    state.cold_until = now + cold_s
+    if cold_s is not None:
+        record_statement(state.cold, now, cold_s)
+    elif is_new or is_expected_cold(state.cold):
+        record_cold_start(state.cold, now)
 
 
 def stop_accepting(state: SchedulerState) -> SchedulingResult:
@@ -294,7 +316,7 @@
     wait_s = _estimate_wait(state, now, [call.pending for call in state.waiting], 0.0)
     return LoadReport(
         in_flight=len(state.running),
-        limit=_find_effective_limit(state, mean_s * slowdown),
+        limit=_find_effective_limit(state, now, mean_s * slowdown),
         queued=len(state.waiting),
         service_time_us=int(mean_s * slowdown * 1e6),
         accepting=state.accepting,
@@ -307,17 +329,19 @@
 
 def _has_room(state: SchedulerState, now: float) -> bool:
     """Return whether the server's limits let one more call start."""
-    return len(state.running) < state.limit and has_token(state.rate, now)
+    has_tokens = has_token(state.rate, now) and has_cold_token(state.cold, now)
+    return len(state.running) < state.limit and has_tokens
 
 
-def _find_effective_limit(state: SchedulerState, service_time_s: float) -> int:
+def _find_effective_limit(state: SchedulerState, now: float, service_time_s: float) -> int:
     """Return how many calls run at a time when the server gets all that it takes.
 
     At a limited rate this follows from Little's law.
     """
-    if state.rate.calls_per_s is None:
-        return state.limit
-    return max(1, min(state.limit, round(state.rate.calls_per_s * service_time_s)))
+    running = bound_concurrency(state.cold, now, service_time_s)
+    if state.rate.calls_per_s is not None:
+        running = min(running, state.rate.calls_per_s * service_time_s)
+    return max(1, round(min(state.limit, running)))
 
 
 def _may_be_served_late(state: SchedulerState, pending: PendingCall, work_s: float) -> bool:
@@ -413,7 +437,7 @@
     if state.speed.has_reports:
         # The reported slowdown includes that of a cold start.
         return get_baseline(state.speed)
-    return COLD_SLOWDOWN if now < state.cold_until else 1.0
+    return COLD_SLOWDOWN if is_cold(state.cold, now) else 1.0
 
 
 def _estimate_wait(
@@ -427,6 +451,7 @@
         ahead_s = sum(_estimate_work(state, pending) for pending in ahead) * slowdown
         wait_s = max(wait_s, (_average(remaining) + ahead_s) / state.limit)
     wait_s = max(wait_s, estimate_token_wait(state.rate, now, len(ahead) + 1))
+    wait_s = max(wait_s, estimate_cold_wait(state.cold, now, len(ahead) + 1))
     return wait_s + work_s * slowdown
 
 
@@ -443,6 +468,7 @@
 def _start(state: SchedulerState, now: float, pending: PendingCall) -> None:
     above_knee = len(state.running) + 1 > find_knee_limit(state.slots)
     take_token(state.rate, now)
+    take_cold_token(state.cold, now)
     speed = state.speed
     slowdown = (
         estimate_slowdown(speed, now) if speed.has_reports else _estimate_start_slowdown(state, now)
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -11,6 +11,7 @@
 
 from ragwort_common import CallId, Outcome, Reason, ServiceName
 from ragwort_flow import (
+    ColdLimit,
     CrashDetector,
     Decision,
     InstanceTracker,
@@ -68,6 +69,7 @@
 )
 
 from ragwort_mesh._call import fingerprint_call
+from ragwort_mesh._cold_server import ColdServer
 from ragwort_mesh._crash_ledger import CrashLedger, CrashRefusal
 from ragwort_mesh._telemetry import Telemetry
 
@@ -135,6 +137,7 @@
         self._detector: CrashDetector[Request] = CrashDetector(_describe_running)
         self._end_check: asyncio.Task[None] | None = None
         self._state = SchedulerState()
+        self._cold = ColdServer(self._state.cold, telemetry, clock)
         self._tracker = InstanceTracker()
         self._stopping = False
         self._pending: dict[CallId, asyncio.Future[Decision]] = {}
@@ -190,7 +193,9 @@
         if self._stopping:
             return
         was_accepting = self._state.accepting
-        update_server(self._state, now, current.slots, current.cold_ms / 1000)
+        cold_s = current.cold_ms / 1000 if current.cold_ms is not None else None
+        update_server(self._state, now, current.slots, cold_s, is_new)
+        self._cold.note_change("report")
         if not was_accepting:
             self._on_change()
 
@@ -198,6 +203,30 @@
         """Set the path of the server's health check, or None if it has none."""
         self._health_target = target
 
+    def set_cold_limit(self, limit: ColdLimit | None) -> None:
+        """Set the limit on calls while the server is cold, or None if it has none."""
+        self._cold.set_limit(limit)
+
+    def expect_cold(self) -> None:
+        """Treat the server as cold until a report or a health check states otherwise."""
+        self._cold.expect_cold()
+
+    async def watch_cold(self) -> None:
+        """Ask the server whether it has turned cold while it gets calls, until cancelled."""
+        await self._cold.run(self._check_cold)
+
+    async def _check_cold(self) -> None:
+        if self._health_target is None or self._tracker.current is None:
+            return
+        self._telemetry.counters.add("gate.cold_questions")
+        result = await self._pool.exchange(
+            build_health_request(self._health_target, self._address), HEALTH_TIMEOUT_S
+        )
+        if isinstance(result, Answer):
+            self._apply_health_notices(result)
+        else:
+            self._telemetry.counters.add("gate.cold_questions_unanswered")
+
     async def check_health(self) -> None:
         """Check the server's health and identity, unless it has already reported.
 
@@ -222,7 +251,7 @@
                     address=self._address,
                     state=InstanceState.READY,
                     slots=health.load.slots,
-                    cold_ms=0.0,
+                    cold_ms=health.cold_ms,
                 )
             )
             if isinstance(result, Answer):
@@ -358,6 +387,7 @@
         done = False
         sent_to = self._tracker.current
         record_start(self._detector, pending.call_id, request)
+        self._cold.record_call()
         try:
             result = await self._send(request, (pending.deadline - started) * 1000)
             done = True
@@ -494,6 +524,8 @@
         """Apply the notices in the answer to a health check, where a missing limit says nothing."""
         notices = read_notices(answer)
         current = self._tracker.current
+        if current is not None:
+            self._cold.apply_health(answer, current.instance)
         if current is not None and (notices.max_calls_per_s is not None or notices.is_leaving):
             self._apply_notices(notices, current.instance)
 
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -28,6 +28,7 @@
 from ragwort_transport import HttpServer, Link, PeerCalls
 
 from ragwort_mesh._clock import read_clock
+from ragwort_mesh._cold_server import find_cold_limit
 from ragwort_mesh._configuration import ActiveConfiguration
 from ragwort_mesh._control import (
     CONTROL_LIMITS,
@@ -101,6 +102,7 @@
             self._broadcast_load,
             self._crashes,
         )
+        self._gate.set_cold_limit(find_cold_limit(None, settings))
         self._calls = PeerCalls(self._gate.run_call, telemetry.counters, self._receive_other)
         hello = Hello(settings.node, Incarnation(time.time_ns() // 1_000_000))
         self._peers = Peers(
@@ -202,6 +204,7 @@
             self._peers.run(),
             self._check_health(),
             self._load_publisher.run(),
+            self._gate.watch_cold(),
         ):
             self._spawn(coroutine)
         self._telemetry.events.write("start", settings=repr(self._settings))
@@ -214,6 +217,7 @@
         self._settings = settings
         self._dispatcher.set_retry_limits(_make_retry_limits(settings.bounds))
         self._configuration.set_settle_time(settings.bounds.settle_s)
+        self._gate.set_cold_limit(find_cold_limit(self._configuration.current, settings))
 
     def follow_settings(self, load: LoadSettings) -> SettingsWatch:
         """Start polling the settings file, and return the watch so that a signal can reload it."""
@@ -316,6 +320,7 @@
         current = self._configuration.current
         assert current is not None, "notified of a change without a configuration"
         self._gate.set_health_target(current.health_paths.get(self._settings.service))
+        self._gate.set_cold_limit(find_cold_limit(current, self._settings))
         self._configured.set()
 
     async def _check_health(self) -> None:
--- a/packages/model/src/ragwort_model/_instance.py
+++ b/packages/model/src/ragwort_model/_instance.py
@@ -36,7 +36,7 @@
     slots
         Maximum number of calls that it runs concurrently.
     cold_ms
-        Remaining duration of the slow phase after its start, in milliseconds.
+        Remaining duration of the slow phase after its start, in milliseconds; None if not given.
     """
 
     instance: InstanceId
@@ -46,7 +46,7 @@
     address: str
     state: InstanceState
     slots: int
-    cold_ms: float
+    cold_ms: float | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -7,6 +7,8 @@
     is_readiness_check,
     make_answer_check,
     read_call_fields,
+    read_cold_ms,
+    read_health,
     read_notices,
     read_server_answer,
 )
@@ -124,3 +126,11 @@
 def test_readiness_check_is_recognized():
     assert is_readiness_check("GET", b"/-/ready")
     assert not is_readiness_check("POST", b"/-/ready")
+
+
+@pytest.mark.parametrize("value, cold_ms", [(b"1500", 1500.0), (b"0", 0.0), (b"-1", None)])
+def test_health_response_states_how_long_the_server_stays_cold(value, cold_ms):
+    fields = [(b"ragwortvalve-instance-id", b"i"), (b"ragwortvalve-server-load", b"0,0,3")]
+    stated = Answer(200, [*fields, (b"ragwortvalve-cold-ms", value)], b"")
+    assert read_health(stated).cold_ms == read_cold_ms(stated) == cold_ms
+    assert read_health(Answer(200, fields, b"")).cold_ms is None
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -29,6 +29,9 @@
     assert (report.instance, report.sequence, report.born_ms) == ("i-1", 4, 1000)
     assert report.state is InstanceState.DRAINING
     assert (report.slots, report.cold_ms) == (13, 250.0)
+    # A server that does not say how long it stays cold must not pass for one that is warm.
+    content = {key: value for key, value in HEARTBEAT.items() if key != "coldRemainingMs"}
+    assert read(content).cold_ms is None
 
 
 @pytest.mark.parametrize("body", [b"", b"{}", b'{"born": 7}'])
