--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -8,9 +8,11 @@
 import asyncio
 import itertools
 from collections.abc import Callable
+from math import inf
 
 from ragwort_common import CallId, Outcome, Reason, ServiceName
 from ragwort_flow import (
+    ColdLimit,
     CrashDetector,
     Decision,
     InstanceTracker,
@@ -68,6 +70,7 @@
 )
 
 from ragwort_mesh._call import fingerprint_call
+from ragwort_mesh._cold_server import ColdServer
 from ragwort_mesh._crash_ledger import CrashLedger, CrashRefusal
 from ragwort_mesh._telemetry import Telemetry
 
@@ -139,6 +142,7 @@
         self._detector: CrashDetector[Request] = CrashDetector(_describe_running)
         self._end_check: asyncio.Task[None] | None = None
         self._state = SchedulerState()
+        self._cold = ColdServer(self._state.cold, telemetry, clock)
         self._tracker = InstanceTracker()
         self._stopping = False
         self._evacuated = evacuated
@@ -194,7 +198,8 @@
         if is_new or not self._is_available:
             self._log_server("server-ready", report)
         self._is_available = True
-        self._accept(current, now)
+        self._accept(current, now, self._read_cold(current, now), is_new)
+        self._cold.note_change("report")
 
     def set_evacuated(self, evacuated: bool) -> None:
         """Refuse all calls while the server's domain is evacuated; running ones continue."""
@@ -214,20 +219,41 @@
             return
         self._apply_result(stop_accepting(self._state))
         if was_evacuated:
+            # The server may have turned cold meanwhile, so its latest report doesn't count.
             self.expect_cold()
         current = self._tracker.current
         if current is not None and self._is_available:
-            self._accept(current, self._clock())
-
-    def expect_cold(self) -> None:
-        """Ask the health path for the server's state, since it may have turned cold unnoticed."""
-        if self._health_target is not None and self._speed_query is None:
-            self._speed_query = asyncio.create_task(self._query_speed(self._health_target))
+            now = self._clock()
+            self._accept(current, now, inf if was_evacuated else self._read_cold(current, now))
 
     def set_health_target(self, target: str | None) -> None:
         """Set the path of the server's health check, or None if it has none."""
         self._health_target = target
 
+    def set_cold_limit(self, limit: ColdLimit | None) -> None:
+        """Set the limit on calls while the server is cold, or None if it has none."""
+        self._cold.set_limit(limit)
+
+    def expect_cold(self) -> None:
+        """Treat the server as cold until a report or a health check states otherwise."""
+        self._cold.expect_cold()
+
+    async def watch_cold(self) -> None:
+        """Ask the server whether it has turned cold while it gets calls, until cancelled."""
+        await self._cold.run(self._check_cold)
+
+    async def _check_cold(self) -> None:
+        if self._health_target is None or self._tracker.current is None:
+            return
+        self._telemetry.counters.add("gate.cold_questions")
+        result = await self._pool.exchange(
+            build_health_request(self._health_target, self._address), HEALTH_TIMEOUT_S
+        )
+        if isinstance(result, Answer):
+            self._apply_health_notices(result)
+        else:
+            self._telemetry.counters.add("gate.cold_questions_unanswered")
+
     async def check_health(self) -> None:
         """Check the server's health and identity, unless it has already reported.
 
@@ -252,7 +278,7 @@
                     address=self._address,
                     state=InstanceState.READY,
                     slots=health.load.slots,
-                    cold_ms=0.0,
+                    cold_ms=health.cold_ms,
                 )
             )
             if isinstance(result, Answer):
@@ -313,16 +339,23 @@
         self._apply_result(stop_accepting(self._state, reason))
         self._on_change()
 
-    def _accept(self, server: Heartbeat, now: float) -> None:
+    def _accept(
+        self, server: Heartbeat, now: float, cold_s: float | None, is_new: bool = False
+    ) -> None:
         """Accept calls for the server, given its latest report, unless the gate is closed."""
         if self._stopping or self._evacuated is not False:
             return
         was_accepting = self._state.accepting
-        cold_s = server.cold_ms / 1000 - (now - self._tracker.last_heartbeat_at)
-        update_server(self._state, now, server.slots, max(0.0, cold_s))
+        update_server(self._state, now, server.slots, cold_s, is_new)
         if not was_accepting:
             self._on_change()
 
+    def _read_cold(self, server: Heartbeat, now: float) -> float | None:
+        """Return how long the server stays cold by its report, None if it doesn't state that."""
+        if server.cold_ms is None:
+            return None
+        return max(0.0, server.cold_ms / 1000 - (now - self._tracker.last_heartbeat_at))
+
     def _mark_unavailable(self, cause: str, report: object) -> None:
         if self._is_available:
             self._is_available = False
@@ -400,6 +433,7 @@
         done = False
         sent_to = self._tracker.current
         record_start(self._detector, pending.call_id, request)
+        self._cold.record_call()
         try:
             result = await self._send(request, (pending.deadline - started) * 1000)
             done = True
@@ -536,6 +570,8 @@
         """Apply the notices in the answer to a health check, where a missing limit says nothing."""
         notices = read_notices(answer)
         current = self._tracker.current
+        if current is not None:
+            self._cold.apply_health(answer, current.instance)
         if current is not None and (notices.max_calls_per_s is not None or notices.is_leaving):
             self._apply_notices(notices, current.instance)
 
