Keep a link whose peer is paused for the calls that must not run again

A link whose peer answered no probe for 1.5 s was closed, though the peer's kernel still acknowledged data and the peer was only paused.

Such a link still gets no new calls at once, and its idempotent calls end as before. If the kernel (TCP_INFO) shows that data is acknowledged, the link is now kept for the other calls under way, of both sides; it is used again if the peer answers, closed with its last call, which its deadline ends at the latest, and aborted if nothing is acknowledged for 1.5 s.

New tests play a peer that answers again, stays silent or is gone, the last with a socket filter that drops segments.

--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -104,7 +104,13 @@
         self._calls = PeerCalls(self._gate.run_call, telemetry.counters, self._receive_other)
         hello = Hello(settings.node, Incarnation(time.time_ns() // 1_000_000))
         self._peers = Peers(
-            hello, self._receive, self._on_link_opened, self._on_link_closed, telemetry
+            hello,
+            self._receive,
+            self._on_link_opened,
+            self._on_link_closed,
+            lambda _: self._peer_sync.update_watching(),
+            self._calls.has_calls,
+            telemetry,
         )
         self._targets = Targets(settings.failure_domain, settings.region)
         own_record = NodeRecord(
--- a/packages/mesh/src/ragwort_mesh/_peers.py
+++ b/packages/mesh/src/ragwort_mesh/_peers.py
@@ -9,6 +9,7 @@
 from ragwort_protocol import Hello, Probe
 from ragwort_transport import Link, MessageHandler, bind_socket, set_unacknowledged_timeout
 
+from ragwort_mesh._silent_links import SilentLinks, SilentState
 from ragwort_mesh._telemetry import Telemetry
 
 CONNECT_TIMEOUT_S = 1.0
@@ -39,8 +40,9 @@
 allowed for control traffic."""
 
 PROBE_TIMEOUT_S = 1.5
-"""A link is aborted after this long without data following a probe: more than twenty round trips
-between regions, and one retransmission."""
+"""A link gets no new calls after this long without data following a probe: more than twenty round
+trips between regions, and one retransmission. It is aborted if it has no calls that must not run
+again, or if the peer's kernel has acknowledged nothing for this long."""
 
 MAX_UNACKNOWLEDGED_MS = 2_500
 """How long the kernel waits for a peer's TCP acknowledgement."""
@@ -56,7 +58,12 @@
     handle
         Called with every message that is not a reply to a call.
     on_opened, on_closed
-        Called with each link once its hello has been received, and once it has closed.
+        Called with each link once its hello has been received or its peer answers again after a
+        silence, and once it has closed.
+    on_silent
+        Called with a link that gets no new calls because its peer answers no probe.
+    is_serving
+        Tells whether calls of the peer that came over a link run on this node.
     """
 
     def __init__(
@@ -65,12 +72,15 @@
         handle: MessageHandler,
         on_opened: Callable[[Link], None],
         on_closed: Callable[[Link], None],
+        on_silent: Callable[[Link], None],
+        is_serving: Callable[[Link], bool],
         telemetry: Telemetry,
     ) -> None:
         self._hello = hello
         self._handle = handle
         self._on_opened = on_opened
         self._on_closed = on_closed
+        self._on_silent = on_silent
         self._telemetry = telemetry
         self._records: dict[NodeId, NodeRecord] = {}
         self._links: dict[NodeId, Link] = {}
@@ -79,6 +89,7 @@
         self._retries: dict[NodeId, tuple[float, float]] = {}
         self._dial_not_before: dict[NodeId, float] = {}
         self._probed: dict[Link, float] = {}
+        self._silent = SilentLinks(is_serving, PROBE_TIMEOUT_S, BUSY_PROBE_S)
         self._server: asyncio.Server | None = None
         self._probe_ids = 0
 
@@ -197,6 +208,12 @@
     def _remove(self, link: Link) -> None:
         self._all_links.discard(link)
         self._probed.pop(link, None)
+        self._silent.drop(link)
+        self._stop_using(link)
+        self._on_closed(link)
+
+    def _stop_using(self, link: Link) -> None:
+        """Send nothing more over a link, except what its calls need."""
         if link.peer is not None and self._links.get(link.peer) is link:
             other = self._find_other(link)
             if other is None:
@@ -204,27 +221,57 @@
                 self._telemetry.events.write("peer-lost", peer=link.peer)
             else:
                 self._links[link.peer] = other
-        self._on_closed(link)
 
     def _find_other(self, link: Link) -> Link | None:
-        """Return another open link to the same incarnation of a node."""
+        """Return another open link, not a silent one, to the same incarnation of a node."""
         for other in self._all_links:
-            if other.is_open and (other.peer, other.incarnation) == (link.peer, link.incarnation):
+            if other is link or other in self._silent or not other.is_open:
+                continue
+            if (other.peer, other.incarnation) == (link.peer, link.incarnation):
                 return other
         return None
 
     def _check_link(self, link: Link, now: float) -> None:
+        if link in self._silent:
+            state = self._silent.check(link, now, self._probe)
+            if state is not SilentState.WAITING:
+                self._apply_silent_state(link, state, now)
+            return
         silent_s = now - link.received_at
         probed_at = self._probed.get(link)
         if probed_at is not None:
             if link.received_at >= probed_at:
                 del self._probed[link]
             elif now - probed_at > PROBE_TIMEOUT_S:
+                del self._probed[link]
                 self._telemetry.counters.add("link.silent")
-                link.abort()
+                self._apply_silent_state(link, self._silent.hold(link, now), now)
+                self._stop_using(link)
+                self._on_silent(link)
             return
         idle_s = max(IDLE_PROBE_S, len(self._all_links) / MAX_IDLE_PROBES_PER_S)
         if silent_s > (BUSY_PROBE_S if link.count_pending() else idle_s):
-            self._probe_ids += 1
-            link.send(Probe(self._probe_ids))
+            self._probe(link)
             self._probed[link] = now
+
+    def _probe(self, link: Link) -> None:
+        self._probe_ids += 1
+        link.send(Probe(self._probe_ids))
+
+    def _apply_silent_state(self, link: Link, state: SilentState, now: float) -> None:
+        """Resume or close a link whose peer has answered no probe."""
+        self._telemetry.events.write(
+            "silent-link",
+            peer=link.peer,
+            state=state.name.lower(),
+            pending=link.count_pending(),
+            silent_s=round(now - link.received_at, 2),
+        )
+        if state is SilentState.ANSWERING:
+            self._links.setdefault(cast(NodeId, link.peer), link)
+            self._on_opened(link)
+        elif state is SilentState.FINISHED:
+            # Replies to the peer's calls may still be in the write buffer.
+            link.close()
+        elif state is SilentState.GONE:
+            link.abort()
--- a/packages/transport/src/ragwort_transport/_link.py
+++ b/packages/transport/src/ragwort_transport/_link.py
@@ -9,6 +9,7 @@
 from ragwort_common import Counters, NodeId
 from ragwort_protocol import (
     BODY_PART_BYTES,
+    Cancel,
     Data,
     FrameReader,
     Hello,
@@ -21,6 +22,8 @@
     replace_fields,
 )
 
+from ragwort_transport._acknowledgement import is_acknowledging
+
 log = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 64 << 20
@@ -29,7 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkLost:
-    """Ends a call whose link closed before the reply arrived; the call may have run."""
+    """Ends a call whose reply cannot be awaited on its link any more; the call may have run."""
 
 
 Reply = Response | Refusal | LinkLost
@@ -73,6 +76,7 @@
         self._reader = FrameReader()
         self._transport: asyncio.Transport | None = None
         self._pending: dict[int, asyncio.Future[Reply]] = {}
+        self._repeatable: set[int] = set()
         self._partial: dict[tuple[bool, int], _PartialMessage] = {}
         self._next_call_id = 0
 
@@ -112,6 +116,7 @@
             if not future.done():
                 future.set_result(LinkLost())
         self._pending.clear()
+        self._repeatable.clear()
         self._partial.clear()
         if not self.hello_received.done():
             self.hello_received.set_exception(
@@ -140,6 +145,19 @@
         """Return the number of calls that wait for a reply."""
         return len(self._pending)
 
+    def is_acknowledging(self) -> bool:
+        """Tell whether the link is open and the peer's kernel acknowledges what was sent."""
+        return self._transport is not None and is_acknowledging(self._transport)
+
+    def give_up_repeatable(self) -> None:
+        """End the idempotent calls with ``LinkLost``, and cancel them on the peer."""
+        for call_id in sorted(self._repeatable):
+            future = self._pending[call_id]
+            self.forget_call(call_id)
+            self.send(Cancel(call_id))
+            if not future.done():
+                future.set_result(LinkLost())
+
     def send(self, message: Message) -> int:
         """Write one message and return the size of its frame in bytes, or 0 on a closed link."""
         if self._transport is None:
@@ -158,12 +176,15 @@
         """Send a request, in parts if its body is long, and return the future of its reply."""
         future = asyncio.get_running_loop().create_future()
         self._pending[request.call_id] = future
+        if request.idempotent:
+            self._repeatable.add(request.call_id)
         send_in_parts(self, request)
         return future
 
     def forget_call(self, call_id: int) -> None:
         """Stop waiting for a call; a reply that still arrives is counted as late."""
         self._pending.pop(call_id, None)
+        self._repeatable.discard(call_id)
 
     def _receive(self, message: Message) -> None:
         kind = type(message)
@@ -214,6 +235,7 @@
 
     def _finish_call(self, reply: Response | Refusal) -> None:
         future = self._pending.pop(reply.call_id, None)
+        self._repeatable.discard(reply.call_id)
         if future is None or future.done():
             self._counters.add("link.late_answers")
             return
--- a/packages/transport/src/ragwort_transport/_peer_calls.py
+++ b/packages/transport/src/ragwort_transport/_peer_calls.py
@@ -39,6 +39,10 @@
         else:
             self._receive_other(link, message)
 
+    def has_calls(self, link: Link) -> bool:
+        """Tell whether calls that came over a link are running."""
+        return any(key[0] is link for key in self._tasks)
+
     def drop_link(self, link: Link) -> None:
         """Cancel the calls of a closed link, whose replies can no longer be sent."""
         for key, task in list(self._tasks.items()):
--- a/tests/mesh/test_other_operators.py
+++ b/tests/mesh/test_other_operators.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import re
 import socket
 import struct
@@ -10,6 +11,7 @@
 import pytest
 from helper import wait_until
 from mesh_cluster import HOST, make_route, run_scenario
+from ragwort_mesh import _peers
 from ragwort_standins.application import deregister
 
 ATTEMPT_ID = "ragwortvalve-attempt-id"
@@ -221,6 +223,13 @@
         return getattr(self.transport, name)
 
 
+def drop_segments(sock):
+    """Make the kernel drop what arrives for a socket, as if its host were gone."""
+    program = ctypes.create_string_buffer(struct.pack("=HBBI", 0x06, 0, 0, 0))
+    filter_fields = struct.pack("@HP", 1, ctypes.addressof(program))
+    sock.setsockopt(socket.SOL_SOCKET, 26, filter_fields)  # SO_ATTACH_FILTER: "return 0 bytes"
+
+
 def silence_links(node):
     silenced = []
     for _, link in node._peers.list_links():
@@ -251,3 +260,45 @@
             pytest.fail(f"the work was given up with status {status}")
 
     run_scenario(scenario, ("s", "t"))
+
+
+@pytest.mark.parametrize(
+    ("course", "kind", "expected"),
+    [
+        ("answers", "non_idempotent", 200),
+        ("silent", "non_idempotent", 504),
+        ("silent", "idempotent", 502),
+        ("gone", "non_idempotent", 502),
+    ],
+)
+def test_a_silent_link_gets_no_new_calls_and_is_kept_only_for_those_that_must_not_run_again(
+    course, kind, expected, monkeypatch
+):
+    monkeypatch.setattr(_peers, "PROBE_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(_peers, "BUSY_PROBE_S", 0.1)
+
+    async def scenario(cluster):
+        await cluster.configure(1, a=make_route("t", kind=kind, maxAttempts=1, timeoutMs=9000))
+        await cluster.wait_until_linked()
+        first, second = cluster.members
+        find_link = first.node._peers.find_link
+        link = find_link("n2")
+        second.application.service_time_s = 0.2
+        call = asyncio.create_task(cluster.call(first, method="POST"))
+        await wait_until(lambda: second.application.arrivals["c1"] == 1)
+        silenced = silence_links(second.node)
+        if course == "gone":
+            for other in silenced:
+                drop_segments(other._transport.get_extra_info("socket"))
+        await wait_until(lambda: find_link("n2") is not link)
+        if course == "answers":
+            for other in silenced:
+                other._transport.release(other)
+        assert (await call)[0] == expected
+        if course == "answers":
+            await wait_until(lambda: link not in first.node._peers._silent)
+            assert link.is_open and find_link("n2") is not None
+        else:
+            await wait_until(lambda: not link.is_open)
+
+    run_scenario(scenario, ("s", "t"))
