Decide about a customer's limit over all nodes

A limit holds for a customer's calls at all nodes together, and no call may wait for a remote answer. Entries hold credits that a coordinating node grants ahead of the calls; when the bucket would be empty before they can react, the coordinator withdraws the credits and divides the rate.

--- /dev/null
+++ b/packages/flow/src/ragwort_flow/_customer_limit.py
@@ -0,0 +1,216 @@
+"""Limit on a customer's calls over all nodes: what one entry may admit.
+
+An entry admits calls for which it holds credits, which it gets from the customer's coordinator
+(``_limit_coordinator.py``) ahead of the calls, so that no call waits for a remote answer. While the
+customer is short, the entry has no credits but a share of the rate. Whatever fails, it can't exceed
+what it was given.
+"""
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ragwort_common import CustomerName, NodeId
+
+SLOTS_PER_WINDOW = 25
+"""Number of slots per window in which calls are counted."""
+
+PACE_BURST_S = 0.2
+"""Size of the bucket of an entry's share of the rate, as the time in which it fills."""
+
+MIN_PACE_BURST = 1.5
+"""Minimum size of that bucket. With 1, an entry with 14 calls a second admitted a tenth less than
+its share of 1.5, since the bucket was full while it waited for a call."""
+
+MAX_REPLY_S = 0.15
+"""How long an entry waits for the reply to a report before it leaves its credits alone and keeps to
+its share of the rate: its coordinator is out of reach, and may have withdrawn them."""
+
+MIN_RETRY_S = 0.1
+"""Minimum delay stated with a refusal: about the time in which a coordinator reacts."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallLimit:
+    """A customer's limit; see ``Customer`` and ``Bounds``."""
+
+    calls_per_s: float
+    burst: float
+    window_s: float
+    excess: float
+    slack: float
+
+    @property
+    def per_window(self) -> float:
+        """Calls that the limit allows in a window, without excess and slack."""
+        return self.calls_per_s * self.window_s + self.burst
+
+    @property
+    def tolerance(self) -> float:
+        """Calls by which a window may exceed the limit."""
+        return self.per_window * self.excess + self.slack
+
+
+@dataclass(slots=True)
+class RecentCalls:
+    """Calls counted in the slots of the last window."""
+
+    slots: dict[int, int] = field(default_factory=dict)
+    total: int = 0
+
+
+def record_calls(recent: RecentCalls, now: float, window_s: float, count: int) -> None:
+    """Count calls; a negative number takes some back."""
+    slot = int(now * SLOTS_PER_WINDOW / window_s)
+    recent.slots[slot] = recent.slots.get(slot, 0) + count
+    recent.total += count
+
+
+def count_recent(recent: RecentCalls, now: float, window_s: float) -> int:
+    """Return how many calls were counted in the last window, or up to a slot more."""
+    first = int(now * SLOTS_PER_WINDOW / window_s) - SLOTS_PER_WINDOW
+    for slot in [slot for slot in recent.slots if slot < first]:
+        recent.total -= recent.slots.pop(slot)
+    return max(0, recent.total)
+
+
+def subtract_recent(recent: RecentCalls, part: RecentCalls) -> None:
+    """Take back calls that were counted in the same slots."""
+    for slot, count in part.slots.items():
+        if slot in recent.slots:
+            recent.slots[slot] -= count
+            recent.total -= count
+
+
+@dataclass(slots=True)
+class EntryCredit:
+    """What one entry may admit for a customer, in one session with its coordinator.
+
+    Attributes
+    ----------
+    granted, spent
+        Credits granted and used since the session began; one that was held then counts as granted.
+    admitted, arrived
+        Calls admitted, with a credit or by the share of the rate, and all calls.
+    full
+        Credits held after the latest grant.
+    calls_per_s, paced
+        The entry's share of the rate, and whether it keeps to it, as last stated.
+    tokens, filled_at
+        Content of the share's bucket as of a time. The buckets of the entries start with different
+        contents (``get_phase``), so that entries with equal small shares don't admit all calls at
+        the same time.
+    refused
+        Calls refused since the latest grant.
+    unanswered_at
+        When the oldest report was sent that has had no reply; None without one.
+    recent
+        Calls admitted in the last window, also in earlier sessions.
+    """
+
+    granted: int = 0
+    spent: int = 0
+    admitted: int = 0
+    arrived: int = 0
+    full: int = 0
+    calls_per_s: float = 0.0
+    paced: bool = False
+    tokens: float = 0.0
+    filled_at: float = 0.0
+    refused: int = 0
+    unanswered_at: float | None = None
+    recent: RecentCalls = field(default_factory=RecentCalls)
+
+    @property
+    def held(self) -> int:
+        """Credits that are left."""
+        return max(0, self.granted - self.spent)
+
+
+def spend_credit(credit: EntryCredit, limit: CallLimit, now: float) -> float | None:
+    """Admit a call and return None, or return the delay in seconds after which to try again."""
+    credit.arrived += 1
+    _fill(credit, now)
+    paced = _is_paced(credit, now)
+    if credit.granted > credit.spent and not paced:
+        credit.spent += 1
+    else:
+        if not paced or credit.tokens < 1.0:
+            credit.refused += 1
+            calls_per_s = max(credit.calls_per_s, 1.0 / limit.window_s)
+            return min(limit.window_s, max(MIN_RETRY_S, 1.0 / calls_per_s))
+        credit.tokens -= 1.0
+    credit.admitted += 1
+    record_calls(credit.recent, now, limit.window_s, 1)
+    return None
+
+
+def give_back(credit: EntryCredit, limit: CallLimit, now: float) -> None:
+    """Return the credit of an admitted call that was refused as not run."""
+    if _is_paced(credit, now):
+        credit.tokens += 1.0
+    else:
+        credit.spent -= 1
+    credit.admitted -= 1
+    credit.arrived -= 1
+    record_calls(credit.recent, now, limit.window_s, -1)
+
+
+def is_low(credit: EntryCredit) -> bool:
+    """Return whether so much of the credit is used that the coordinator should know at once."""
+    return not credit.paced and 2 * credit.held <= credit.full
+
+
+def apply_grant(
+    credit: EntryCredit, now: float, granted: int, calls_per_s: float, paced: bool
+) -> None:
+    """Apply the credit that the coordinator has granted in total, and the share of the rate."""
+    _fill(credit, now)
+    credit.unanswered_at = None
+    credit.refused = 0
+    credit.granted = granted
+    credit.full = credit.held
+    credit.calls_per_s = calls_per_s
+    credit.paced = paced
+
+
+def begin_session(credit: EntryCredit, now: float) -> None:
+    """Start to count for another coordinator, and keep what is held.
+
+    Calls refused just before count as arrived, so that the coordinator knows of a shortage.
+    """
+    credit.granted = credit.full = credit.held
+    credit.spent = credit.admitted = 0
+    credit.arrived = credit.refused
+    if not _is_paced(credit, now):
+        credit.unanswered_at = None
+
+
+def _is_paced(credit: EntryCredit, now: float) -> bool:
+    if credit.paced or credit.unanswered_at is None:
+        return credit.paced
+    return now - credit.unanswered_at > MAX_REPLY_S
+
+
+def _fill(credit: EntryCredit, now: float) -> None:
+    """Fill the bucket of the entry's share of the rate."""
+    if _is_paced(credit, now):
+        gained = (now - credit.filled_at) * credit.calls_per_s
+        most = max(MIN_PACE_BURST, PACE_BURST_S * credit.calls_per_s)
+        credit.tokens = min(most, credit.tokens + gained)
+    credit.filled_at = now
+
+
+def rank_coordinator(customer: CustomerName, node: NodeId) -> bytes:
+    """Return a node's rank as the customer's coordinator (rendezvous hashing); the highest is."""
+    return hashlib.blake2b(f"{customer}/{node}".encode(), digest_size=8).digest()
+
+
+def get_phase(customer: CustomerName, node: NodeId) -> float:
+    """Return the content with which an entry's bucket starts, zero on average."""
+    return int.from_bytes(rank_coordinator(customer, node), "big") / 2**64 - 0.5
+
+
+def choose_coordinator(customer: CustomerName, nodes: Iterable[NodeId]) -> NodeId:
+    """Return which of the nodes coordinates a customer's limit."""
+    return max(nodes, key=lambda node: rank_coordinator(customer, node))
--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -37,6 +37,7 @@
     Summary,
     measure_update,
 )
+from ragwort_protocol._limits import CustomerUsage, LimitShare, LimitShares, UsageReport
 from ragwort_protocol._load import LoadReport, Probe, ProbeReply
 from ragwort_protocol._message import Message, replace_fields
 from ragwort_protocol._revision import (
@@ -58,12 +59,15 @@
     "CrashCleared",
     "CrashNotice",
     "CrashTrial",
+    "CustomerUsage",
     "Data",
     "Digest",
     "Document",
     "DocumentRequest",
     "FrameReader",
     "Hello",
+    "LimitShare",
+    "LimitShares",
     "LoadNotice",
     "LoadReport",
     "MAX_FRAME_BYTES",
@@ -92,6 +96,7 @@
     "StoreNotice",
     "StoredResponse",
     "Summary",
+    "UsageReport",
     "encode_frame",
     "measure_update",
     "replace_fields",
--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ragwort_protocol import _calls, _claims, _crashes, _gossip, _load, _revision
+from ragwort_protocol import _calls, _claims, _crashes, _gossip, _limits, _load, _revision
 from ragwort_protocol._message import Message
 
 PROTOCOL_VERSION = 1
@@ -55,6 +55,8 @@
     | _crashes.CrashNotice
     | _crashes.CrashCleared
     | _crashes.CrashTrial
+    | _limits.UsageReport
+    | _limits.LimitShares
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_MESSAGES)
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -6,13 +6,18 @@
     CrashCleared,
     CrashNotice,
     CrashTrial,
+    CustomerUsage,
     Data,
     FrameReader,
+    LimitShare,
+    LimitShares,
     ProtocolError,
     Request,
+    UsageReport,
     encode_frame,
 )
 
+_TOTALS = (st.text(max_size=20), *[st.integers(-(2**40), 2**40)] * 7)
 messages = st.one_of(
     st.builds(Cancel, call_id=st.integers(0, 2**40)),
     st.builds(
@@ -28,6 +33,11 @@
     ),
     st.builds(CrashCleared, request=st.binary(max_size=8)),
     st.builds(CrashTrial, request=st.binary(max_size=8)),
+    st.builds(UsageReport, st.lists(st.builds(CustomerUsage, *_TOTALS), max_size=4)),
+    st.builds(
+        LimitShares,
+        st.lists(st.builds(LimitShare, *_TOTALS[:3], st.floats(0, 1e6), st.booleans())),
+    ),
 )
 
 
