Refuse calls over their customer's limit with 429 at any entry

Nothing counted a customer's calls. Each entry now reports them to the node that ranks highest for the customer among its linked nodes, and gets credits or a share of the rate. Calls that were refused as not run return their credit. Without a customer that has a limit, nothing is stored or sent.

--- a/packages/mesh/src/ragwort_mesh/_entry.py
+++ b/packages/mesh/src/ragwort_mesh/_entry.py
@@ -25,6 +25,7 @@
 
 from ragwort_mesh._call import Call, fingerprint_call
 from ragwort_mesh._configuration import ActiveConfiguration
+from ragwort_mesh._customer_limits import CustomerLimits
 from ragwort_mesh._dispatcher import Dispatcher, Progress
 from ragwort_mesh._telemetry import Telemetry
 
@@ -42,6 +43,7 @@
     Reason.BAD_ANSWER: 502,
     Reason.CONNECTION_LOST: 502,
 }
+_NOT_RUN_STATUSES = {Reason.CUSTOMER_LIMIT: 429}
 
 
 class Entry:
@@ -58,6 +60,7 @@
         service: ServiceName,
         configuration: ActiveConfiguration,
         dispatcher: Dispatcher,
+        customer_limits: CustomerLimits,
         telemetry: Telemetry,
         clock: Callable[[], float],
         random_source: random.Random,
@@ -65,6 +68,7 @@
         self._service = service
         self._configuration = configuration
         self._dispatcher = dispatcher
+        self._customer_limits = customer_limits
         self._telemetry = telemetry
         self._clock = clock
         self._random = random_source
@@ -98,14 +102,28 @@
             return HttpResponse(404, build_refusal_headers(fields.call_id, 0))
         call = self._make_call(request, fields, route, arrived)
         progress = Progress()
+        over_limit = self._check_customer_limit(call)
+        if over_limit is not None:
+            return self._make_reply(fields, over_limit, arrived, call, progress)
         try:
             reply = await self._dispatcher.run_call(call, progress)
         except asyncio.CancelledError:
             self._telemetry.counters.add("entry.caller_left")
             self._log(fields, arrived, call, 0, Reason.CANCELLED.value, progress)
             raise
+        if call.customer is not None and _is_not_run(reply):
+            self._customer_limits.give_back(call.customer)
         return self._make_reply(fields, reply, arrived, call, progress)
 
+    def _check_customer_limit(self, call: Call) -> Refusal | None:
+        """Count a call against its customer's limit, and return the refusal if it is over that."""
+        if call.customer is None:
+            return None
+        delay_s = self._customer_limits.admit(call.customer, call.arrived)
+        if delay_s is None:
+            return None
+        return make_refusal(Outcome.NOT_RUN, Reason.CUSTOMER_LIMIT, round(delay_s * 1000))
+
     def _make_call(
         self, request: HttpRequest, fields: CallFields, route: Route, arrived: float
     ) -> Call:
@@ -165,9 +183,10 @@
             return HttpResponse(reply.status, reply.headers, reply.body)
         outcome, reason = Outcome(reply.outcome), Reason(reply.reason)
         self._telemetry.counters.add(f"entry.{outcome.value}.{reason.value}")
-        status = 503 if outcome is Outcome.NOT_RUN else _STATUSES.get(reason, 502)
+        status = _STATUSES.get(reason, 502)
         retry_after_ms = 0.0
-        if status == 503:
+        if outcome is Outcome.NOT_RUN:
+            status = _NOT_RUN_STATUSES.get(reason, 503)
             retry_after_ms = max(MIN_RETRY_MS, reply.retry_after_ms)
             retry_after_ms *= 1.0 + RETRY_SPREAD * self._random.random()
         self._log(fields, arrived, call, status, reason.value, progress, retry_after_ms)
@@ -209,3 +228,7 @@
             attempts=progress.attempts,
             **described,
         )
+
+
+def _is_not_run(reply: Response | Refusal) -> bool:
+    return isinstance(reply, Refusal) and reply.outcome == Outcome.NOT_RUN.value
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -18,12 +18,14 @@
     CrashNotice,
     CrashTrial,
     Hello,
+    LimitShares,
     LoadReport,
     Message,
     Probe,
     ProbeReply,
     RecordLost,
     Request,
+    UsageReport,
 )
 from ragwort_transport import HttpServer, Link, PeerCalls
 
@@ -37,6 +39,7 @@
 )
 from ragwort_mesh._crash_archive import CrashArchive
 from ragwort_mesh._crash_ledger import CrashLedger
+from ragwort_mesh._customer_limits import CustomerLimits
 from ragwort_mesh._directory import Directory
 from ragwort_mesh._dispatcher import Dispatcher
 from ragwort_mesh._entry import Entry
@@ -153,10 +156,19 @@
             _make_retry_limits(settings.bounds),
             random_source,
         )
+        self._customer_limits = CustomerLimits(
+            settings.node,
+            settings.bounds,
+            self._send_to_node,
+            self._targets.count_nodes,
+            telemetry,
+            read_clock,
+        )
         self._entry = Entry(
             settings.service,
             self._configuration,
             self._dispatcher,
+            self._customer_limits,
             telemetry,
             read_clock,
             random_source,
@@ -202,6 +214,7 @@
             self._peers.run(),
             self._check_health(),
             self._load_publisher.run(),
+            self._customer_limits.run(),
         ):
             self._spawn(coroutine)
         self._telemetry.events.write("start", settings=repr(self._settings))
@@ -214,6 +227,7 @@
         self._settings = settings
         self._dispatcher.set_retry_limits(_make_retry_limits(settings.bounds))
         self._configuration.set_settle_time(settings.bounds.settle_s)
+        self._customer_limits.set_bounds(settings.bounds)
 
     def follow_settings(self, load: LoadSettings) -> SettingsWatch:
         """Start polling the settings file, and return the watch so that a signal can reload it."""
@@ -291,6 +305,8 @@
         """Send this node's load, configuration revision and crashes to a newly linked peer."""
         link.send(self._gate.make_report())
         self._peer_sync.announce(link)
+        if link.peer is not None:
+            self._customer_limits.open_link(link.peer)
         if self._watch_enabled.is_set() and self._is_domain_peer(link.peer):
             self._crashes.send_all(link)
         else:
@@ -307,6 +323,14 @@
         if link.peer is not None:
             self._targets.drop_early_report(link.peer)
             self._peer_sync.drop_peer(link.peer)
+            self._customer_limits.close_link(link.peer)
+            if any(node == link.peer for node, _ in self._peers.list_links()):
+                self._customer_limits.open_link(link.peer)
+
+    def _send_to_node(self, node: NodeId, message: Message) -> None:
+        link = self._peers.find_link(node)
+        if link is not None:
+            link.send(message)
 
     def _broadcast_load(self) -> None:
         self._load_publisher.broadcast()
@@ -316,6 +340,7 @@
         current = self._configuration.current
         assert current is not None, "notified of a change without a configuration"
         self._gate.set_health_target(current.health_paths.get(self._settings.service))
+        self._customer_limits.set_customers(current.customers)
         self._configured.set()
 
     async def _check_health(self) -> None:
@@ -338,6 +363,9 @@
             self._apply_report(link, message)
         elif kind in (CrashNotice, CrashCleared, CrashTrial):
             self._crashes.receive(link, message)
+        elif kind in (UsageReport, LimitShares):
+            if link.peer is not None:
+                self._customer_limits.receive(link.peer, message)
         else:
             self._peer_sync.receive(link, message)
 
