Keep covered credits valid while a coordinator does not reply

A coordinator that paused for 1.5 s made entries refuse calls below the limit: they left all credits alone after 0.15 s, since the coordinator may have withdrawn them. Grants now say which credits the customer's bucket covers; those stay valid, and the others lapse after 0.3 s without a reply.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -23,6 +23,8 @@
     "jump restart all",
     "jump coordinator",
     "calm coordinator",
+    "calm freeze",
+    "few freeze",
 )
 
 LIMITS = ((2.0, 2.0), (10.0, 10.0), (100.0, 50.0))
--- a/packages/flow/src/ragwort_flow/_customer_limit.py
+++ b/packages/flow/src/ragwort_flow/_customer_limit.py
@@ -22,9 +22,9 @@
 """Minimum size of that bucket. With 1, an entry with 14 calls a second admitted a tenth less than
 its share of 1.5, since the bucket was full while it waited for a call."""
 
-MAX_REPLY_S = 0.15
-"""How long an entry waits for the reply to a report before it leaves its credits alone and keeps to
-its share of the rate: its coordinator is out of reach, and may have withdrawn them."""
+MAX_REPLY_S = 0.3
+"""How long an entry waits for the reply to a report before it regards its coordinator as out of
+reach, which may have withdrawn credits. Busy hosts pause for nearly this long."""
 
 MIN_RETRY_S = 0.1
 """Minimum delay stated with a refusal: about the time in which a coordinator reacts."""
@@ -92,6 +92,9 @@
         Credits granted and used since the session began; one that was held then counts as granted.
     admitted, arrived
         Calls admitted, with a credit or by the share of the rate, and all calls.
+    covered
+        Total up to which the credits are covered by the customer's bucket, and stay valid while the
+        coordinator is out of reach.
     full
         Credits held after the latest grant.
     calls_per_s, paced
@@ -112,6 +115,7 @@
     spent: int = 0
     admitted: int = 0
     arrived: int = 0
+    covered: int = 0
     full: int = 0
     calls_per_s: float = 0.0
     paced: bool = False
@@ -132,7 +136,7 @@
     credit.arrived += 1
     _fill(credit, now)
     paced = _is_paced(credit, now)
-    if credit.granted > credit.spent and not paced:
+    if (min(credit.granted, credit.covered) if paced else credit.granted) > credit.spent:
         credit.spent += 1
     else:
         if not paced or credit.tokens < 1.0:
@@ -162,13 +166,14 @@
 
 
 def apply_grant(
-    credit: EntryCredit, now: float, granted: int, calls_per_s: float, paced: bool
+    credit: EntryCredit, now: float, granted: int, covered: int, calls_per_s: float, paced: bool
 ) -> None:
-    """Apply the credit that the coordinator has granted in total, and the share of the rate."""
+    """Apply the credits that the coordinator has granted in total, and the share of the rate."""
     _fill(credit, now)
     credit.unanswered_at = None
     credit.refused = 0
     credit.granted = granted
+    credit.covered = covered
     credit.full = credit.held
     credit.calls_per_s = calls_per_s
     credit.paced = paced
@@ -179,6 +184,7 @@
 
     Calls refused just before count as arrived, so that the coordinator knows of a shortage.
     """
+    credit.covered = max(0, min(credit.granted, credit.covered) - credit.spent)
     credit.granted = credit.full = credit.held
     credit.spent = credit.admitted = 0
     credit.arrived = credit.refused
--- a/packages/flow/src/ragwort_flow/_limit_coordinator.py
+++ b/packages/flow/src/ragwort_flow/_limit_coordinator.py
@@ -104,9 +104,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """An entry's total of credits, its share of the rate, and whether it must keep to the share."""
+    """An entry's total of credits, its share of the rate, and whether it must keep to the share.
+
+    The total ``covered`` leaves out credits that the customer's bucket does not cover.
+    """
 
     granted: int
+    covered: int
     calls_per_s: float
     paced: bool
 
@@ -325,13 +329,14 @@
         ratio = usage.weight / coordinator.weight if coordinator.weight else 0.0
         calls_per_s = round(limit.calls_per_s * part * ratio, 3)
         in_reaction = calls_per_s * REACTION_S
-        wanted = max(MIN_CREDIT + round(CREDIT_RATIO * in_reaction), int(ratio * pool))
+        covered = int(ratio * pool)
+        wanted = max(MIN_CREDIT + round(CREDIT_RATIO * in_reaction), covered)
         held = usage.granted - usage.spent
         if replies or held < wanted or held > 2 * wanted or usage.outdated:
             usage.outdated = False
             usage.granted = usage.spent + wanted
             usage.calls_per_s = calls_per_s
-            grants[node] = Grant(usage.granted, usage.calls_per_s, False)
+            grants[node] = Grant(usage.granted, usage.spent + covered, calls_per_s, False)
     return grants
 
 
@@ -360,7 +365,7 @@
             if usage.outdated:
                 _set_exposed(coordinator, usage, max(usage.exposed, usage.granted - usage.spent))
                 usage.granted, usage.outdated = usage.spent, False
-                grants[node] = Grant(usage.granted, usage.calls_per_s, True)
+                grants[node] = Grant(usage.granted, usage.granted, usage.calls_per_s, True)
             continue
         calls_per_s = round(rate * usage.weight / weight, 3) if weight > 0.0 else 0.0
         if usage.outdated or abs(calls_per_s - usage.calls_per_s) > MIN_CHANGE * usage.calls_per_s:
@@ -368,5 +373,5 @@
             _set_exposed(coordinator, usage, max(usage.exposed, usage.granted - usage.spent))
             usage.granted = usage.spent
             usage.calls_per_s = calls_per_s
-            grants[node] = Grant(usage.granted, calls_per_s, True)
+            grants[node] = Grant(usage.granted, usage.granted, calls_per_s, True)
     return grants
--- a/packages/mesh/src/ragwort_mesh/_customer_limits.py
+++ b/packages/mesh/src/ragwort_mesh/_customer_limits.py
@@ -340,7 +340,9 @@
         was_short = coordinator.short
         for node, grant in plan_grants(coordinator, now, reporter).items():
             session = self._entry_sessions[customer, node]
-            share = LimitShare(customer, session, grant.granted, grant.calls_per_s, grant.paced)
+            share = LimitShare(
+                customer, session, grant.granted, grant.covered, grant.calls_per_s, grant.paced
+            )
             grants.setdefault(node, []).append(share)
         if coordinator.short != was_short:
             self._telemetry.counters.add("limits.shortages", int(coordinator.short))
@@ -374,7 +376,14 @@
             if self._coordinator_nodes[customer] != node:
                 continue
             credit = self._credits[customer]
-            apply_grant(credit, self._clock(), share.granted, share.calls_per_s, share.paced)
+            apply_grant(
+                credit,
+                self._clock(),
+                share.granted,
+                share.covered,
+                share.calls_per_s,
+                share.paced,
+            )
             self._unanswered.discard(customer)
             if share.paced:
                 # The coordinator counts withdrawn credits until it knows that they are not used.
--- a/packages/protocol/src/ragwort_protocol/_limits.py
+++ b/packages/protocol/src/ragwort_protocol/_limits.py
@@ -39,8 +39,9 @@
 
     Attributes
     ----------
-    granted
-        Total of the credits in the session.
+    granted, covered
+        Total of the credits in the session, and of those that stay valid while the entry does not
+        hear from the coordinator.
     calls_per_s, paced
         Share of the rate, and whether the entry keeps to it.
     """
@@ -48,6 +49,7 @@
     customer: str
     session: int
     granted: int
+    covered: int
     calls_per_s: float
     paced: bool
 
