Test what a coordinator does with lost grants and silent entries

The scenarios of the simulation served only the bench; a scenario with restarts in calm was misspelt in the test and ran without them. Scenarios now lie in bench/limits.py beside the compared ways, and tests name them from there. New tests cover a lost grant, withdrawn credits, shares of silent entries and the confirmation by an entry without a share.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -3,7 +3,10 @@
 Run with ``tests`` on the module path: ``python -m bench.limits``.
 """
 
-from limits_simulation import Simulation, run_scenario
+from collections.abc import Callable
+from typing import Any
+
+from limits_simulation import CUSTOMER, FREEZE_S, Result, Simulation
 from ragwort_common import CustomerName, NodeId
 
 SCENARIOS = (
@@ -97,6 +100,67 @@
         self.tokens -= count
 
 
+def run_scenario(
+    name: str,
+    nodes: int,
+    make_node: Callable[[Simulation, NodeId], Any] | None = None,
+    calls_per_s: float = 10.0,
+    burst: float = 10.0,
+    seed: int = 1,
+) -> Result:
+    """Run the scenario that a name describes, and return its result from the tenth second on."""
+    simulation = Simulation(nodes, calls_per_s, burst, make_node, seed)
+    usual = 0.45 * calls_per_s
+    few = simulation.names[:3] if name.startswith("few") else None
+    settled, end = 10.0, 60.0
+    simulation.add_calls(3.0, end, usual, few)
+    if "cut before jump" in name:
+        simulation.at(19.8, simulation.cut, 8.0)
+    elif "cut" in name:
+        simulation.at(25.0, simulation.cut, 8.0)
+    if "jump" in name:
+        simulation.add_calls(20.0, 40.0, 20 * usual, few)
+    if "at once" in name:
+        for index in range(nodes):
+            simulation.at(20.0 + index * 0.003 / nodes, simulation.call, simulation.names[index])
+    if "limit" in name:
+        simulation.add_calls(10.0, end, 0.45 * calls_per_s, few)
+    if "burst" in name:
+        for second in range(15, 55, 10):
+            for _ in range(int(burst * 0.8)):
+                simulation.at(second, simulation.call, simulation.random.choice(few))
+    if "restart one by one" in name:
+        for index, node in enumerate(simulation.names[:: max(1, nodes // 12)]):
+            simulation.at(21.0 + index, simulation.restart, [node])
+    if "restart all" in name:
+        simulation.at(28.0, simulation.restart, simulation.names)
+    if "coordinator" in name:
+        for second in (24.0, 28.0, 32.0):
+            simulation.at(second, _restart_coordinator, simulation)
+    if "freeze" in name:
+        for second in range(15, 60, 10):
+            simulation.at(second, _freeze_coordinator, simulation)
+    simulation.run(settled)
+    messages, far_bytes = simulation.result.messages, simulation.result.far_bytes
+    simulation.result.wrongful = simulation.result.arrived = 0
+    simulation.run(end)
+    simulation.result.messages -= messages
+    simulation.result.far_bytes -= far_bytes
+    return simulation.result
+
+
+def _find_coordinator(simulation: Simulation) -> NodeId:
+    return next(iter(simulation.nodes.values()))._coordinator_nodes[CUSTOMER]
+
+
+def _restart_coordinator(simulation: Simulation) -> None:
+    simulation.restart([_find_coordinator(simulation)])
+
+
+def _freeze_coordinator(simulation: Simulation) -> None:
+    simulation.frozen_until[_find_coordinator(simulation)] = simulation.now + FREEZE_S
+
+
 def main() -> None:
     """Print a line for each number of nodes, limit, scenario and way."""
     ways = (("credits", None), ("own bucket", OwnBucket), ("broadcast", Broadcast))
@@ -104,7 +168,7 @@
         for calls_per_s, burst in LIMITS:
             for name in SCENARIOS:
                 for label, make_node in ways:
-                    if make_node is not None and "coordinator" in name:
+                    if make_node is not None and name.endswith(("coordinator", "freeze")):
                         continue
                     result = run_scenario(name, nodes, make_node, calls_per_s, burst)
                     print(
--- a/tests/flow/test_customer_limit.py
+++ b/tests/flow/test_customer_limit.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from ragwort_flow._customer_limit import (
@@ -12,6 +13,14 @@
     rank_coordinator,
     spend_credit,
 )
+from ragwort_flow._limit_coordinator import (
+    SETTLE_S,
+    add_entry,
+    drop_entry,
+    plan_grants,
+    record_usage,
+    start_coordinator,
+)
 
 LIMIT = CallLimit(10.0, 10.0, 5.0, 0.1, 20.0)
 
@@ -73,3 +82,47 @@
         assert rank_coordinator(customer, first) == max(
             rank_coordinator(customer, node) for node in nodes
         )
+
+
+def start(nodes=("a", "b")):
+    """Return a coordinator in calm, with its grants."""
+    coordinator = start_coordinator(LIMIT, 0.0)
+    for node in nodes:
+        add_entry(coordinator, 0.0, node, 0, 0)
+    assert not plan_grants(coordinator, SETTLE_S / 2)
+    return coordinator, plan_grants(coordinator, SETTLE_S)
+
+
+def test_a_lost_grant_is_sent_again_after_the_next_report():
+    coordinator, grants = start()
+    granted = grants["a"].granted
+    assert granted >= 2 and not plan_grants(coordinator, 1.0)
+    record_usage(coordinator, 1.0, "a", 1, 0, 0, 0)
+    assert plan_grants(coordinator, 1.0, "a")["a"].granted >= granted
+
+
+def test_withdrawn_credits_count_as_used_until_the_entry_confirms():
+    coordinator, grants = start()
+    credit = grants["b"].granted
+    record_usage(coordinator, 1.0, "a", 500, 20, 20, grants["a"].granted)
+    withdrawn = plan_grants(coordinator, 1.0, "a")
+    assert coordinator.short and withdrawn["b"].paced and withdrawn["b"].granted == 0
+    assert coordinator.exposed == credit
+    record_usage(coordinator, 1.1, "b", 0, 0, 0, credit)
+    assert coordinator.exposed == credit
+    record_usage(coordinator, 1.2, "b", 0, 0, 0, 0)
+    assert coordinator.exposed == 0
+
+
+def test_shares_follow_the_demand_and_a_silent_entry_keeps_its_own():
+    coordinator, grants = start()
+    for node, arrived in (("a", 90), ("b", 30)):
+        record_usage(coordinator, 1.0, node, arrived, 20, 20, grants[node].granted)
+    shares = {node: grant.calls_per_s for node, grant in plan_grants(coordinator, 1.1).items()}
+    assert shares["a"] == pytest.approx(3 * shares["b"], rel=0.01)
+    assert sum(shares.values()) <= 1.3 * LIMIT.calls_per_s
+    record_usage(coordinator, 3.0, "a", 150, 30, 20, coordinator.entries["a"].granted)
+    plan_grants(coordinator, 3.0)
+    assert coordinator.reserved == shares["b"]
+    drop_entry(coordinator, "b")
+    assert plan_grants(coordinator, 3.1)["a"].calls_per_s >= shares["a"]
--- a/tests/mesh/test_customer_limits.py
+++ b/tests/mesh/test_customer_limits.py
@@ -5,15 +5,19 @@
 
 import pytest
 from helper import wait_until
-from limits_simulation import CUSTOMER, Simulation, run_scenario
+from limits_simulation import CUSTOMER, Simulation
 from mesh_cluster import make_configuration, make_route
 from mesh_cluster import run_scenario as run_cluster_scenario
 from ragwort_mesh._entry import Entry
 from ragwort_model import Bounds
 
+from bench.limits import run_scenario
+
 
 @pytest.mark.parametrize("nodes", [6, 67])
-@pytest.mark.parametrize("name", ["calm", "few", "few limit", "few burst", "calm restart"])
+@pytest.mark.parametrize(
+    "name", ["calm", "few", "few limit", "few burst", "calm restart one by one", "calm coordinator"]
+)
 def test_no_call_below_the_limit_is_refused(nodes, name):
     result = run_scenario(name, nodes)
     assert result.wrongful == 0
@@ -43,6 +47,12 @@
     assert result.wrongful <= 0.005 * result.arrived
 
 
+def test_an_entry_that_gets_no_share_confirms_that_its_credits_are_withdrawn():
+    # Else they count as used, and the shares stay at zero.
+    result = run_scenario("limit", 67, calls_per_s=2.0, burst=2.0)
+    assert result.admitted >= 0.95 * result.ideal_count
+
+
 def test_700_nodes_stay_within_the_bound():
     assert run_scenario("few jump", 700, calls_per_s=20.0, burst=20.0).worst_excess == 0
 
