Merge customers' limits over all nodes

The refusal by the limit comes after the customer is known and before the call is sent; a call refused as not run gives its credit back. The tests of protocol, adapter, flow, customers, limits, paths and evacuations pass.

--- a/packages/mesh/src/ragwort_mesh/_entry.py
+++ b/packages/mesh/src/ragwort_mesh/_entry.py
@@ -26,6 +26,7 @@
 
 from ragwort_mesh._call import Call, fingerprint_call
 from ragwort_mesh._configuration import ActiveConfiguration
+from ragwort_mesh._customer_limits import CustomerLimits
 from ragwort_mesh._customers import CallTerms, find_call_terms
 from ragwort_mesh._dispatcher import Dispatcher, Progress
 from ragwort_mesh._telemetry import Telemetry
@@ -66,6 +67,7 @@
         service: ServiceName,
         configuration: ActiveConfiguration,
         dispatcher: Dispatcher,
+        customer_limits: CustomerLimits,
         telemetry: Telemetry,
         clock: Callable[[], float],
         random_source: random.Random,
@@ -73,6 +75,7 @@
         self._service = service
         self._configuration = configuration
         self._dispatcher = dispatcher
+        self._customer_limits = customer_limits
         self._telemetry = telemetry
         self._clock = clock
         self._random = random_source
@@ -111,7 +114,9 @@
             return self._refuse_key(fields, arrived, route, key)
         call = self._make_call(request, fields, route, terms, arrived)
         progress = Progress()
-        # A refusal by the customer's limit (``Reason.CUSTOMER_LIMIT``) belongs here.
+        over_limit = self._check_customer_limit(call)
+        if over_limit is not None:
+            return self._make_reply(fields, over_limit, arrived, call, progress)
         try:
             reply = await self._dispatcher.run_call(call, progress)
         except asyncio.CancelledError:
@@ -119,8 +124,19 @@
             self._count_for_customer(call, refused=False)
             self._log(fields, arrived, call, 0, Reason.CANCELLED.value, progress)
             raise
+        if call.customer is not None and _is_not_run(reply):
+            self._customer_limits.give_back(call.customer)
         return self._make_reply(fields, reply, arrived, call, progress)
 
+    def _check_customer_limit(self, call: Call) -> Refusal | None:
+        """Count a call against its customer's limit, and return the refusal if it is over that."""
+        if call.customer is None:
+            return None
+        delay_s = self._customer_limits.admit(call.customer, call.arrived)
+        if delay_s is None:
+            return None
+        return make_refusal(Outcome.NOT_RUN, Reason.CUSTOMER_LIMIT, round(delay_s * 1000))
+
     def _make_call(
         self,
         request: HttpRequest,
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -19,12 +19,14 @@
     CrashTrial,
     EvacuationNotice,
     Hello,
+    LimitShares,
     LoadReport,
     Message,
     Probe,
     ProbeReply,
     RecordLost,
     Request,
+    UsageReport,
 )
 from ragwort_transport import HttpServer, Link, PeerCalls
 
@@ -39,6 +41,7 @@
 )
 from ragwort_mesh._crash_archive import CrashArchive
 from ragwort_mesh._crash_ledger import CrashLedger
+from ragwort_mesh._customer_limits import CustomerLimits
 from ragwort_mesh._directory import Directory
 from ragwort_mesh._dispatcher import Dispatcher
 from ragwort_mesh._entry import Entry
@@ -177,10 +180,19 @@
             random_source,
             lambda: self._evacuations.failure_domains,
         )
+        self._customer_limits = CustomerLimits(
+            settings.node,
+            settings.bounds,
+            self._send_to_node,
+            self._targets.count_nodes,
+            telemetry,
+            read_clock,
+        )
         self._entry = Entry(
             settings.service,
             self._configuration,
             self._dispatcher,
+            self._customer_limits,
             telemetry,
             read_clock,
             random_source,
@@ -230,6 +242,7 @@
             self._check_health(),
             self._load_publisher.run(),
             self._gate.watch_cold(),
+            self._customer_limits.run(),
         ):
             self._spawn(coroutine)
         self._telemetry.events.write("start", settings=repr(self._settings))
@@ -244,6 +257,7 @@
         self._configuration.set_settle_time(settings.bounds.settle_s)
         self._evacuations.set_bounds(settings.bounds)
         self._gate.set_cold_limit(find_cold_limit(self._configuration.current, settings))
+        self._customer_limits.set_bounds(settings.bounds)
 
     def follow_settings(self, load: LoadSettings) -> SettingsWatch:
         """Start polling the settings file, and return the watch so that a signal can reload it."""
@@ -323,6 +337,8 @@
         link.send(self._gate.make_report())
         self._peer_sync.announce(link)
         self._evacuations.announce(link)
+        if link.peer is not None:
+            self._customer_limits.open_link(link.peer)
         if self._watch_enabled.is_set() and self._is_domain_peer(link.peer):
             self._crashes.send_all(link)
         else:
@@ -339,6 +355,14 @@
         if link.peer is not None:
             self._targets.drop_early_report(link.peer)
             self._peer_sync.drop_peer(link.peer)
+            self._customer_limits.close_link(link.peer)
+            if any(node == link.peer for node, _ in self._peers.list_links()):
+                self._customer_limits.open_link(link.peer)
+
+    def _send_to_node(self, node: NodeId, message: Message) -> None:
+        link = self._peers.find_link(node)
+        if link is not None:
+            link.send(message)
 
     def _broadcast_load(self) -> None:
         self._load_publisher.broadcast()
@@ -353,6 +377,7 @@
         assert current is not None, "notified of a change without a configuration"
         self._gate.set_health_target(current.health_paths.get(self._settings.service))
         self._gate.set_cold_limit(find_cold_limit(current, self._settings))
+        self._customer_limits.set_customers(current.customers)
         self._configured.set()
 
     async def _check_health(self) -> None:
@@ -377,6 +402,9 @@
             self._crashes.receive(link, message)
         elif kind is EvacuationNotice:
             self._evacuations.receive(link, message)
+        elif kind in (UsageReport, LimitShares):
+            if link.peer is not None:
+                self._customer_limits.receive(link.peer, message)
         else:
             self._peer_sync.receive(link, message)
 
--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -38,6 +38,7 @@
     Summary,
     measure_update,
 )
+from ragwort_protocol._limits import CustomerUsage, LimitShare, LimitShares, UsageReport
 from ragwort_protocol._load import LoadReport, Probe, ProbeReply
 from ragwort_protocol._message import Message, replace_fields
 from ragwort_protocol._revision import (
@@ -59,6 +60,7 @@
     "CrashCleared",
     "CrashNotice",
     "CrashTrial",
+    "CustomerUsage",
     "Data",
     "Digest",
     "Document",
@@ -66,6 +68,8 @@
     "EvacuationNotice",
     "FrameReader",
     "Hello",
+    "LimitShare",
+    "LimitShares",
     "LoadNotice",
     "LoadReport",
     "MAX_FRAME_BYTES",
@@ -94,6 +98,7 @@
     "StoreNotice",
     "StoredResponse",
     "Summary",
+    "UsageReport",
     "encode_frame",
     "measure_update",
     "replace_fields",
--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -9,7 +9,16 @@
 
 import msgspec
 
-from ragwort_protocol import _calls, _claims, _crashes, _evacuations, _gossip, _load, _revision
+from ragwort_protocol import (
+    _calls,
+    _claims,
+    _crashes,
+    _evacuations,
+    _gossip,
+    _limits,
+    _load,
+    _revision,
+)
 from ragwort_protocol._message import Message
 
 PROTOCOL_VERSION = 1
@@ -56,6 +65,8 @@
     | _crashes.CrashCleared
     | _crashes.CrashTrial
     | _evacuations.EvacuationNotice
+    | _limits.UsageReport
+    | _limits.LimitShares
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_MESSAGES)
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -6,14 +6,19 @@
     CrashCleared,
     CrashNotice,
     CrashTrial,
+    CustomerUsage,
     Data,
     EvacuationNotice,
     FrameReader,
+    LimitShare,
+    LimitShares,
     ProtocolError,
     Request,
+    UsageReport,
     encode_frame,
 )
 
+_TOTALS = (st.text(max_size=20), *[st.integers(-(2**40), 2**40)] * 7)
 messages = st.one_of(
     st.builds(Cancel, call_id=st.integers(0, 2**40)),
     st.builds(
@@ -34,6 +39,11 @@
         order=st.integers(0, 2**60),
         failure_domains=st.lists(st.text(max_size=20), max_size=16),
     ),
+    st.builds(UsageReport, st.lists(st.builds(CustomerUsage, *_TOTALS), max_size=4)),
+    st.builds(
+        LimitShares,
+        st.lists(st.builds(LimitShare, *_TOTALS[:4], st.floats(0, 1e6), st.booleans())),
+    ),
 )
 
 
