Decide between calls of different ranks what is given up in overload

Cause: at a server with calls of different ranks, late urgent calls filled the queue until their deadline and less urgent ones held all slots: in virtual time rank 1 was in time for 1 in 20 calls at twice the capacity (7 slots, 280 and 183 ms). Change: flow/_triage.py orders waiting calls by latest start while all can be in time, else by rank, gives up the longest of a rank until the others are in time (Moore and Hodgson), and keeps the last free slot for urgent calls that can't wait; flow/_service_ratio.py counts by class what arrives and is refused, so that no class falls behind a less urgent one or below a quarter of all. A server whose calls have one rank decides as before.

--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -86,6 +86,7 @@
     stop_accepting,
     update_server,
 )
+from ragwort_flow._service_ratio import ServiceRatios, estimate_rate, get_ratio, list_starved
 from ragwort_flow._speed import (
     SpeedState,
     estimate_slowdown,
@@ -123,6 +124,7 @@
     "RetryLimits",
     "RunningCall",
     "SchedulerState",
+    "ServiceRatios",
     "SchedulingResult",
     "SpeedState",
     "SplitState",
@@ -143,6 +145,7 @@
     "clear_request",
     "complete_call",
     "count_call",
+    "estimate_rate",
     "estimate_response_time",
     "estimate_slowdown",
     "estimate_work",
@@ -152,6 +155,7 @@
     "fingerprint_request",
     "forget_old_crashes",
     "get_hedge_delay",
+    "get_ratio",
     "get_remaining",
     "has_spare_capacity",
     "hash_node",
@@ -162,6 +166,7 @@
     "is_slowed",
     "is_watcher_among",
     "limit_rate",
+    "list_starved",
     "make_cold_limit",
     "make_unconfigured_limit",
     "needs_probe",
--- a/packages/flow/src/ragwort_flow/_scheduler.py
+++ b/packages/flow/src/ragwort_flow/_scheduler.py
@@ -12,7 +12,7 @@
 in a second.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import exp
 
@@ -47,6 +47,14 @@
     set_rate,
     take_token,
 )
+from ragwort_flow._service_ratio import (
+    ServiceRatios,
+    estimate_load,
+    has_several_ranks,
+    list_starved,
+    record_offered,
+    record_refused,
+)
 from ragwort_flow._speed import (
     SpeedState,
     estimate_excess,
@@ -61,6 +69,7 @@
     should_defer,
     should_probe,
 )
+from ragwort_flow._triage import Outlook, find_excess, is_slot_kept, order_calls
 from ragwort_flow._work import WorkEstimates, estimate_work, record_work
 
 COLD_SLOWDOWN = 2.0
@@ -78,6 +87,14 @@
 expected. It is slightly over 1 because a refused call has no value and half of the calls are faster
 than expected; 0.85 and 1.4 both gave callers less (docs/design/limits.md)."""
 
+OVERLOAD_RATIO = 0.8
+"""Load, as a fraction of the limit, above which calls are refused so that others are in time. Below
+it a late call displaces nothing for long."""
+
+MAX_LATE_RATIO = 2
+"""Number of late waiting calls, as a multiple of the limit, above which a server is overloaded at
+once: the load follows only within two seconds."""
+
 MIN_MOVE_GAIN_S = 0.02
 """Time lost on a slowed host from which on a call is given back: a few round trips between the
 failure domains of a region."""
@@ -136,6 +153,11 @@
         Rank of the calls with the lowest priority so far.
     failure_ratio, failure_ratio_at
         Ratio of failed calls, and when it was last updated.
+    ratios
+        How often each class of calls is served.
+    given_up, slots_kept
+        Number of calls that were refused since not all could be in time, and of calls that found
+        a slot kept free for more urgent ones.
     """
 
     accepting: bool = False
@@ -151,6 +173,9 @@
     failure_ratio_at: float = 0.0
     knee: KneeState = field(default_factory=KneeState)
     rate: RateLimit = field(default_factory=RateLimit)
+    ratios: ServiceRatios = field(default_factory=ServiceRatios)
+    given_up: int = 0
+    slots_kept: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -166,10 +191,15 @@
 
 @dataclass(slots=True, frozen=True, order=True)
 class _Waiting:
+    """A waiting call; ``due`` is the latest start at which it is in time."""
+
     rank: int
     latest_start: float
     call_id: CallId
     pending: PendingCall = field(compare=False)
+    work_s: float = field(compare=False)
+    due: float = field(compare=False)
+    kind: str = field(compare=False)
 
 
 @dataclass(slots=True, frozen=True)
@@ -244,22 +274,37 @@
         return EXPIRED
     state.max_rank = max(state.max_rank, pending.rank)
     work_s = _estimate_work(state, pending)
-    if _should_move(state, now, pending, [call.pending for call in state.waiting]):
-        return _refuse_overloaded(state, now, [call.pending for call in state.waiting])
-    has_room = _has_room(state, now) and not any(_list_startable(state, now))
+    slack_s = pending.objective - now - work_s
+    record_offered(state.ratios, now, pending.rank, pending.kind, work_s, slack_s)
+    waiting = [call.pending for call in state.waiting]
+    if pending.may_move and _should_move(
+        state, now, pending, len(waiting), _estimate_wait(state, now, waiting, work_s)
+    ):
+        return _refuse_overloaded(state, now, waiting)
+    has_room = _has_room(state, now) and not _is_any_startable(state, now)
     if has_room and _may_start(state, now, pending):
         _start(state, now, pending)
         return RUN
+    if has_room and _is_slot_kept(state, now, pending):
+        state.slots_kept += 1
     new_call = _Waiting(
-        pending.rank, _get_latest_start(pending, now, work_s), pending.call_id, pending
+        pending.rank,
+        _get_latest_start(pending, now, work_s),
+        pending.call_id,
+        pending,
+        work_s,
+        pending.objective - work_s,
+        pending.kind,
     )
+    if has_several_ranks(state.ratios, now):
+        return _queue_by_triage(state, now, new_call)
     ahead = [call.pending for call in state.waiting if call < new_call]
     wait_s = _estimate_wait(state, now, ahead, 0.0)
     finish = now + _estimate_wait(state, now, ahead, work_s)
     in_time = finish - now <= (pending.objective - now) * OBJECTIVE_TOLERANCE
     may_be_late = wait_s <= MAX_LATE_WAIT_S or _may_be_served_late(state, pending, work_s)
     if finish > pending.deadline or not (in_time or may_be_late):
-        return _refuse_overloaded(state, now, ahead)
+        return _refuse_unserved(state, now, pending, ahead)
     state.waiting.append(new_call)
     state.waiting.sort()
     return QUEUED
@@ -290,25 +335,98 @@
 
 def review_waiting(state: SchedulerState, now: float) -> SchedulingResult:
     """Refuse the waiting calls that can no longer meet their deadline, and start others."""
-    refused = []
-    kept = []
-    ahead: list[PendingCall] = []
+    given_up = _give_up_excess(state, now)
+    refused = [(call.call_id, _refuse_unserved(state, now, call.pending, [])) for call in given_up]
+    kept: list[_Waiting] = []
+    ahead_s = 0.0
+    estimate_wait = _make_wait_estimator(state, now)
     for call in state.waiting:
         work_s = _estimate_work(state, call.pending)
+        wait_s = estimate_wait(len(kept), ahead_s, work_s)
         if call.pending.deadline <= now:
+            record_refused(state.ratios, now, call.rank, call.kind)
             refused.append((call.call_id, EXPIRED))
-        elif now + _estimate_wait(
-            state, now, ahead, work_s
-        ) > call.pending.deadline or _should_move(state, now, call.pending, ahead):
+        elif now + wait_s > call.pending.deadline:
+            ahead = [waiting.pending for waiting in kept]
+            refused.append((call.call_id, _refuse_unserved(state, now, call.pending, ahead)))
+        elif _should_move(state, now, call.pending, len(kept), wait_s):
+            ahead = [waiting.pending for waiting in kept]
             refused.append((call.call_id, _refuse_overloaded(state, now, ahead)))
         else:
             kept.append(call)
-            ahead.append(call.pending)
+            ahead_s += work_s
     state.waiting = kept
     result = _start_waiting(state, now)
     return SchedulingResult(result.started, refused + result.refused)
 
 
+def _queue_by_triage(state: SchedulerState, now: float, new_call: _Waiting) -> Decision:
+    """Queue a call at a server whose calls have different ranks, or refuse it."""
+    ordered = _order_waiting(state, now, [*state.waiting, new_call])
+    ahead = [call.pending for call in ordered[: ordered.index(new_call)]]
+    pending = new_call.pending
+    wait_s = _estimate_wait(state, now, ahead, 0.0)
+    finish_s = _estimate_wait(state, now, ahead, new_call.work_s)
+    in_time = finish_s <= (pending.objective - now) * OBJECTIVE_TOLERANCE
+    # A late call takes the place of others in time, so it is served only where its kind would
+    # otherwise be served too rarely.
+    may_be_late = wait_s <= MAX_LATE_WAIT_S
+    if not may_be_late and _is_overloaded(state, now):
+        may_be_late = (pending.rank, pending.kind) in _list_kept_classes(state, now)
+    elif not may_be_late:
+        may_be_late = _may_be_served_late(state, pending, new_call.work_s)
+    if finish_s > pending.deadline - now or not (in_time or may_be_late):
+        state.given_up += 1
+        return _refuse_unserved(state, now, pending, ahead)
+    state.waiting = ordered
+    return QUEUED
+
+
+def _give_up_excess(state: SchedulerState, now: float) -> list[_Waiting]:
+    """Remove and return the waiting calls that are given up so that the others are in time."""
+    if not state.waiting or not has_several_ranks(state.ratios, now):
+        return []
+    if not _is_overloaded(state, now):
+        return []
+    state.waiting = _order_waiting(state, now, state.waiting)
+    kept = _list_kept_classes(state, now)
+    excess = find_excess(state.waiting, _get_outlook(state, now), OBJECTIVE_TOLERANCE, kept)
+    if excess:
+        state.given_up += len(excess)
+        ids = {call.call_id for call in excess}
+        state.waiting = [call for call in state.waiting if call.call_id not in ids]
+    return excess
+
+
+def _is_overloaded(state: SchedulerState, now: float) -> bool:
+    """Return whether recent calls bring more work than the server can do in time."""
+    load = estimate_load(state.ratios, now) * _estimate_start_slowdown(state, now)
+    if load > OVERLOAD_RATIO * state.limit:
+        return True
+    late = sum(call.due < now for call in state.waiting)
+    return late > MAX_LATE_RATIO * state.limit
+
+
+def _order_waiting(state: SchedulerState, now: float, calls: list[_Waiting]) -> list[_Waiting]:
+    starved = list_starved(state.ratios, now)
+    return order_calls(calls, _get_outlook(state, now), starved)
+
+
+def _list_kept_classes(state: SchedulerState, now: float) -> set[tuple[int, str]]:
+    """Return the classes whose calls are served even if late."""
+    kept = list_starved(state.ratios, now)
+    small_s = SMALL_CALL_RATIO * _average(list(state.work.mean_s.values()))
+    for key, counts in state.ratios.classes.items():
+        if counts.work_s <= small_s:
+            kept.add(key)
+    return kept
+
+
+def _get_outlook(state: SchedulerState, now: float) -> Outlook:
+    wait_s = _estimate_wait(state, now, [], 0.0)
+    return Outlook(now, wait_s, state.limit, _estimate_start_slowdown(state, now))
+
+
 def build_load_report(state: SchedulerState, now: float) -> LoadReport:
     """Return the load report for the entry nodes."""
     mean_s = _average(list(state.work.mean_s.values()))
@@ -355,10 +473,11 @@
 
 
 def _should_move(
-    state: SchedulerState, now: float, pending: PendingCall, ahead: list[PendingCall]
+    state: SchedulerState, now: float, pending: PendingCall, count: int, wait_s: float
 ) -> bool:
     """Return whether a call is given back because it is better served elsewhere.
 
+    ``count`` calls are ahead of it, and it is expected to take ``wait_s`` seconds here.
     A move costs a round trip, which is little beside a slowdown or a missed objective.
     """
     if not pending.may_move:
@@ -366,8 +485,16 @@
     work_s = _estimate_work(state, pending)
     if is_slowed(state.speed, now) and estimate_excess(state.speed, work_s) > MIN_MOVE_GAIN_S:
         return True
-    has_room = _has_room(state, now) and not ahead
-    return not has_room and now + _estimate_wait(state, now, ahead, work_s) > pending.objective
+    has_room = _has_room(state, now) and not count
+    return not has_room and now + wait_s > pending.objective
+
+
+def _refuse_unserved(
+    state: SchedulerState, now: float, pending: PendingCall, ahead: list[PendingCall]
+) -> Decision:
+    """Refuse a call that no other server is expected to serve in time."""
+    record_refused(state.ratios, now, pending.rank, pending.kind)
+    return _refuse_overloaded(state, now, ahead)
 
 
 def _refuse_overloaded(state: SchedulerState, now: float, ahead: list[PendingCall]) -> Decision:
@@ -417,7 +544,18 @@
     """Return whether a call may start now, rather than be deferred or wait for a probe."""
     if should_defer(state.speed, now, _estimate_work(state, pending)):
         return False
-    return not _needs_speed(state, now, pending)
+    return not (_is_slot_kept(state, now, pending) or _needs_speed(state, now, pending))
+
+
+def _is_slot_kept(state: SchedulerState, now: float, pending: PendingCall) -> bool:
+    """Return whether the last free slot is kept for calls more urgent than this one."""
+    if state.limit < 2 or not has_several_ranks(state.ratios, now):
+        return False
+    if (pending.rank, pending.kind) in list_starved(state.ratios, now):
+        return False
+    free_slots = state.limit - len(state.running)
+    work_s = _estimate_work(state, pending)
+    return is_slot_kept(state.ratios, now, pending.rank, work_s, free_slots)
 
 
 def _needs_speed(state: SchedulerState, now: float, pending: PendingCall) -> bool:
@@ -426,10 +564,10 @@
     return should_probe(state.speed, now, _estimate_work(state, pending), tolerated_s)
 
 
-def _list_startable(state: SchedulerState, now: float) -> Iterator[bool]:
-    """Yield for each waiting call, in order, whether the host's slowdown lets it start."""
-    for call in state.waiting:
-        yield _may_start(state, now, call.pending)
+def _is_any_startable(state: SchedulerState, now: float) -> bool:
+    """Return whether a waiting call may start; calls of a class are decided once."""
+    seen = {(call.rank, call.kind, call.pending.may_move): call for call in state.waiting}
+    return any(_may_start(state, now, call.pending) for call in seen.values())
 
 
 def _estimate_start_slowdown(state: SchedulerState, now: float) -> float:
@@ -444,15 +582,27 @@
     state: SchedulerState, now: float, ahead: list[PendingCall], work_s: float
 ) -> float:
     """Return the time to complete ``work_s`` of work that is queued behind the calls ahead."""
+    ahead_s = sum(_estimate_work(state, pending) for pending in ahead)
+    return _make_wait_estimator(state, now)(len(ahead), ahead_s, work_s)
+
+
+def _make_wait_estimator(state: SchedulerState, now: float) -> Callable[[int, float, float], float]:
+    """Return a function that estimates a wait from the number and work of the calls ahead."""
     slowdown = _estimate_start_slowdown(state, now)
-    wait_s = get_expected_deferral(state.speed) if may_defer(state.speed, now) else 0.0
-    if len(state.running) + len(ahead) >= state.limit:
-        remaining = [_estimate_remaining(state, call, now) for call in state.running.values()]
-        ahead_s = sum(_estimate_work(state, pending) for pending in ahead) * slowdown
-        wait_s = max(wait_s, (_average(remaining) + ahead_s) / state.limit)
-    wait_s = max(wait_s, estimate_token_wait(state.rate, now, len(ahead) + 1))
-    wait_s = max(wait_s, estimate_cold_wait(state.cold, now, len(ahead) + 1))
-    return wait_s + work_s * slowdown
+    deferral_s = get_expected_deferral(state.speed) if may_defer(state.speed, now) else 0.0
+    remaining_s = _average(
+        [_estimate_remaining(state, call, now) for call in state.running.values()]
+    )
+
+    def estimate(count: int, ahead_s: float, work_s: float) -> float:
+        wait_s = deferral_s
+        if len(state.running) + count >= state.limit:
+            wait_s = max(wait_s, (remaining_s + ahead_s * slowdown) / state.limit)
+        wait_s = max(wait_s, estimate_token_wait(state.rate, now, count + 1))
+        wait_s = max(wait_s, estimate_cold_wait(state.cold, now, count + 1))
+        return wait_s + work_s * slowdown
+
+    return estimate
 
 
 def _estimate_remaining(state: SchedulerState, call: _Running, now: float) -> float:
@@ -483,14 +633,24 @@
     started = []
     refused = []
     kept = []
+    if len(state.waiting) > 1 and has_several_ranks(state.ratios, now):
+        state.waiting = _order_waiting(state, now, state.waiting)
+    # Calls of a class may start or not for the same reasons, so each class is tried once.
+    held: set[tuple[int, str, bool]] = set()
+    has_room = _has_room(state, now)
     for call in state.waiting:
+        group = (call.rank, call.kind, call.pending.may_move)
         if call.pending.deadline <= now:
+            record_refused(state.ratios, now, call.rank, call.kind)
             refused.append((call.call_id, EXPIRED))
-        elif _has_room(state, now) and _may_start(state, now, call.pending):
+        elif has_room and group not in held and _may_start(state, now, call.pending):
             _start(state, now, call.pending)
             started.append(call.call_id)
+            has_room = _has_room(state, now)
         else:
             kept.append(call)
+            if has_room:
+                held.add(group)
     state.waiting = kept
     return SchedulingResult(started, refused)
 
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -72,6 +72,7 @@
 from ragwort_mesh._cold_server import ColdServer
 from ragwort_mesh._crash_ledger import CrashLedger, CrashRefusal
 from ragwort_mesh._telemetry import Telemetry
+from ragwort_mesh._triage_log import TriageLog
 
 REVIEW_INTERVAL_S = 0.01
 """How often the queue is reviewed: a fraction of the shortest objective."""
@@ -138,6 +139,7 @@
         self._end_check: asyncio.Task[None] | None = None
         self._state = SchedulerState()
         self._cold = ColdServer(self._state.cold, telemetry, clock)
+        self._triage_log = TriageLog(self._state, telemetry, clock)
         self._tracker = InstanceTracker()
         self._stopping = False
         self._pending: dict[CallId, asyncio.Future[Decision]] = {}
@@ -342,6 +344,7 @@
     def _review_queue(self) -> None:
         self._review = None
         self._apply_result(review_waiting(self._state, self._clock()))
+        self._triage_log.note_decisions()
         if self._pending:
             self._schedule_review()
             self._query_speed_if_needed()
@@ -561,6 +564,7 @@
             future.set_result(decision)
 
     def _refuse_by_decision(self, request: Request, decision: Decision, arrived: float) -> Refusal:
+        self._triage_log.note_decisions()
         refusal = self._refuse(request, Outcome.NOT_RUN, decision.reason, decision.retry_after_ms)
         now = self._clock()
         self._log_run(request, refusal, arrived, None, now)
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -14,6 +14,7 @@
     make_request,
     offer_calls,
 )
+from msgspec import structs
 from ragwort_common import Outcome, Reason
 from ragwort_flow import record_reported_slowdown
 from ragwort_mesh._clock import read_clock
@@ -209,3 +210,23 @@
         assert isinstance(await gate.run_call(make_request()), Response)
 
     virtual.run_virtual(play())
+
+
+def test_calls_given_up_for_more_urgent_ones_are_counted_and_logged_with_their_figures():
+    async def play():
+        gate = make_gate(virtual.read_clock, AnsweringPool([]))
+        lines = []
+        gate._telemetry.events.write = lambda event, **fields: lines.append((event, fields))
+        request = make_request()
+        for _ in range(400):
+            for rank in (0, 2):
+                offered = structs.replace(request, rank=rank, objective_ms=50.0)
+                asyncio.create_task(gate.run_call(offered))
+            await asyncio.sleep(0.004)
+        await asyncio.sleep(2)
+        assert gate._telemetry.counters.gauges["gate.given_up"] > 50
+        first, *others = [fields for event, fields in lines if event == "calls-triaged"]
+        assert len(others) <= 2
+        assert [described["rank"] for described in first["classes"]] == [0, 2]
+
+    virtual.run_virtual(play())
