--- a/packages/flow/src/ragwort_flow/_scheduler.py
+++ b/packages/flow/src/ragwort_flow/_scheduler.py
@@ -12,7 +12,7 @@
 in a second.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from math import exp
 
@@ -27,6 +27,7 @@
     has_cold_token,
     is_cold,
     is_expected_cold,
+    is_limited,
     record_cold_start,
     record_statement,
     take_cold_token,
@@ -263,7 +264,10 @@
     """Return whether a waiting call could start if a probe gave the host's slowdown."""
     if not _has_room(state, now):
         return False
-    return any(_needs_speed(state, now, call.pending) for call in state.waiting)
+    return any(
+        _needs_speed(state, now, pending) and not _is_slot_kept(state, now, pending)
+        for pending in _list_groups(state)
+    )
 
 
 def admit_call(state: SchedulerState, now: float, pending: PendingCall) -> Decision:
@@ -356,7 +360,7 @@
             kept.append(call)
             ahead_s += work_s
     state.waiting = kept
-    result = _start_waiting(state, now)
+    result = _start_waiting(state, now, is_ordered=True)
     return SchedulingResult(result.started, refused + result.refused)
 
 
@@ -383,12 +387,12 @@
 
 
 def _give_up_excess(state: SchedulerState, now: float) -> list[_Waiting]:
-    """Remove and return the waiting calls that are given up so that the others are in time."""
+    """Order the waiting calls; remove and return those given up so that the others are in time."""
     if not state.waiting or not has_several_ranks(state.ratios, now):
         return []
+    state.waiting = _order_waiting(state, now, state.waiting)
     if not _is_overloaded(state, now):
         return []
-    state.waiting = _order_waiting(state, now, state.waiting)
     kept = _list_kept_classes(state, now)
     excess = find_excess(state.waiting, _get_outlook(state, now), OBJECTIVE_TOLERANCE, kept)
     if excess:
@@ -565,9 +569,19 @@
 
 
 def _is_any_startable(state: SchedulerState, now: float) -> bool:
-    """Return whether a waiting call may start; calls of a class are decided once."""
-    seen = {(call.rank, call.kind, call.pending.may_move): call for call in state.waiting}
-    return any(_may_start(state, now, call.pending) for call in seen.values())
+    """Return whether a waiting call may start now."""
+    return any(_may_start(state, now, pending) for pending in _list_groups(state))
+
+
+def _list_groups(state: SchedulerState) -> Iterable[PendingCall]:
+    """Return one waiting call of each group."""
+    return {_get_group(state, call): call.pending for call in state.waiting}.values()
+
+
+def _get_group(state: SchedulerState, call: _Waiting) -> tuple[int, str, bool, float]:
+    """Return what distinguishes calls as to whether they may start: rank, kind and known work."""
+    work_s = 0.0 if call.kind in state.work.mean_s else call.work_s
+    return call.rank, call.kind, call.pending.may_move, work_s
 
 
 def _estimate_start_slowdown(state: SchedulerState, now: float) -> float:
@@ -594,12 +608,16 @@
         [_estimate_remaining(state, call, now) for call in state.running.values()]
     )
 
+    running, limit = len(state.running), state.limit
+    has_rate = state.rate.calls_per_s is not None or is_limited(state.cold, now)
+
     def estimate(count: int, ahead_s: float, work_s: float) -> float:
         wait_s = deferral_s
-        if len(state.running) + count >= state.limit:
-            wait_s = max(wait_s, (remaining_s + ahead_s * slowdown) / state.limit)
-        wait_s = max(wait_s, estimate_token_wait(state.rate, now, count + 1))
-        wait_s = max(wait_s, estimate_cold_wait(state.cold, now, count + 1))
+        if running + count >= limit:
+            wait_s = max(wait_s, (remaining_s + ahead_s * slowdown) / limit)
+        if has_rate:
+            wait_s = max(wait_s, estimate_token_wait(state.rate, now, count + 1))
+            wait_s = max(wait_s, estimate_cold_wait(state.cold, now, count + 1))
         return wait_s + work_s * slowdown
 
     return estimate
@@ -628,18 +646,18 @@
     )
 
 
-def _start_waiting(state: SchedulerState, now: float) -> SchedulingResult:
+def _start_waiting(state: SchedulerState, now: float, is_ordered: bool = False) -> SchedulingResult:
     """Start waiting calls; those whose deadline has passed, as after a pause, are refused."""
     started = []
     refused = []
     kept = []
-    if len(state.waiting) > 1 and has_several_ranks(state.ratios, now):
+    if not is_ordered and len(state.waiting) > 1 and has_several_ranks(state.ratios, now):
         state.waiting = _order_waiting(state, now, state.waiting)
-    # Calls of a class may start or not for the same reasons, so each class is tried once.
-    held: set[tuple[int, str, bool]] = set()
+    # The calls of a group may start or not for the same reasons, so each group is tried once.
+    held: set[tuple[int, str, bool, float]] = set()
     has_room = _has_room(state, now)
     for call in state.waiting:
-        group = (call.rank, call.kind, call.pending.may_move)
+        group = _get_group(state, call)
         if call.pending.deadline <= now:
             record_refused(state.ratios, now, call.rank, call.kind)
             refused.append((call.call_id, EXPIRED))
