Count a call as refused only if no other server is expected to serve it

Cause: a call that was given back to another server lowered its class's service ratio, which sent calls of that class first for nothing.

--- a/packages/flow/src/ragwort_flow/_scheduler.py
+++ b/packages/flow/src/ragwort_flow/_scheduler.py
@@ -5,11 +5,11 @@
 can run within their objectives. A call is queued only while its response is expected within its
 objective, and otherwise refused at once. A call that another server is expected to serve in time is
 given back as soon as this one can't: by a crowded server, or on a host that is found to be slowed
-down. Queued calls start in the order of their rank and then of
-their latest start time, the objective less the expected work (earliest deadline first, Liu and
-Layland, 1973). A call is deferred on a slowed host if it would finish sooner that way, and until
-the host's slowdown is known if that is worth a probe. A server may also limit how many calls start
-in a second.
+down. Queued calls of one rank start in the order of their latest start time, the objective less the
+expected work (earliest deadline first, Liu and Layland, 1973); among calls of different ranks,
+``_triage`` decides. A call is deferred on a slowed host if it would finish sooner that way, and
+until the host's slowdown is known if that is worth a probe. A server may also limit how many calls
+start in a second.
 """
 
 from collections.abc import Callable, Iterable
@@ -496,8 +496,9 @@
 def _refuse_unserved(
     state: SchedulerState, now: float, pending: PendingCall, ahead: list[PendingCall]
 ) -> Decision:
-    """Refuse a call that no other server is expected to serve in time."""
-    record_refused(state.ratios, now, pending.rank, pending.kind)
+    """Refuse a call, and count that unless another server is expected to serve it."""
+    if not pending.may_move:
+        record_refused(state.ratios, now, pending.rank, pending.kind)
     return _refuse_overloaded(state, now, ahead)
 
 
