--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -111,6 +111,7 @@
     stop_accepting,
     update_server,
 )
+from ragwort_flow._service_ratio import ServiceRatios, estimate_rate, get_ratio, list_starved
 from ragwort_flow._speed import (
     SpeedState,
     estimate_slowdown,
@@ -160,6 +161,7 @@
     "RetryLimits",
     "RunningCall",
     "SchedulerState",
+    "ServiceRatios",
     "SchedulingResult",
     "SpeedState",
     "SplitState",
@@ -187,6 +189,7 @@
     "count_call",
     "count_recent",
     "drop_entry",
+    "estimate_rate",
     "estimate_response_time",
     "estimate_slowdown",
     "estimate_work",
@@ -198,6 +201,7 @@
     "fingerprint_request",
     "forget_old_crashes",
     "get_hedge_delay",
+    "get_ratio",
     "get_remaining",
     "get_phase",
     "give_back",
@@ -211,6 +215,7 @@
     "is_slowed",
     "is_watcher_among",
     "limit_rate",
+    "list_starved",
     "make_cold_limit",
     "make_unconfigured_limit",
     "needs_probe",
