--- a/packages/flow/src/ragwort_flow/_triage.py
+++ b/packages/flow/src/ragwort_flow/_triage.py
@@ -16,7 +16,7 @@
 
 FEASIBLE_RATIO = 0.85
 """Fraction of the time left to their objectives within which all waiting calls have to be expected
-to be served in time; 0.5 and 0.9 brought the same or less (docs/design/overload.md)."""
+to be served in time. The rest covers calls that take longer than expected."""
 
 RANK_WEIGHT = 2.0
 """Weight of a call in time relative to one of the next lower rank."""
