Show where a node would send a call now, without sending it

Operators could see only afterwards, from the logs, why a call went where it did. ragwortctl where asks a node on its metrics port: the route, the home regions, and for each service of the route the chosen server, all others with why the call may not go there, and the load reports that the choice goes by. The choice is made with a random source of its own and nothing is counted, so asking changes nothing.

--- a/packages/control/src/ragwort_control/main.py
+++ b/packages/control/src/ragwort_control/main.py
@@ -21,6 +21,7 @@
     _show,
     _status,
     _story,
+    _where,
 )
 from ragwort_control._command import (
     Command,
@@ -49,6 +50,7 @@
         _drain.DRAIN,
         _drain.UNDRAIN,
         _story.COMMAND,
+        _where.COMMAND,
     )
 }
 _HELP_ARGUMENTS = ("help", "--help", "-h", "-help")
--- a/packages/mesh/src/ragwort_mesh/_control.py
+++ b/packages/mesh/src/ragwort_mesh/_control.py
@@ -1,6 +1,7 @@
 """HTTP handlers for server reports, readiness checks and metrics."""
 
 from collections.abc import Callable
+from urllib.parse import parse_qsl
 
 from ragwort_model import InputError
 from ragwort_platform import is_readiness_check, read_server_report
@@ -14,6 +15,9 @@
 )
 """Limits on server reports, which are a few hundred bytes each, every second or two."""
 
+PLACEMENT_PATH = b"/placement"
+"""Path of the operators' endpoint that explains where a call would go."""
+
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -43,10 +47,26 @@
     return handle
 
 
-def build_metrics_handler(telemetry: Telemetry, path: bytes) -> RequestHandler:
-    """Return the handler of the metrics endpoint."""
+def build_metrics_handler(
+    telemetry: Telemetry, path: bytes, explain: Callable[[str, str, str], bytes]
+) -> RequestHandler:
+    """Return the handler of the operators' endpoint: metrics, and where a call would go.
+
+    Parameters
+    ----------
+    explain
+        Returns the explanation of a call's placement as JSON, given its host, its path and the
+        name of its customer, which is empty without one.
+    """
 
     async def handle(request: HttpRequest) -> HttpResponse:
+        place, _, query = request.target.partition(b"?")
+        if place == PLACEMENT_PATH:
+            fields = dict(parse_qsl(query.decode("latin-1")))
+            if not {"host", "path"} <= fields.keys():
+                return HttpResponse(400, [])
+            explanation = explain(fields["host"], fields["path"], fields.get("customer", ""))
+            return HttpResponse(200, JSON_HEADERS, explanation)
         if request.target != path:
             return HttpResponse(404, [])
         return HttpResponse(
--- a/packages/mesh/src/ragwort_mesh/_customers.py
+++ b/packages/mesh/src/ragwort_mesh/_customers.py
@@ -46,10 +46,17 @@
     key
         Digest of the key that the caller sent, if any.
     """
-    if not configuration.customers:
-        return CallTerms(allowed_regions=route.allowed_regions or None)
     # The table is found by a hash of the digest, so the time taken tells nothing about a key.
     name = configuration.customer_by_key.get(key) if key is not None else None
+    return find_customer_terms(configuration, route, name)
+
+
+def find_customer_terms(
+    configuration: Configuration, route: Route, name: CustomerName | None
+) -> CallTerms | None:
+    """Return the terms of a call of a customer, or None if it is refused because it has none."""
+    if not configuration.customers:
+        return CallTerms(allowed_regions=route.allowed_regions or None)
     if name is None:
         if route.needs_key:
             return None
--- a/packages/mesh/src/ragwort_mesh/_dispatcher.py
+++ b/packages/mesh/src/ragwort_mesh/_dispatcher.py
@@ -27,7 +27,7 @@
     suspend_target,
     update_report,
 )
-from ragwort_model import RouteName
+from ragwort_model import Route, RouteName
 from ragwort_protocol import Refusal, Request, Response
 from ragwort_transport import NO_REPORT, exchange_call, make_refusal, wait_for_first_success
 
@@ -107,6 +107,30 @@
     reachable: dict[str, int] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class PlacementInputs:
+    """What the choice of a server goes by.
+
+    Attributes
+    ----------
+    targets, unreachable
+        The reachable servers of the service, and the nodes of the others.
+    evacuated
+        Failure domains whose servers may get no calls.
+    work_s, body_kb
+        Expected work of a call in seconds, and size of its bodies in 1,000 bytes.
+    now
+        Time on the node's clock, in seconds.
+    """
+
+    targets: list[Target]
+    unreachable: list[NodeId]
+    evacuated: Collection[FailureDomain]
+    work_s: float
+    body_kb: float
+    now: float
+
+
 class Dispatcher:
     """Routes calls to servers; keeps work estimates, body sizes and retry budgets per service.
 
@@ -176,7 +200,7 @@
             now,
             self._random,
             progress.tried,
-            self._estimate_work(call),
+            self._estimate_work(call.route),
             call.objective - now,
             self._mean_body_kb.get(call.route.name, 0.0),
         )
@@ -210,6 +234,20 @@
                 continue
             yield target
 
+    def get_placement_inputs(self, route: Route, service: ServiceName) -> PlacementInputs:
+        """Return what the choice of a server for a call would go by now."""
+        targets = list(self._list_usable(service, self._clock()))
+        reachable = {target.node for target in targets}
+        known = self._targets.list_targets(service)
+        return PlacementInputs(
+            targets=targets,
+            unreachable=[target.node for target in known if target.node not in reachable],
+            evacuated=self._list_evacuated(),
+            work_s=self._estimate_work(route),
+            body_kb=self._mean_body_kb.get(route.name, 0.0),
+            now=self._clock(),
+        )
+
     async def _try_hedged(
         self, call: Call, placement: Placement, progress: Progress
     ) -> Response | Refusal:
@@ -236,7 +274,7 @@
     def _get_hedge_delay(self, call: Call) -> float | None:
         if not call.route.idempotent or call.route.max_servers < 2:
             return None
-        work_s = self._estimate_work(call)
+        work_s = self._estimate_work(call.route)
         return get_hedge_delay(call.objective - self._clock(), work_s)
 
     def _choose_hedge(self, call: Call, progress: Progress) -> Placement | None:
@@ -385,14 +423,14 @@
             rank=route.rank if call.rank is None else call.rank,
             member=call.customer or "",
             objective_ms=(call.objective - now) * 1000,
-            work_ms=self._estimate_work(call) * 1000,
+            work_ms=self._estimate_work(call.route) * 1000,
             may_move=may_move,
         )
 
-    def _estimate_work(self, call: Call) -> float:
+    def _estimate_work(self, route: Route) -> float:
         """Return the estimated work of a call, in seconds."""
-        default_s = call.route.objective_ms * DEFAULT_WORK_FRACTION / 1000
-        return estimate_work(self._work, call.route.name, default_s)
+        default_s = route.objective_ms * DEFAULT_WORK_FRACTION / 1000
+        return estimate_work(self._work, route.name, default_s)
 
     def _get_retry_budget(self, service: ServiceName) -> RetryBudget:
         budget = self._retry_budgets.get(service)
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -10,7 +10,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from ragwort_common import Incarnation, NodeId
+from ragwort_common import CustomerName, Incarnation, NodeId
 from ragwort_flow import Distance, RetryLimits
 from ragwort_model import Bounds, NodeRecord, NodeSettings
 from ragwort_protocol import (
@@ -51,6 +51,7 @@
 from ragwort_mesh._load_publisher import LoadPublisher
 from ragwort_mesh._peer_sync import PeerSync
 from ragwort_mesh._peers import Peers
+from ragwort_mesh._placement_explanation import explain_call
 from ragwort_mesh._reload import LoadSettings, SettingsWatch
 from ragwort_mesh._store import StoreClient
 from ragwort_mesh._targets import Targets
@@ -207,7 +208,14 @@
             build_readiness_handler(self._is_ready), lambda: CONTROL_LIMITS
         )
         self._metrics_server = HttpServer(
-            build_metrics_handler(telemetry, metrics_path.encode()), lambda: CONTROL_LIMITS
+            build_metrics_handler(
+                telemetry,
+                metrics_path.encode(),
+                lambda host, path, customer: explain_call(
+                    self._configuration, self._dispatcher, host, path, CustomerName(customer)
+                ),
+            ),
+            lambda: CONTROL_LIMITS,
         )
         self._configured = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
