--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -55,7 +55,12 @@
 )
 from ragwort_flow._decision import EXPIRED, QUEUED, RUN, Decision, Verdict
 from ragwort_flow._distance import Distance, RandomSource, find_distance
-from ragwort_flow._eligibility import Eligibility, check_eligibility, explain_absence
+from ragwort_flow._eligibility import (
+    Eligibility,
+    check_eligibility,
+    explain_absence,
+    list_eligible,
+)
 from ragwort_flow._fingerprint import fingerprint_request
 from ragwort_flow._hedging import get_hedge_delay
 from ragwort_flow._instance_tracker import (
@@ -215,6 +220,7 @@
     "is_slowed",
     "is_watcher_among",
     "limit_rate",
+    "list_eligible",
     "list_starved",
     "make_cold_limit",
     "make_unconfigured_limit",
--- a/packages/flow/src/ragwort_flow/_eligibility.py
+++ b/packages/flow/src/ragwort_flow/_eligibility.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Collection, Iterable
 from enum import Enum
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from ragwort_common import FailureDomain, Reason, Region
 
@@ -23,6 +23,9 @@
         """Region of the server's host."""
 
 
+LocatedTarget = TypeVar("LocatedTarget", bound=Located)
+
+
 class Eligibility(Enum):
     """Whether a server may get a call, and if not, why.
 
@@ -60,6 +63,21 @@
     return Eligibility.ELIGIBLE
 
 
+def list_eligible(
+    targets: Iterable[LocatedTarget],
+    allowed_regions: Collection[Region] | None,
+    evacuated: Collection[FailureDomain],
+) -> Iterable[LocatedTarget]:
+    """Return the servers that may get a call; see ``check_eligibility``."""
+    if allowed_regions is None and not evacuated:
+        return targets
+    return (
+        target
+        for target in targets
+        if check_eligibility(target, allowed_regions, evacuated) is Eligibility.ELIGIBLE
+    )
+
+
 def explain_absence(
     targets: Iterable[Located],
     allowed_regions: Collection[Region] | None,
--- a/packages/flow/src/ragwort_flow/_scheduler.py
+++ b/packages/flow/src/ragwort_flow/_scheduler.py
@@ -203,7 +203,10 @@
     pending: PendingCall = field(compare=False)
     work_s: float = field(compare=False)
     due: float = field(compare=False)
-    kind: str = field(compare=False)
+
+    @property
+    def kind(self) -> str:
+        return self.pending.kind
 
 
 @dataclass(slots=True, frozen=True)
@@ -302,7 +305,6 @@
         pending,
         work_s,
         pending.objective - work_s,
-        pending.kind,
     )
     if has_several_ranks(state.ratios, now):
         return _queue_by_triage(state, now, new_call)
--- a/packages/mesh/src/ragwort_mesh/_dispatcher.py
+++ b/packages/mesh/src/ragwort_mesh/_dispatcher.py
@@ -23,6 +23,7 @@
     explain_absence,
     get_hedge_delay,
     has_spare_capacity,
+    list_eligible,
     record_sent,
     suspend_target,
     update_report,
@@ -206,15 +207,8 @@
         )
 
     def _list_eligible(self, call: Call, now: float) -> Iterable[Target]:
-        regions, evacuated = call.allowed_regions, self._list_evacuated()
         usable = self._list_usable(call.service, now)
-        if regions is None and not evacuated:
-            return usable
-        return (
-            target
-            for target in usable
-            if check_eligibility(target, regions, evacuated) is Eligibility.ELIGIBLE
-        )
+        return list_eligible(usable, call.allowed_regions, self._list_evacuated())
 
     def _explain_absence(self, call: Call, progress: Progress, now: float) -> Reason:
         """Return why there is no further server for a call, and record what there is."""
@@ -236,7 +230,8 @@
 
     def get_placement_inputs(self, route: Route, service: ServiceName) -> PlacementInputs:
         """Return what the choice of a server for a call would go by now."""
-        targets = list(self._list_usable(service, self._clock()))
+        now = self._clock()
+        targets = list(self._list_usable(service, now))
         reachable = {target.node for target in targets}
         known = self._targets.list_targets(service)
         return PlacementInputs(
@@ -245,7 +240,7 @@
             evacuated=self._list_evacuated(),
             work_s=self._estimate_work(route),
             body_kb=self._mean_body_kb.get(route.name, 0.0),
-            now=self._clock(),
+            now=now,
         )
 
     async def _try_hedged(
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -364,8 +364,6 @@
             self._targets.drop_early_report(link.peer)
             self._peer_sync.drop_peer(link.peer)
             self._customer_limits.close_link(link.peer)
-            if any(node == link.peer for node, _ in self._peers.list_links()):
-                self._customer_limits.open_link(link.peer)
 
     def _send_to_node(self, node: NodeId, message: Message) -> None:
         link = self._peers.find_link(node)
--- a/packages/mesh/src/ragwort_mesh/_placement_explanation.py
+++ b/packages/mesh/src/ragwort_mesh/_placement_explanation.py
@@ -1,7 +1,7 @@
 """Explains where a call would go now, and why, without sending it."""
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 from ragwort_common import CustomerName, Region, ServiceName
@@ -12,6 +12,7 @@
     choose_target,
     estimate_response_time,
     explain_absence,
+    list_eligible,
 )
 from ragwort_model import Route
 
@@ -152,14 +153,9 @@
     regions: frozenset[Region] | None,
 ) -> PlacementExplanation:
     inputs = dispatcher.get_placement_inputs(route, service)
-    eligible = [
-        target
-        for target in inputs.targets
-        if check_eligibility(target, regions, inputs.evacuated) is Eligibility.ELIGIBLE
-    ]
     # A random source of its own, so that asking doesn't change where calls go.
     placement = choose_target(
-        eligible,
+        list_eligible(inputs.targets, regions, inputs.evacuated),
         inputs.now,
         random.Random(),
         (),
@@ -185,24 +181,21 @@
     if state == Eligibility.ELIGIBLE.value and target.suspended_until > inputs.now:
         state = "suspended"
     expected_s = estimate_response_time(target, inputs.now, inputs.work_s)
-    report = target.report
-    if report is None:
-        return Candidate(
-            target.node,
-            state,
-            target.failure_domain,
-            target.distance.value,
-            round(expected_s * 1000, 1),
-        )
-    return Candidate(
+    described = Candidate(
         target.node,
         state,
         target.failure_domain,
         target.distance.value,
         round(expected_s * 1000, 1),
-        report.in_flight + len(target.sent),
-        report.queued,
-        report.limit,
-        report.failing_percent,
-        round((inputs.now - target.reported_at) * 1000, 1),
+    )
+    report = target.report
+    if report is None:
+        return described
+    return replace(
+        described,
+        running=report.in_flight + len(target.sent),
+        waiting=report.queued,
+        limit=report.limit,
+        failing_percent=report.failing_percent,
+        report_age_ms=round((inputs.now - target.reported_at) * 1000, 1),
     )
--- a/packages/mesh/src/ragwort_mesh/_store.py
+++ b/packages/mesh/src/ragwort_mesh/_store.py
@@ -98,11 +98,11 @@
         self._on_restored = on_restored
         self._telemetry = telemetry
         self._pool = ClientPool(address, 2, MAX_REPLY_BYTES, MAX_UNACKNOWLEDGED_MS)
-        self._reachable = True
+        self._reachable = asyncio.Event()
+        self._reachable.set()
         self._failures = 0
         self._get_probe_interval = get_probe_interval
         self._next_probe = 0.0
-        self._regained = asyncio.Event()
         self._random = random.Random()
 
     async def call(self, request: StoreRequest, wait_s: float = 0.0) -> StoreReply | StoreError:
@@ -116,7 +116,7 @@
         wait_s
             How long the store may delay its reply to a watch, in seconds.
         """
-        if not self._reachable and not await self._await_probe():
+        if not self._reachable.is_set() and not await self._await_probe():
             return StoreError(ErrorKind.UNAVAILABLE, "not sent: the store does not serve this node")
         timeout_s = wait_s + WATCH_SLACK_S if wait_s else CALL_TIMEOUT_S
         self._telemetry.counters.add("store.calls")
@@ -151,7 +151,7 @@
         """Return whether a request may be sent, after waiting for the store or the next probe."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + CALL_TIMEOUT_S
-        while not self._reachable:
+        while not self._reachable.is_set():
             now = loop.time()
             if now >= self._next_probe:
                 interval_s = max(MIN_PROBE_INTERVAL_S, self._get_probe_interval())
@@ -161,7 +161,7 @@
                 return False
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(min(deadline, self._next_probe) - now):
-                    await self._regained.wait()
+                    await self._reachable.wait()
         return True
 
     def _encode(self, request: StoreRequest) -> bytes:
@@ -185,13 +185,12 @@
 
     def _note_reachable(self, reachable: bool, cause: str) -> None:
         self._failures = 0 if reachable else self._failures + 1
-        if reachable == self._reachable or 0 < self._failures < FAILURES_UNTIL_LOST:
+        if reachable == self._reachable.is_set() or 0 < self._failures < FAILURES_UNTIL_LOST:
             return
-        self._reachable = reachable
         if reachable:
-            self._regained.set()
+            self._reachable.set()
         else:
-            self._regained.clear()
+            self._reachable.clear()
         event = "store-regained" if reachable else "store-lost"
         self._telemetry.events.write(event, cause=cause, failures=self._failures)
         self._on_status(reachable)
