Try requests of the same crashes one at a time, soon after the last crash

All of them had the same content (a route and an empty body, one call in four) and ran beside a request that crashed both servers of the service twice within 1.5 s. No server was up between the crashes, so none answered the proper request; both requests ran in the same four crashes, both were refused, and the first trial was due only 40 s after the last crash.

Requests that ran in exactly the same crashes now take turns with their trials, 3 s apart, while they have at most four crashes. An answer clears a request; a crash explains all others. A request with a query has two fingerprints, which are always tied; from the fifth crash on its trials come as late as before.

--- a/packages/flow/src/ragwort_flow/_crash_history.py
+++ b/packages/flow/src/ragwort_flow/_crash_history.py
@@ -9,6 +9,7 @@
 """
 
 from dataclasses import dataclass, field
+from math import inf
 
 from ragwort_common import RequestFingerprint
 from ragwort_model import CrashId, CrashRecord
@@ -35,6 +36,15 @@
 TRIAL_PASS_S = 2.0
 """How long after the start of a trial the gates let the request through, in seconds."""
 
+TIED_TRIAL_S = 3.0
+"""Time between the trials of requests that ran in exactly the same crashes, in seconds. One is
+enough to tell the cause from those that only ran beside it; over ``TRIAL_PASS_S``, so that no two
+of them run at once."""
+
+MAX_TIED_CRASHES = CRASHES_TO_BLAME + 1
+"""Most crashes of such requests up to which their trials come that early: the fingerprints of one
+request with a query are always tied."""
+
 
 @dataclass(slots=True)
 class Crash:
@@ -138,6 +148,8 @@
         return None
     crashes.sort(key=lambda crash: crash.happened_at)
     wait_s = FIRST_TRIAL_S * TRIAL_FACTOR ** (len(crashes) - CRASHES_TO_BLAME)
+    if len(crashes) <= MAX_TIED_CRASHES:
+        wait_s = min(wait_s, _find_tied_wait(history, crashes, request))
     latest = max(crashes[-1].happened_at, history.trials.get(request, 0.0))
     return Blame(tuple(crashes), latest + min(wait_s, MAX_TRIAL_S))
 
@@ -163,6 +175,24 @@
     )
 
 
+def _find_tied_wait(
+    history: CrashHistory, crashes: list[Crash], request: RequestFingerprint
+) -> float:
+    """Return when a request's trial comes if others ran in the same crashes, else infinity.
+
+    They take turns, in an order that all nodes agree on. After its first trial a request waits
+    until all of them have had one.
+    """
+    crash_ids = history.by_request[request]
+    suspects = set.intersection(*(crash.suspects for crash in crashes))
+    tied = sorted(other for other in suspects if history.by_request[other] == crash_ids)
+    if len(tied) < 2:
+        return inf
+    had_trial = history.trials.get(request, -inf) >= crashes[-1].happened_at
+    turns = len(tied) if had_trial else tied.index(request) + 1
+    return turns * TIED_TRIAL_S
+
+
 def _choose_dropped(history: CrashHistory) -> CrashId:
     """Return the oldest crash, if possible one whose requests were in no other crash."""
     for crash_id, crash in history.crashes.items():
