Split the scheduler into modules by what they decide

The state with its calls is now in _scheduler_state.py, expected waits in _wait_estimate.py, which calls may start in _call_start.py, and order and giving up in _overload.py; admission, completion and review stay. Names used by several modules lost their underscore. Two tests replaced functions in _scheduler and now do so in each module that calls them.

--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -1,5 +1,6 @@
 """Pure decision logic for calls: load balancing, scheduling, admission, retries and hedging."""
 
+from ragwort_flow._call_start import needs_probe
 from ragwort_flow._cold_start import (
     ColdLimit,
     ColdState,
@@ -100,15 +101,11 @@
     record_unserved,
 )
 from ragwort_flow._scheduler import (
-    PendingCall,
-    SchedulerState,
-    SchedulingResult,
     admit_call,
     build_load_report,
     cancel_call,
     complete_call,
     limit_rate,
-    needs_probe,
     record_reported_slowdown,
     record_unanswered_probe,
     reset_server,
@@ -116,6 +113,7 @@
     stop_accepting,
     update_server,
 )
+from ragwort_flow._scheduler_state import PendingCall, SchedulerState, SchedulingResult
 from ragwort_flow._service_ratio import ServiceRatios, estimate_rate, get_ratio, list_starved
 from ragwort_flow._speed import (
     SpeedState,
--- a/tests/flow/test_triage.py
+++ b/tests/flow/test_triage.py
@@ -5,7 +5,7 @@
 from flow_simulation import Hosts, Kind, simulate_ragwort
 from hypothesis import given
 from hypothesis import strategies as st
-from ragwort_flow import _scheduler
+from ragwort_flow import _call_start, _overload, _scheduler, _wait_estimate
 from ragwort_flow._service_ratio import (
     MAX_CLASSES,
     ServiceRatios,
@@ -38,6 +38,11 @@
     return simulate_ragwort(kinds, 1, seed, 20, hosts=hosts)
 
 
+def ignore_ranks(monkeypatch):
+    for module in (_call_start, _overload, _scheduler):
+        monkeypatch.setattr(module, "has_several_ranks", lambda *words: False)
+
+
 def weigh_in_time(kinds, result):
     """Return the share of the calls in time, each rank weighing twice as much as the next."""
     offered = sum(result.offered[kind.name] * 2.0**-kind.rank for kind in kinds)
@@ -58,7 +63,7 @@
     kinds = make_kinds(slots, load, burst_s)
     result = simulate(kinds, slots)
     check_served(kinds, result)
-    monkeypatch.setattr(_scheduler, "has_several_ranks", lambda *words: False)
+    ignore_ranks(monkeypatch)
     assert weigh_in_time(kinds, result) >= weigh_in_time(kinds, simulate(kinds, slots)) + gain
 
 
@@ -68,7 +73,7 @@
     def estimate(estimates, kind, default_s):
         return factor * estimates.mean_s.get(kind, default_s)
 
-    monkeypatch.setattr(_scheduler, "estimate_work", estimate)
+    monkeypatch.setattr(_wait_estimate, "estimate_work", estimate)
     kinds = make_kinds(slots, 1.4, 0.0)
     check_served(kinds, simulate(kinds, slots))
 
@@ -76,7 +81,7 @@
 def test_nothing_changes_where_all_calls_have_the_same_rank(monkeypatch):
     kinds = [Kind("a", 0.05, 0.2, 2.0, 1, 60.0), Kind("b", 0.3, 1.5, 4.0, 1, 20.0)]
     result = simulate(kinds, 5)
-    monkeypatch.setattr(_scheduler, "has_several_ranks", lambda *words: False)
+    ignore_ranks(monkeypatch)
     assert simulate(kinds, 5) == result
 
 
