Put calls beyond a customer's share behind others of their rank at a full server

A customer that sent several times its usual number of calls took slots from all others of its rank: the scheduler knew ranks, but not customers. The gate now passes the customer to the scheduler, which learns each customer's usual rate from its own arrivals. Calls beyond 1.5 times that rate, scaled by how much more the other customers send, go last among those of their rank that can be in time, and are given up among themselves. A customer served less than 0.3 times as often as all goes first. For the first minute after a restart nobody is put behind. While two customers are present, calls of one rank are given up as those of several ranks are. Without several customers, and while all waiting calls can be in time, nothing changes.

--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -54,6 +54,14 @@
     rank_coordinator,
     spend_credit,
 )
+from ragwort_flow._customer_shares import (
+    CustomerShares,
+    estimate_recent_rate,
+    estimate_usual_rate,
+    get_customer_ratio,
+    is_learned,
+    list_beyond,
+)
 from ragwort_flow._decision import EXPIRED, QUEUED, RUN, Decision, Verdict
 from ragwort_flow._distance import Distance, RandomSource, find_distance
 from ragwort_flow._eligibility import (
@@ -142,6 +150,7 @@
     "ColdState",
     "CrashDetector",
     "CrashHistory",
+    "CustomerShares",
     "DOMAIN_PROBES_PER_S",
     "Decision",
     "Distance",
@@ -193,8 +202,10 @@
     "count_recent",
     "drop_entry",
     "estimate_rate",
+    "estimate_recent_rate",
     "estimate_response_time",
     "estimate_slowdown",
+    "estimate_usual_rate",
     "estimate_work",
     "explain_absence",
     "expect_cold",
@@ -203,6 +214,7 @@
     "find_probe_interval",
     "fingerprint_request",
     "forget_old_crashes",
+    "get_customer_ratio",
     "get_hedge_delay",
     "get_ratio",
     "get_remaining",
@@ -212,12 +224,14 @@
     "hash_node",
     "is_expected_cold",
     "is_in_trial",
+    "is_learned",
     "is_limited",
     "is_low",
     "is_ready",
     "is_slowed",
     "is_watcher_among",
     "limit_rate",
+    "list_beyond",
     "list_eligible",
     "list_starved",
     "make_cold_limit",
--- a/packages/flow/src/ragwort_flow/_call_start.py
+++ b/packages/flow/src/ragwort_flow/_call_start.py
@@ -5,7 +5,7 @@
 from ragwort_flow._cold_start import has_cold_token, take_cold_token
 from ragwort_flow._concurrency_limit import find_knee_limit
 from ragwort_flow._decision import EXPIRED
-from ragwort_flow._overload import order_waiting
+from ragwort_flow._overload import needs_triage, order_waiting, record_refusal
 from ragwort_flow._rate_limit import has_token, take_token
 from ragwort_flow._scheduler_state import (
     PendingCall,
@@ -14,7 +14,7 @@
     SchedulingResult,
     Waiting,
 )
-from ragwort_flow._service_ratio import has_several_ranks, list_starved, record_refused
+from ragwort_flow._service_ratio import has_several_ranks, list_starved
 from ragwort_flow._speed import (
     estimate_slowdown,
     get_expected_deferral,
@@ -105,7 +105,7 @@
     started = []
     refused = []
     kept = []
-    if not is_ordered and len(state.waiting) > 1 and has_several_ranks(state.ratios, now):
+    if not is_ordered and len(state.waiting) > 1 and needs_triage(state, now):
         state.waiting = order_waiting(state, now, state.waiting)
     # The calls of a group may start or not for the same reasons, so each group is tried once.
     held: set[tuple[int, str, bool, float]] = set()
@@ -113,7 +113,7 @@
     for call in state.waiting:
         group = _get_group(state, call)
         if call.pending.deadline <= now:
-            record_refused(state.ratios, now, call.rank, call.kind)
+            record_refusal(state, now, call.pending)
             refused.append((call.call_id, EXPIRED))
         elif is_room_free and group not in held and may_start(state, now, call.pending):
             start_call(state, now, call.pending)
--- a/packages/flow/src/ragwort_flow/_scheduler.py
+++ b/packages/flow/src/ragwort_flow/_scheduler.py
@@ -6,10 +6,10 @@
 objective, and otherwise refused at once. A call that another server is expected to serve in time is
 given back as soon as this one can't: by a crowded server, or on a host that is found to be slowed
 down. Queued calls of one rank start in the order of their latest start time, the objective less the
-expected work (earliest deadline first, Liu and Layland, 1973); among calls of different ranks,
-``_triage`` decides. A call is deferred on a slowed host if it would finish sooner that way, and
-until the host's slowdown is known if that is worth a probe. A server may also limit how many calls
-start in a second.
+expected work (earliest deadline first, Liu and Layland, 1973); among calls of different ranks, and
+where a customer sends far more than usual, ``_triage`` decides. A call is deferred on a slowed host
+if it would finish sooner that way, and until the host's slowdown is known if that is worth a probe.
+A server may also limit how many calls start in a second.
 """
 
 from ragwort_common import CallId, Reason
@@ -39,14 +39,17 @@
     record_call_above,
     record_call_below,
 )
+from ragwort_flow._customer_shares import move_marks, record_arrival
 from ragwort_flow._decision import EXPIRED, QUEUED, RUN, Decision, Verdict
 from ragwort_flow._overload import (
     OBJECTIVE_TOLERANCE,
     SMALL_CALL_RATIO,
     give_up_excess,
     is_overloaded,
-    list_kept_classes,
+    may_be_kept,
+    needs_triage,
     order_waiting,
+    record_refusal,
 )
 from ragwort_flow._rate_limit import RateLimit, set_rate
 from ragwort_flow._scheduler_state import (
@@ -56,7 +59,7 @@
     SchedulingResult,
     Waiting,
 )
-from ragwort_flow._service_ratio import has_several_ranks, record_offered, record_refused
+from ragwort_flow._service_ratio import record_offered
 from ragwort_flow._speed import (
     SpeedState,
     estimate_excess,
@@ -145,6 +148,7 @@
     work_s = estimate_call_work(state, pending)
     slack_s = pending.objective - now - work_s
     record_offered(state.ratios, now, pending.rank, pending.kind, work_s, slack_s)
+    is_beyond_share = record_arrival(state.shares, now, pending.customer)
     waiting = [call.pending for call in state.waiting]
     if pending.may_move and _should_move(
         state, now, pending, len(waiting), estimate_wait(state, now, waiting, work_s)
@@ -163,8 +167,10 @@
         pending,
         work_s,
         pending.objective - work_s,
+        pending.customer,
+        is_beyond_share,
     )
-    if has_several_ranks(state.ratios, now):
+    if needs_triage(state, now):
         return _queue_by_triage(state, now, new_call)
     ahead = [call.pending for call in state.waiting if call < new_call]
     wait_s = estimate_wait(state, now, ahead, 0.0)
@@ -212,7 +218,7 @@
         work_s = estimate_call_work(state, call.pending)
         wait_s = estimate_next(len(kept), ahead_s, work_s)
         if call.pending.deadline <= now:
-            record_refused(state.ratios, now, call.rank, call.kind)
+            record_refusal(state, now, call.pending)
             refused.append((call.call_id, EXPIRED))
         elif now + wait_s > call.pending.deadline:
             ahead = [waiting.pending for waiting in kept]
@@ -229,7 +235,13 @@
 
 
 def _queue_by_triage(state: SchedulerState, now: float, new_call: Waiting) -> Decision:
-    """Queue a call at a server whose calls have different ranks, or refuse it."""
+    """Queue a call at a server whose calls differ by rank or by customer, or refuse it."""
+    if new_call.is_beyond_share and is_overloaded(state, now):
+        state.put_behind += 1
+    if new_call.customer is not None:
+        key = new_call.customer, new_call.rank
+        same = [call for call in state.waiting if (call.customer, call.rank) == key]
+        move_marks([*same, new_call])
     ordered = order_waiting(state, now, [*state.waiting, new_call])
     ahead = [call.pending for call in ordered[: ordered.index(new_call)]]
     pending = new_call.pending
@@ -240,7 +252,7 @@
     # otherwise be served too rarely.
     may_be_late = wait_s <= MAX_LATE_WAIT_S
     if not may_be_late and is_overloaded(state, now):
-        may_be_late = (pending.rank, pending.kind) in list_kept_classes(state, now)
+        may_be_late = may_be_kept(state, now, new_call)
     elif not may_be_late:
         may_be_late = _may_be_served_late(state, pending, new_call.work_s)
     if finish_s > pending.deadline - now or not (in_time or may_be_late):
@@ -311,7 +323,7 @@
 ) -> Decision:
     """Refuse a call, and count that unless another server is expected to serve it."""
     if not pending.may_move:
-        record_refused(state.ratios, now, pending.rank, pending.kind)
+        record_refusal(state, now, pending)
     return _refuse_overloaded(state, now, ahead)
 
 
--- a/packages/flow/src/ragwort_flow/_scheduler_state.py
+++ b/packages/flow/src/ragwort_flow/_scheduler_state.py
@@ -2,10 +2,11 @@
 
 from dataclasses import dataclass, field
 
-from ragwort_common import CallId, Reason
+from ragwort_common import CallId, CustomerName, Reason
 
 from ragwort_flow._cold_start import ColdState
 from ragwort_flow._concurrency_limit import KneeState
+from ragwort_flow._customer_shares import CustomerShares
 from ragwort_flow._decision import Decision
 from ragwort_flow._rate_limit import RateLimit
 from ragwort_flow._service_ratio import ServiceRatios
@@ -31,6 +32,8 @@
         The entry node's estimate of the work in seconds, used until calls of the kind have run.
     may_move
         Whether another server is expected to serve the call in time if it is refused here.
+    customer
+        Customer of the call; None if it has none, as a nested call.
     """
 
     call_id: CallId
@@ -40,6 +43,7 @@
     deadline: float
     default_work_s: float
     may_move: bool = False
+    customer: CustomerName | None = None
 
 
 @dataclass(slots=True)
@@ -58,9 +62,11 @@
         Ratio of failed calls, and when it was last updated.
     ratios
         How often each class of calls is served.
-    given_up, slots_kept
-        Number of calls that were refused since not all could be in time, and of calls that found
-        a slot kept free for more urgent ones.
+    shares
+        What each customer sends, and which calls are beyond that.
+    given_up, slots_kept, put_behind
+        Number of calls that were refused since not all could be in time, of calls that found a slot
+        kept free for more urgent ones, and of calls beyond their customer's share in overload.
     """
 
     accepting: bool = False
@@ -78,8 +84,10 @@
     knee: KneeState = field(default_factory=KneeState)
     rate: RateLimit = field(default_factory=RateLimit)
     ratios: ServiceRatios = field(default_factory=ServiceRatios)
+    shares: CustomerShares = field(default_factory=CustomerShares)
     given_up: int = 0
     slots_kept: int = 0
+    put_behind: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,9 +101,12 @@
     above_knee: bool
 
 
-@dataclass(slots=True, frozen=True, order=True)
+@dataclass(slots=True, order=True)
 class Waiting:
-    """A waiting call; ``due`` is the latest start at which it is in time."""
+    """A waiting call; ``due`` is the latest start at which it is in time.
+
+    ``is_beyond_share`` may move to another call of the customer, see ``move_marks``.
+    """
 
     rank: int
     latest_start: float
@@ -103,6 +114,8 @@
     pending: PendingCall = field(compare=False)
     work_s: float = field(compare=False)
     due: float = field(compare=False)
+    customer: CustomerName | None = field(compare=False, default=None)
+    is_beyond_share: bool = field(compare=False, default=False)
 
     @property
     def kind(self) -> str:
--- a/packages/flow/src/ragwort_flow/_triage.py
+++ b/packages/flow/src/ragwort_flow/_triage.py
@@ -2,12 +2,14 @@
 
 While all can be in time, the one with the earliest latest start goes first (earliest deadline
 first). Otherwise the more urgent go first, and of those of a rank that cannot all be in time, the
-longest are given up until the others can (Moore and Hodgson, 1968). A slot is kept free for urgent
+longest are given up until the others can (Moore and Hodgson, 1968). Within a rank, calls beyond
+their customer's share go last and are given up among themselves. A slot is kept free for urgent
 short calls where that brings more of them in time than it costs less urgent ones.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
+from enum import IntEnum
 from heapq import heappop, heappush
 from operator import attrgetter
 from typing import Protocol, TypeVar
@@ -41,6 +43,14 @@
     def work_s(self) -> float: ...
 
 
+class Share(IntEnum):
+    """Place of a call among those of its rank while not all can be in time, by its customer."""
+
+    FIRST = 0
+    WITHIN = 1
+    BEYOND = 2
+
+
 Call = TypeVar("Call", bound=WaitingCall)
 
 
@@ -64,25 +74,39 @@
     slowdown: float
 
 
+def has_equal_share(call: WaitingCall) -> Share:
+    """Return the place of a call where customers make no difference."""
+    return Share.WITHIN
+
+
 def order_calls(
-    calls: Iterable[Call], outlook: Outlook, starved: set[tuple[int, str]]
+    calls: Iterable[Call],
+    outlook: Outlook,
+    starved: set[tuple[int, str]],
+    find_share: Callable[[Call], Share] = has_equal_share,
 ) -> list[Call]:
     """Return the calls in the order in which they start."""
     by_due = sorted(calls, key=attrgetter("due"))
-    if not starved and _are_all_in_time(by_due, outlook):
+    if not starved and are_all_in_time(by_due, outlook):
         return by_due
     now = outlook.now
 
-    def get_position(call: Call) -> tuple[bool, bool, int]:
+    def get_position(call: Call) -> tuple[bool, bool, bool, int, Share]:
+        share = find_share(call)
+        is_first = (call.rank, call.kind) in starved
         # Calls that will be late go after those that can be in time.
-        return (call.rank, call.kind) not in starved, call.due < now, call.rank
+        return not is_first, call.due < now, share is not Share.FIRST, call.rank, share
 
     # The sort is stable, so calls stay in the order of their latest start.
     return sorted(by_due, key=get_position)
 
 
 def find_excess(
-    calls: Sequence[Call], outlook: Outlook, tolerance: float, kept: set[tuple[int, str]]
+    calls: Sequence[Call],
+    outlook: Outlook,
+    tolerance: float,
+    kept: set[tuple[int, str]],
+    find_share: Callable[[Call], Share] = has_equal_share,
 ) -> list[Call]:
     """Return the calls, given in order, that are given up so that the others are in time.
 
@@ -91,18 +115,19 @@
     tolerance
         Fraction of the time left to its objective within which a call has to be served.
     kept
-        Classes whose calls are served even if late.
+        Classes whose calls are served even if late, unless they are beyond their customer's share.
     """
     excess: list[Call] = []
     longest: list[tuple[float, int]] = []
-    rank: int | None = None
+    group: tuple[int, Share] | None = None
     work_s = 0.0
     for index, call in enumerate(calls):
-        if call.rank != rank:
-            rank, longest = call.rank, []
+        share = find_share(call)
+        if (call.rank, share) != group:
+            group, longest = (call.rank, share), []
         run_s = call.work_s * outlook.slowdown
         work_s += run_s
-        if (call.rank, call.kind) in kept:
+        if share is not Share.BEYOND and (call.rank, call.kind) in kept:
             continue
         heappush(longest, (-run_s, -index))
         finish_s = outlook.wait_s + (work_s - run_s) / outlook.limit + run_s
@@ -133,7 +158,7 @@
     return gain_per_s * work_s > 1.0
 
 
-def _are_all_in_time(calls: Sequence[Call], outlook: Outlook) -> bool:
+def are_all_in_time(calls: Sequence[Call], outlook: Outlook) -> bool:
     """Return whether calls are all expected to be in time in a given order, with a margin."""
     ahead_s = 0.0
     for call in calls:
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from math import inf
 
-from ragwort_common import CallId, Outcome, Reason, ServiceName
+from ragwort_common import CallId, CustomerName, Outcome, Reason, ServiceName
 from ragwort_flow import (
     ColdLimit,
     CrashDetector,
@@ -305,6 +305,7 @@
             deadline=now + request.budget_ms / 1000,
             default_work_s=request.work_ms / 1000,
             may_move=request.may_move,
+            customer=CustomerName(request.member) if request.member else None,
         )
         decision = admit_call(self._state, now, pending)
         if decision.verdict is Verdict.QUEUED:
--- a/tests/flow/test_triage.py
+++ b/tests/flow/test_triage.py
@@ -5,7 +5,7 @@
 from flow_simulation import Hosts, Kind, simulate_ragwort
 from hypothesis import given
 from hypothesis import strategies as st
-from ragwort_flow import _call_start, _overload, _scheduler, _wait_estimate
+from ragwort_flow import _call_start, _overload, _wait_estimate
 from ragwort_flow._service_ratio import (
     MAX_CLASSES,
     ServiceRatios,
@@ -39,7 +39,7 @@
 
 
 def ignore_ranks(monkeypatch):
-    for module in (_call_start, _overload, _scheduler):
+    for module in (_call_start, _overload):
         monkeypatch.setattr(module, "has_several_ranks", lambda *words: False)
 
 
--- a/tests/flow_simulation.py
+++ b/tests/flow_simulation.py
@@ -49,7 +49,7 @@
 
 @dataclass
 class Kind:
-    """A class of calls, with its arrival rate per second."""
+    """A class of calls, with its arrival rate per second; those of a customer count by its name."""
 
     name: str
     work_s: float
@@ -58,6 +58,7 @@
     rank: int
     per_s: float
     burst_s: float = 0.0
+    customer: str | None = None
 
     def get_rate(self, now):
         """Return the current arrival rate; with bursts, all calls arrive in a third of the time."""
@@ -169,7 +170,8 @@
             finish(server, number, took_s <= call.kind.deadline_s)
 
     def count_call(self, table, call, index=None):
-        table[call.kind.name] = table.get(call.kind.name, 0) + 1
+        name = call.kind.customer or call.kind.name
+        table[name] = table.get(name, 0) + 1
         if index is not None:
             window = self.result.windows.setdefault(int(call.arrived // 2), [0, 0])
             window[index] += 1
@@ -183,9 +185,15 @@
     reports_slowdown=True,
     gives_back=True,
     hosts=Hosts(),  # noqa: B008
+    prepare=None,
 ):
-    """Simulate the package's decisions, optionally without some of them."""
+    """Simulate the package's decisions, optionally without some of them.
+
+    ``prepare`` is called with the state of each scheduler before the first call.
+    """
     simulation = Simulation(kinds, servers, seed, hosts)
+    for server in simulation.servers if prepare else ():
+        prepare(server.state)
     targets = [Target(NodeId(server.name), Distance.SAME_REGION) for server in simulation.servers]
     by_name = {server.name: server for server in simulation.servers}
     last_report = {"at": -1.0}
@@ -242,6 +250,7 @@
                 call.arrived + call.kind.deadline_s,
                 call.kind.work_s,
                 gives_back and placement.has_alternative and len(call.tried) <= MAX_MOVES,
+                call.kind.customer,
             )
             decision = admit_call(server.state, simulation.now, pending)
             if decision.verdict is not Verdict.REFUSED:
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -15,8 +15,9 @@
     offer_calls,
 )
 from msgspec import structs
-from ragwort_common import Outcome, Reason
+from ragwort_common import CustomerName, Outcome, Reason
 from ragwort_flow import ColdLimit, is_expected_cold, record_reported_slowdown
+from ragwort_flow._customer_shares import record_arrival
 from ragwort_mesh._clock import read_clock
 from ragwort_model import InstanceId, InstanceState
 from ragwort_protocol import Refusal, Response
@@ -266,3 +267,28 @@
         assert [described["rank"] for described in first["classes"]] == [0, 2]
 
     virtual.run_virtual(play())
+
+
+def test_calls_beyond_a_customers_share_are_counted_and_logged_with_its_rates():
+    async def play():
+        gate = make_gate(virtual.read_clock, AnsweringPool([]))
+        lines = []
+        gate._telemetry.events.write = lambda event, **fields: lines.append((event, fields))
+        now = virtual.read_clock()
+        for step in range(200):
+            for customer in ("a", "b", "c") * 8:
+                record_arrival(gate._state.shares, now - 100.0 + step / 2, CustomerName(customer))
+        for number in range(800):
+            customer = "bc"[number // 20 % 2] if number % 20 == 0 else "a"
+            offered = structs.replace(make_request(), member=customer, objective_ms=50.0)
+            asyncio.create_task(gate.run_call(offered))
+            await asyncio.sleep(0.002)
+        await asyncio.sleep(2)
+        assert gate._telemetry.counters.gauges["gate.put_behind"] > 100
+        line = [fields for event, fields in lines if event == "calls-triaged"][-1]
+        assert line["shares_known"] and line["customers"] == 3
+        [beyond] = line["beyond"]
+        assert beyond["customer"] == "a"
+        assert beyond["per_s"] > 2 * beyond["usual_per_s"]
+
+    virtual.run_virtual(play())
