--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -1,5 +1,6 @@
 """Pure decision logic for calls: load balancing, scheduling, admission, retries and hedging."""
 
+from ragwort_flow._call_start import needs_probe
 from ragwort_flow._cold_start import (
     ColdLimit,
     ColdState,
@@ -53,6 +54,14 @@
     rank_coordinator,
     spend_credit,
 )
+from ragwort_flow._customer_shares import (
+    CustomerShares,
+    estimate_recent_rate,
+    estimate_usual_rate,
+    get_customer_ratio,
+    is_learned,
+    list_beyond,
+)
 from ragwort_flow._decision import EXPIRED, QUEUED, RUN, Decision, Verdict
 from ragwort_flow._distance import Distance, RandomSource, find_distance
 from ragwort_flow._eligibility import (
@@ -100,15 +109,11 @@
     record_unserved,
 )
 from ragwort_flow._scheduler import (
-    PendingCall,
-    SchedulerState,
-    SchedulingResult,
     admit_call,
     build_load_report,
     cancel_call,
     complete_call,
     limit_rate,
-    needs_probe,
     record_reported_slowdown,
     record_unanswered_probe,
     reset_server,
@@ -116,6 +121,7 @@
     stop_accepting,
     update_server,
 )
+from ragwort_flow._scheduler_state import PendingCall, SchedulerState, SchedulingResult
 from ragwort_flow._service_ratio import ServiceRatios, estimate_rate, get_ratio, list_starved
 from ragwort_flow._speed import (
     SpeedState,
@@ -144,6 +150,7 @@
     "ColdState",
     "CrashDetector",
     "CrashHistory",
+    "CustomerShares",
     "DOMAIN_PROBES_PER_S",
     "Decision",
     "Distance",
@@ -195,8 +202,10 @@
     "count_recent",
     "drop_entry",
     "estimate_rate",
+    "estimate_recent_rate",
     "estimate_response_time",
     "estimate_slowdown",
+    "estimate_usual_rate",
     "estimate_work",
     "explain_absence",
     "expect_cold",
@@ -205,6 +214,7 @@
     "find_probe_interval",
     "fingerprint_request",
     "forget_old_crashes",
+    "get_customer_ratio",
     "get_hedge_delay",
     "get_ratio",
     "get_remaining",
@@ -214,12 +224,14 @@
     "hash_node",
     "is_expected_cold",
     "is_in_trial",
+    "is_learned",
     "is_limited",
     "is_low",
     "is_ready",
     "is_slowed",
     "is_watcher_among",
     "limit_rate",
+    "list_beyond",
     "list_eligible",
     "list_starved",
     "make_cold_limit",
