Split the gate into admission, the local server and the call log

The state of the server (reports, health checks, notices, crashes, evacuation) moves to _local_server.py, and the log lines of calls to _call_log.py; behaviour is unchanged.

--- a/tests/mesh_gate.py
+++ b/tests/mesh_gate.py
@@ -67,7 +67,7 @@
     telemetry = Telemetry(EventLog("n"), Counters())
     crashes = CrashLedger(NodeId("n"), list, telemetry, clock)
     gate = Gate("127.0.0.1:1", "s", telemetry, clock, lambda: None, crashes, evacuated)
-    gate._pool = pool or FakePool()
+    gate._pool = gate._server.pool = pool or FakePool()
     if reported:
         gate.apply_server_report(HEARTBEAT)
     return gate
