Send the body of an upload when the gate asks for it

A node sent the whole body of a call to the gate's node, which may then have refused the call. A body over 16 KiB now stays at the sender until the gate, having accepted the call, asks for it with BodyRequest; of waiting calls, for those that are expected to start within 1.5 transfer times. The server gets nothing before the body is complete, so a call whose link, caller or deadline ends before is not run, and the entry may try another server. The time of a transfer does not count as work.

--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -1,5 +1,6 @@
 """Pure decision logic for calls: load balancing, scheduling, admission, retries and hedging."""
 
+from ragwort_flow._body_timing import TransferTimes, list_due, record_transfer, restart_call
 from ragwort_flow._cold_start import (
     ColdLimit,
     ColdState,
@@ -137,6 +138,10 @@
 from ragwort_flow._work import WorkEstimates, estimate_work, record_work
 
 __all__ = [
+    "TransferTimes",
+    "list_due",
+    "record_transfer",
+    "restart_call",
     "Blame",
     "CallLimit",
     "Crash",
--- a/packages/mesh/src/ragwort_mesh/_dispatcher.py
+++ b/packages/mesh/src/ragwort_mesh/_dispatcher.py
@@ -399,9 +399,8 @@
         link = self._peers.find_link(target.node)
         if link is None:
             return make_refusal(Outcome.NOT_RUN, Reason.CONNECT_FAILED)
-        return await exchange_call(
-            link, self._make_request(link.take_call_id(), call, may_move), REPLY_SLACK_S
-        )
+        request = self._make_request(link.take_call_id(), call, may_move)
+        return await exchange_call(link, request, REPLY_SLACK_S, body_on_request=True)
 
     def _make_request(self, call_id: int, call: Call, may_move: bool) -> Request:
         now = self._clock()
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -36,12 +36,13 @@
     make_answer_check,
     read_server_answer,
 )
-from ragwort_protocol import LoadReport, Refusal, Request, Response
+from ragwort_protocol import LoadReport, Refusal, Request, Response, replace_fields
 from ragwort_transport import (
     BAD_ANSWER,
     Answer,
     ClientPool,
     Failure,
+    IncomingBody,
     InFlightCounter,
 )
 
@@ -50,6 +51,7 @@
 from ragwort_mesh._local_server import LocalServer
 from ragwort_mesh._telemetry import Telemetry
 from ragwort_mesh._triage_log import TriageLog
+from ragwort_mesh._uploads import Uploads
 
 REVIEW_INTERVAL_S = 0.01
 """How often the queue is reviewed: a fraction of the shortest objective."""
@@ -120,6 +122,7 @@
             crashes,
             evacuated,
         )
+        self._uploads = Uploads(self._state, telemetry, clock)
         self._triage_log = TriageLog(self._state, telemetry, clock)
         self._log = CallLog(telemetry, clock, self.make_report)
         self._pending: dict[CallId, asyncio.Future[Decision]] = {}
@@ -174,15 +177,20 @@
         """Refuse all further calls because the node is stopping; running calls continue."""
         self._server.stop_accepting()
 
-    async def run_call(self, request: Request) -> Response | Refusal:
-        """Run one call on the server if it is admitted, immediately or after queueing."""
+    async def run_call(
+        self, request: Request, body: IncomingBody | None = None
+    ) -> Response | Refusal:
+        """Run one call on the server if it is admitted, immediately or after queueing.
+
+        ``body`` is that of a request that a peer has sent without it.
+        """
         self.work.add()
         try:
-            return await self._admit(request)
+            return await self._admit(request, body)
         finally:
             self.work.remove()
 
-    async def _admit(self, request: Request) -> Response | Refusal:
+    async def _admit(self, request: Request, body: IncomingBody | None) -> Response | Refusal:
         now = self._clock()
         call_id = CallId(next(self._ids))
         pending = PendingCall(
@@ -198,12 +206,17 @@
         if decision.verdict is Verdict.QUEUED:
             self._telemetry.counters.add("gate.queued")
             try:
-                decision = await self._wait_for_admission(call_id)
+                decision = await self._wait_for_admission(call_id, body)
             except asyncio.CancelledError:
                 self._log.write_cancelled(request, now, None)
                 raise
         if decision.verdict is Verdict.REFUSED:
             return self._refuse_by_decision(request, decision, now)
+        if body is not None:
+            complete = await self._receive_body(request, body, pending, now)
+            if isinstance(complete, Refusal):
+                return complete
+            request = complete
         if request.idempotent:
             return await self._run(request, pending, now)
         run = asyncio.create_task(self._run(request, pending, now))
@@ -222,9 +235,30 @@
         self._detached.discard(run)
         self.work.remove()
 
-    async def _wait_for_admission(self, call_id: CallId) -> Decision:
+    async def _receive_body(
+        self, request: Request, body: IncomingBody, pending: PendingCall, arrived: float
+    ) -> Request | Refusal:
+        """Return an admitted call with its body, or its refusal as not run."""
+        try:
+            received = await self._uploads.receive(pending.call_id, body, pending.deadline)
+        except asyncio.CancelledError:
+            self._apply_result(cancel_call(self._state, self._clock(), pending.call_id))
+            self._log.write_cancelled(request, arrived, None)
+            raise
+        reason = Reason.DEADLINE if received is None else self._server.find_closed_reason()
+        if received is not None and reason is None:
+            return replace_fields(request, body=received, body_bytes=0)
+        now = self._clock()
+        self._apply_result(cancel_call(self._state, now, pending.call_id))
+        refusal = self._log.refuse(request, Outcome.NOT_RUN, reason, 0)
+        self._log.write(request, refusal, arrived, None, now)
+        return refusal
+
+    async def _wait_for_admission(self, call_id: CallId, body: IncomingBody | None) -> Decision:
         decision = asyncio.get_running_loop().create_future()
         self._pending[call_id] = decision
+        if body is not None:
+            self._uploads.add_waiting(call_id, body)
         self._schedule_review()
         self._server.query_speed_if_needed()
         try:
@@ -234,6 +268,7 @@
             raise
         finally:
             self._pending.pop(call_id, None)
+            self._uploads.remove_waiting(call_id)
 
     def _schedule_review(self) -> None:
         if self._review is None:
@@ -244,6 +279,7 @@
         self._review = None
         self._apply_result(review_waiting(self._state, self._clock()))
         self._triage_log.note_decisions()
+        self._uploads.request_due()
         if self._pending:
             self._schedule_review()
             self._server.query_speed_if_needed()
--- a/packages/mesh/src/ragwort_mesh/_local_server.py
+++ b/packages/mesh/src/ragwort_mesh/_local_server.py
@@ -124,6 +124,15 @@
         """The latest report of the server; None if there is none or the server has left."""
         return self._tracker.current
 
+    def find_closed_reason(self) -> Reason | None:
+        """Return why a call that has not been sent yet may not be sent, or None if it may.
+
+        Unlike a new call it may be while the node stops.
+        """
+        if self._evacuated:
+            return Reason.EVACUATED
+        return None if self._is_available else Reason.LEAVING
+
     def apply_server_report(self, report: Heartbeat | Departure) -> None:
         """Apply a report from the server."""
         now = self._clock()
--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -49,9 +49,11 @@
     RevisionNotice,
     StoreNotice,
 )
+from ragwort_protocol._uploads import BodyRequest
 
 __all__ = [
     "BODY_PART_BYTES",
+    "BodyRequest",
     "Cancel",
     "ClaimReply",
     "ClaimRequest",
--- a/packages/protocol/src/ragwort_protocol/_calls.py
+++ b/packages/protocol/src/ragwort_protocol/_calls.py
@@ -44,6 +44,8 @@
         none of its own.
     may_move
         True when another gate is expected to serve the call in time if this one refuses it.
+    body_bytes
+        Size of a body that is sent only when the gate asks for it; zero if it is in the message.
     """
 
     call_id: int
@@ -65,6 +67,7 @@
     objective_ms: float = 0.0
     work_ms: float = 0.0
     may_move: bool = False
+    body_bytes: int = 0
 
 
 class Data(Message, tag=2):
--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -18,6 +18,7 @@
     _limits,
     _load,
     _revision,
+    _uploads,
 )
 from ragwort_protocol._message import Message
 
@@ -71,6 +72,7 @@
     | _evacuations.EvacuationNotice
     | _limits.UsageReport
     | _limits.LimitShares
+    | _uploads.BodyRequest
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_MESSAGES)
--- a/packages/transport/src/ragwort_transport/__init__.py
+++ b/packages/transport/src/ragwort_transport/__init__.py
@@ -15,6 +15,7 @@
 from ragwort_transport._hedging import wait_for_first_success
 from ragwort_transport._http import HttpLimits, HttpRequest, HttpResponse, RequestHandler
 from ragwort_transport._in_flight_counter import InFlightCounter
+from ragwort_transport._incoming_body import IncomingBody
 from ragwort_transport._link import Link, LinkLost, MessageHandler, Reply, send_in_parts
 from ragwort_transport._message import HOP_BY_HOP, Headers, build_request, find_header
 from ragwort_transport._peer_calls import PeerCalls, Receiver
@@ -34,6 +35,7 @@
     "HttpResponse",
     "HttpServer",
     "InFlightCounter",
+    "IncomingBody",
     "Link",
     "LinkLost",
     "MessageHandler",
--- a/packages/transport/src/ragwort_transport/_body_transfers.py
+++ b/packages/transport/src/ragwort_transport/_body_transfers.py
@@ -63,6 +63,10 @@
             if not transfer.done.done():
                 transfer.done.set_result(False)
 
+    def is_sending(self, key: BodyKey) -> bool:
+        """Tell whether a part of a body has not been written."""
+        return key in self._transfers
+
     def pause(self) -> None:
         """Write no part because the write buffer holds enough."""
         self._is_paused = True
--- a/packages/transport/src/ragwort_transport/_link.py
+++ b/packages/transport/src/ragwort_transport/_link.py
@@ -10,6 +10,7 @@
 from ragwort_common import Counters, NodeId
 from ragwort_protocol import (
     BODY_PART_BYTES,
+    BodyRequest,
     Cancel,
     Data,
     FrameReader,
@@ -44,7 +45,12 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkLost:
-    """Ends a call whose reply cannot be awaited on its link any more; the call may have run."""
+    """Ends a call whose reply cannot be awaited on its link any more.
+
+    The call may have run, unless ``not_run`` is set: then its body was not sent completely.
+    """
+
+    not_run: bool = False
 
 
 Reply = Response | Refusal | LinkLost
@@ -90,6 +96,7 @@
         self._repeatable: set[int] = set()
         self._partial: dict[tuple[bool, int], _PartialMessage] = {}
         self._next_call_id = 0
+        self._held_bodies: dict[int, bytes] = {}
         self._transfers = BodyTransfers(self.send)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -129,12 +136,15 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End every pending call with ``LinkLost``."""
         self._transport = None
-        self._transfers.close()
-        for future in self._pending.values():
+        for call_id, future in self._pending.items():
             if not future.done():
-                future.set_result(LinkLost())
+                future.set_result(LinkLost(self.is_body_unsent(call_id)))
+        self._transfers.close()
+        self._held_bodies.clear()
         self._pending.clear()
         self._repeatable.clear()
+        for partial in self._partial.values():
+            partial.cancel()
         self._partial.clear()
         if not self.hello_received.done():
             self.hello_received.set_exception(
@@ -176,13 +186,19 @@
         return self._transport is not None and is_acknowledging(self._transport)
 
     def give_up_repeatable(self) -> None:
-        """End the idempotent calls with ``LinkLost``, and cancel them on the peer."""
-        for call_id in sorted(self._repeatable):
+        """End the calls that may run again with ``LinkLost``, and cancel them on the peer.
+
+        These are the idempotent ones, and those whose bodies have not been sent completely.
+        """
+        for call_id in sorted(self._pending):
+            if call_id not in self._repeatable and not self.is_body_unsent(call_id):
+                continue
             future = self._pending[call_id]
+            not_run = self.is_body_unsent(call_id)
             self.forget_call(call_id)
             self.send(Cancel(call_id))
             if not future.done():
-                future.set_result(LinkLost())
+                future.set_result(LinkLost(not_run))
 
     def send(self, message: Message) -> int:
         """Write one message and return the size of its frame in bytes, or 0 on a closed link."""
@@ -198,15 +214,45 @@
         self._next_call_id += 1
         return self._next_call_id
 
-    def start_call(self, request: Request) -> asyncio.Future[Reply]:
-        """Send a request, in parts if its body is long, and return the future of its reply."""
+    def start_call(self, request: Request, body_on_request: bool = False) -> asyncio.Future[Reply]:
+        """Send a request, in parts if its body is long, and return the future of its reply.
+
+        With ``body_on_request``, a long body is sent only when the peer asks for it.
+        """
         future = asyncio.get_running_loop().create_future()
         self._pending[request.call_id] = future
         if request.idempotent:
             self._repeatable.add(request.call_id)
-        send_in_parts(self, request)
+        if body_on_request and len(request.body) > BODY_PART_BYTES:
+            self._held_bodies[request.call_id] = request.body
+            self.send(replace_fields(request, body=b"", body_bytes=len(request.body)))
+        else:
+            send_in_parts(self, request)
         return future
 
+    def is_body_unsent(self, call_id: int) -> bool:
+        """Tell whether a part of a request's body has not been written, so that it cannot run."""
+        return call_id in self._held_bodies or self._transfers.is_sending((True, call_id))
+
+    def request_body(self, request: Request) -> asyncio.Future[bytes]:
+        """Ask the peer for the body of its request, and return the future of the body.
+
+        The future is cancelled if the link closes or the peer cancels the call.
+        """
+        received: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        if self._transport is None:
+            received.cancel()
+            return received
+        self._partial[True, request.call_id] = _PartialMessage(request, [], 0, received)
+        self.send(BodyRequest(request.call_id))
+        return received
+
+    def discard_body(self, call_id: int) -> None:
+        """Drop the received parts of the body of a peer's request."""
+        partial = self._partial.pop((True, call_id), None)
+        if partial is not None:
+            partial.cancel()
+
     def send_body(self, message: Request | Response) -> asyncio.Future[bool]:
         """Send the body of a message in parts; see ``BodyTransfers.start``."""
         return self._transfers.start((type(message) is Request, message.call_id), message.body)
@@ -215,7 +261,7 @@
         """Stop waiting for a call; a reply that still arrives is counted as late."""
         self._pending.pop(call_id, None)
         self._repeatable.discard(call_id)
-        self._transfers.stop((True, call_id))
+        self._stop_body(call_id)
         self._partial.pop((False, call_id), None)
 
     def _receive(self, message: Message) -> None:
@@ -226,6 +272,8 @@
             self._finish_call(message)
         elif kind is Data:
             self._receive_part(message)
+        elif kind is BodyRequest:
+            self._send_held_body(message.call_id)
         elif kind is Hello:
             self.peer = NodeId(message.node_id)
             self.incarnation = message.incarnation
@@ -234,7 +282,7 @@
             self._on_open(self)
         else:
             if kind is Cancel:
-                self._partial.pop((True, message.call_id), None)
+                self.discard_body(message.call_id)
             self._handle(self, message)
 
     def _receive_head(self, message: Request | Response) -> None:
@@ -253,13 +301,18 @@
             return
         partial.parts.append(part.body)
         partial.size += len(part.body)
-        if partial.size > MAX_BODY_BYTES:
-            raise ProtocolError(
-                f"body of call {part.call_id} is over the limit of {MAX_BODY_BYTES} bytes"
-            )
-        if not part.more:
-            del self._partial[key]
+        limit = MAX_BODY_BYTES if partial.received is None else partial.head.body_bytes
+        if partial.size > limit:
+            raise ProtocolError(f"body of call {part.call_id} is over the limit of {limit} bytes")
+        if part.more:
+            return
+        del self._partial[key]
+        if partial.received is None:
             self._finish_message(partial.join())
+        elif partial.size < limit:
+            raise ProtocolError(f"body of call {part.call_id} is shorter than {limit} bytes")
+        elif not partial.received.done():
+            partial.received.set_result(b"".join(partial.parts))
 
     def _finish_message(self, message: Request | Response) -> None:
         if type(message) is Response:
@@ -270,19 +323,42 @@
     def _finish_call(self, reply: Response | Refusal) -> None:
         future = self._pending.pop(reply.call_id, None)
         self._repeatable.discard(reply.call_id)
+        self._stop_body(reply.call_id)
         if future is None or future.done():
             self._counters.add("link.late_answers")
             return
         future.set_result(reply)
 
+    def _send_held_body(self, call_id: int) -> None:
+        body = self._held_bodies.pop(call_id, None)
+        if body is None:
+            # The call has been cancelled or answered meanwhile.
+            self._counters.add("link.late_body_requests")
+        else:
+            self._transfers.start((True, call_id), body)
+
+    def _stop_body(self, call_id: int) -> None:
+        """Send no more of the body of a call that has ended."""
+        self._held_bodies.pop(call_id, None)
+        self._transfers.stop((True, call_id))
+
 
 @dataclass(slots=True)
 class _PartialMessage:
-    """A request or response whose body parts are still arriving."""
+    """A request or response whose body parts are still arriving.
+
+    ``received`` gets the body of a request that was handled before its body.
+    """
 
     head: Request | Response
     parts: list[bytes]
     size: int
+    received: asyncio.Future[bytes] | None = None
+
+    def cancel(self) -> None:
+        """Tell who waits for the body that it won't arrive."""
+        if self.received is not None:
+            self.received.cancel()
 
     def join(self) -> Request | Response:
         """Return the message with its complete body."""
--- a/packages/transport/src/ragwort_transport/_peer_calls.py
+++ b/packages/transport/src/ragwort_transport/_peer_calls.py
@@ -6,10 +6,11 @@
 from ragwort_common import Counters, Outcome, Reason
 from ragwort_protocol import Cancel, Message, ProtocolError, Refusal, Request, Response
 
+from ragwort_transport._incoming_body import IncomingBody
 from ragwort_transport._link import Link, send_in_parts
 
 Receiver = Callable[[Link, Message], None]
-RunCall = Callable[[Request], Awaitable[Response | Refusal]]
+RunCall = Callable[..., Awaitable[Response | Refusal]]
 
 
 class PeerCalls:
@@ -18,7 +19,8 @@
     Parameters
     ----------
     run_call
-        Runs a call and returns its response or refusal.
+        Runs a call, given its request, and returns its response or refusal. A request that was sent
+        without its body comes with an ``IncomingBody``.
     receive_other
         Called with each message that is neither a request nor a cancel message.
     """
@@ -69,8 +71,17 @@
             self._counters.add("gate.cancelled")
             task.cancel()
 
+    async def _run(self, link: Link, request: Request) -> Response | Refusal:
+        if not request.body_bytes:
+            return await self._run_call(request)
+        body = IncomingBody(link, request)
+        try:
+            return await self._run_call(request, body)
+        finally:
+            body.discard()
+
     async def _serve(self, link: Link, request: Request) -> None:
-        reply = await self._run_call(request)
+        reply = await self._run(link, request)
         try:
             transfer = _send_reply(link, reply)
         except ProtocolError:
