Bound the bytes of long bodies that a node holds

Callers and peers could make a node hold any number of bodies of up to the limit of one. The bodies over 16 KiB that a node holds, of callers from their heads to their responses and of peers' calls from their arrival at the gate to their end, may now take 16% of the memory of the host (32 MB of 200 MB). A call beyond is refused as not run with the reason body-memory: at the entry from its stated length, before the body is read, or as soon as the bound is reached; at the gate before the body is asked for.

--- a/packages/common/src/ragwort_common/_outcome.py
+++ b/packages/common/src/ragwort_common/_outcome.py
@@ -40,3 +40,4 @@
     EVACUATED = "evacuated"
     UNKNOWN_KEY = "unknown-key"
     CUSTOMER_LIMIT = "customer-limit"
+    BODY_MEMORY = "body-memory"
--- a/packages/mesh/src/ragwort_mesh/_call_log.py
+++ b/packages/mesh/src/ragwort_mesh/_call_log.py
@@ -77,6 +77,17 @@
             **({"customer": request.member} if request.member else {}),
         )
 
+    def write_body_refused(self, request: Request, body_bytes: int, held_bytes: int) -> None:
+        """Write the size of a body that would take too much memory."""
+        self._telemetry.events.write_call(
+            "body-refused",
+            True,
+            id=find_call_id(request.headers).decode("latin-1"),
+            part="gate",
+            body_bytes=body_bytes,
+            held_bytes=held_bytes,
+        )
+
     def write_cancelled(self, request: Request, arrived: float, started: float | None) -> None:
         """Log a call that was cancelled while it was queued or running."""
         self._telemetry.counters.add("gate.withdrawn")
--- a/packages/mesh/src/ragwort_mesh/_entry.py
+++ b/packages/mesh/src/ragwort_mesh/_entry.py
@@ -22,7 +22,14 @@
     read_key,
 )
 from ragwort_protocol import Refusal, Response
-from ragwort_transport import HttpLimits, HttpRequest, HttpResponse, find_header, make_refusal
+from ragwort_transport import (
+    Headers,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    find_header,
+    make_refusal,
+)
 
 from ragwort_mesh._call import Call, fingerprint_call
 from ragwort_mesh._configuration import ActiveConfiguration
@@ -92,6 +99,24 @@
             limits.idle_timeout_ms / 1000,
         )
 
+    def refuse_body(self, headers: Headers, held_bytes: int) -> HttpResponse:
+        """Refuse a call, given its header fields, whose body would take too much memory.
+
+        ``held_bytes`` is the size of the bodies that the node holds.
+        """
+        refusal = make_refusal(Outcome.NOT_RUN, Reason.BODY_MEMORY)
+        fields = read_call_fields(headers)
+        length = find_header(headers, b"content-length")
+        self._telemetry.events.write_call(
+            "body-refused",
+            True,
+            id=fields.call_id.decode("latin-1"),
+            part="entry",
+            body_bytes=None if length is None else int(length),
+            held_bytes=held_bytes,
+        )
+        return self._make_reply(fields, refusal, self._clock(), None, Progress())
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Route one call and return its response."""
         arrived = self._clock()
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -40,8 +40,10 @@
 from ragwort_transport import (
     BAD_ANSWER,
     Answer,
+    BodyHold,
     ClientPool,
     Failure,
+    HeldBodies,
     IncomingBody,
     InFlightCounter,
 )
@@ -88,6 +90,8 @@
     evacuated
         Whether the server's failure domain is evacuated; None until that is known, and until then
         no calls are accepted either.
+    bodies
+        Bounds the bytes of the bodies that peers send; None for no bound.
 
     Attributes
     ----------
@@ -104,6 +108,7 @@
         on_change: Callable[[], None],
         crashes: CrashLedger,
         evacuated: bool | None = False,
+        bodies: HeldBodies | None = None,
     ) -> None:
         self._pool = ClientPool(address, max_idle=64, max_response_bytes=MAX_ANSWER_BYTES)
         self._telemetry = telemetry
@@ -122,6 +127,7 @@
             crashes,
             evacuated,
         )
+        self._bodies = bodies or HeldBodies()
         self._uploads = Uploads(self._state, telemetry, clock)
         self._triage_log = TriageLog(self._state, telemetry, clock)
         self._log = CallLog(telemetry, clock, self.make_report)
@@ -185,13 +191,21 @@
         ``body`` is that of a request that a peer has sent without it.
         """
         self.work.add()
+        hold = BodyHold(self._bodies)
         try:
-            return await self._admit(request, body)
+            return await self._admit(request, body, hold)
         finally:
+            hold.release()
             self.work.remove()
 
-    async def _admit(self, request: Request, body: IncomingBody | None) -> Response | Refusal:
+    async def _admit(
+        self, request: Request, body: IncomingBody | None, hold: BodyHold
+    ) -> Response | Refusal:
         now = self._clock()
+        if body is not None and not hold.extend(body.size):
+            self._log.write_body_refused(request, body.size, self._bodies.held_bytes)
+            refusal = Decision(Verdict.REFUSED, Reason.BODY_MEMORY)
+            return self._refuse_by_decision(request, refusal, now)
         call_id = CallId(next(self._ids))
         pending = PendingCall(
             call_id=call_id,
@@ -223,7 +237,8 @@
         # A non-idempotent call cannot be retried, so it is not cancelled when its caller leaves.
         self._detached.add(run)
         self.work.add()
-        run.add_done_callback(self._release_detached)
+        hold.share()
+        run.add_done_callback(lambda run: self._release_detached(run, hold))
         return await asyncio.shield(run)
 
     async def close(self) -> None:
@@ -231,8 +246,9 @@
         self._server.close()
         await self._pool.close()
 
-    def _release_detached(self, run: "asyncio.Task[Response | Refusal]") -> None:
+    def _release_detached(self, run: "asyncio.Task[Response | Refusal]", hold: BodyHold) -> None:
         self._detached.discard(run)
+        hold.release()
         self.work.remove()
 
     async def _receive_body(
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -28,8 +28,9 @@
     Request,
     UsageReport,
 )
-from ragwort_transport import HttpServer, Link, PeerCalls
+from ragwort_transport import HeldBodies, HttpServer, Link, PeerCalls
 
+from ragwort_mesh._body_limit import find_body_limit
 from ragwort_mesh._clock import read_clock
 from ragwort_mesh._cold_server import find_cold_limit
 from ragwort_mesh._configuration import ActiveConfiguration
@@ -46,7 +47,6 @@
 from ragwort_mesh._dispatcher import Dispatcher
 from ragwort_mesh._entry import Entry
 from ragwort_mesh._evacuations import Evacuations
-from ragwort_mesh._events import EventHandler, EventLog
 from ragwort_mesh._gate import Gate
 from ragwort_mesh._load_publisher import LoadPublisher
 from ragwort_mesh._peer_sync import PeerSync
@@ -112,6 +112,7 @@
         self._crashes = CrashLedger(
             settings.node, lambda: self._peers.list_links(), telemetry, read_clock
         )
+        self._bodies = HeldBodies(find_body_limit(), telemetry.counters)
         self._gate = Gate(
             addresses.server,
             settings.service,
@@ -120,6 +121,7 @@
             self._broadcast_load,
             self._crashes,
             None if self._evacuations.is_enabled else False,
+            self._bodies,
         )
         self._gate.set_cold_limit(find_cold_limit(None, settings))
         self._calls = PeerCalls(self._gate.run_call, telemetry.counters, self._receive_other)
@@ -199,7 +201,11 @@
             random_source,
         )
         self._entry_server = HttpServer(
-            self._entry.handle, self._entry.get_limits, telemetry.counters
+            self._entry.handle,
+            self._entry.get_limits,
+            telemetry.counters,
+            self._bodies,
+            self._entry.refuse_body,
         )
         self._control_server = HttpServer(
             build_report_handler(self._gate, telemetry), lambda: CONTROL_LIMITS
@@ -435,34 +441,3 @@
         return
     log.critical("a task has failed; the node ends", exc_info=task.exception())
     signal.raise_signal(signal.SIGTERM)
-
-
-async def run_node(
-    settings: NodeSettings, load: LoadSettings, metrics_address: str, metrics_path: str
-) -> str:
-    """Run a node until SIGTERM or SIGINT; return an error message if it could not start.
-
-    Parameters
-    ----------
-    load
-        Reads the settings file again; called on SIGHUP and by the poll.
-    """
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
-    events = EventLog(settings.node)
-    events.start()
-    logging.basicConfig(level=logging.INFO, handlers=[EventHandler(events)], force=True)
-    node = Node(settings, Telemetry(events), metrics_address, metrics_path)
-    try:
-        await node.start()
-    except OSError as error:
-        return str(error)
-    watch = node.follow_settings(load)
-    loop.add_signal_handler(signal.SIGHUP, watch.reload, "SIGHUP")
-    await stopped.wait()
-    await node.stop()
-    events.stop()
-    return ""
--- a/packages/mesh/src/ragwort_mesh/main.py
+++ b/packages/mesh/src/ragwort_mesh/main.py
@@ -8,7 +8,7 @@
 from ragwort_model import InputError, NodeSettings
 from ragwort_platform import decode_settings
 
-from ragwort_mesh._node import run_node
+from ragwort_mesh._process import run_node
 
 EXIT_FAILURE = 1
 EXIT_USAGE_ERROR = 2
--- a/packages/transport/src/ragwort_transport/__init__.py
+++ b/packages/transport/src/ragwort_transport/__init__.py
@@ -13,6 +13,7 @@
 )
 from ragwort_transport._exchange import NO_REPORT, exchange_call, make_refusal
 from ragwort_transport._hedging import wait_for_first_success
+from ragwort_transport._held_bodies import BodyHold, HeldBodies
 from ragwort_transport._http import HttpLimits, HttpRequest, HttpResponse, RequestHandler
 from ragwort_transport._in_flight_counter import InFlightCounter
 from ragwort_transport._incoming_body import IncomingBody
@@ -24,12 +25,14 @@
 __all__ = [
     "Answer",
     "BAD_ANSWER",
+    "BodyHold",
     "CONNECTION_LOST",
     "CONNECT_FAILED",
     "ClientPool",
     "Failure",
     "HOP_BY_HOP",
     "Headers",
+    "HeldBodies",
     "HttpLimits",
     "HttpRequest",
     "HttpResponse",
--- a/packages/transport/src/ragwort_transport/_pipeline.py
+++ b/packages/transport/src/ragwort_transport/_pipeline.py
@@ -4,6 +4,7 @@
 from collections import deque
 from dataclasses import dataclass
 
+from ragwort_transport._held_bodies import BodyHold
 from ragwort_transport._http import HttpRequest, HttpResponse
 
 MAX_STARTED_REQUESTS = 8
@@ -25,10 +26,13 @@
     ----------
     keep_open
         Whether the caller allows further requests on the connection.
+    hold
+        Counts the body until the request has ended.
     """
 
     request: HttpRequest
     keep_open: bool
+    hold: BodyHold
     task: asyncio.Task[None] | None = None
     response: HttpResponse | None = None
 
@@ -71,6 +75,12 @@
         self.started.append(self.waiting.popleft())
         return self.started[-1]
 
+    def drop_waiting(self) -> None:
+        """Forget the requests that have not started."""
+        for entry in self.waiting:
+            entry.hold.release()
+        self.waiting.clear()
+
     def take_answered(self) -> PipelinedRequest | None:
         """Remove and return the oldest request if it has its response."""
         if self.started and self.started[0].response is not None:
@@ -82,7 +92,7 @@
         for entry in self.started:
             if entry.task is not None:
                 entry.task.cancel()
-        self.waiting.clear()
+        self.drop_waiting()
         self.started.clear()
 
     def _count_buffered_bytes(self) -> int:
--- a/packages/transport/src/ragwort_transport/_server.py
+++ b/packages/transport/src/ragwort_transport/_server.py
@@ -10,7 +10,9 @@
 
 from ragwort_common import Counters
 
-from ragwort_transport._http import HttpLimits, RequestHandler
+from ragwort_transport._held_bodies import HeldBodies
+from ragwort_transport._http import HttpLimits, HttpResponse, RequestHandler
+from ragwort_transport._message import Headers
 from ragwort_transport._server_connection import ServerConnection, ServerState
 
 SWEEP_INTERVAL_S = 0.25
@@ -32,6 +34,11 @@
 
     counters
         Counts the requests that were started beside an earlier one of their connection.
+    bodies
+        Bounds the bytes of the long bodies of all requests; without it, only the limits do.
+    refuse_body
+        Returns the response, given the header fields and the bytes held, to a request whose body is
+        over that bound. It is sent without reading the body, and the connection is closed.
 
     Attributes
     ----------
@@ -44,8 +51,12 @@
         handle: RequestHandler,
         get_limits: Callable[[], HttpLimits],
         counters: Counters | None = None,
+        bodies: HeldBodies | None = None,
+        refuse_body: Callable[[Headers, int], HttpResponse] = lambda *_: HttpResponse(503, []),
     ) -> None:
-        self._state = ServerState(handle, get_limits, counters or Counters())
+        self._state = ServerState(
+            handle, get_limits, counters or Counters(), bodies or HeldBodies(), refuse_body
+        )
         self.work = self._state.work
         self._server: asyncio.Server | None = None
         self._sweep: asyncio.TimerHandle | None = None
--- a/packages/transport/src/ragwort_transport/_server_connection.py
+++ b/packages/transport/src/ragwort_transport/_server_connection.py
@@ -12,6 +12,7 @@
 import httptools
 from ragwort_common import Counters
 
+from ragwort_transport._held_bodies import BodyHold, HeldBodies
 from ragwort_transport._http import HttpLimits, HttpRequest, HttpResponse, RequestHandler
 from ragwort_transport._in_flight_counter import InFlightCounter
 from ragwort_transport._message import REASON_PHRASES, Headers, find_header, has_no_body
@@ -50,6 +51,11 @@
         Returns the response to a request.
     get_limits
         Returns the current limits.
+    bodies
+        Bounds the bytes of the long bodies of all requests.
+    refuse_body
+        Returns the response, given the header fields and the bytes held, to a request whose body is
+        over that bound.
     closing
         Whether each connection is closed after its next response.
     work
@@ -59,6 +65,8 @@
     handle: RequestHandler
     get_limits: Callable[[], HttpLimits]
     counters: Counters
+    bodies: HeldBodies
+    refuse_body: Callable[[Headers, int], HttpResponse]
     closing: bool = False
     work: InFlightCounter = field(default_factory=InFlightCounter)
     connections: set["ServerConnection"] = field(default_factory=set)
@@ -76,6 +84,8 @@
         self._timer_start = self._loop.time()
         self._limits = server.get_limits()
         self._pipeline = Pipeline()
+        self._hold = BodyHold(server.bodies)
+        self._is_body_refused = False
         self._unsent_bytes: float | None = None
         self._drained_at = 0.0
         self._error_status = 0
@@ -124,6 +134,7 @@
         self._transport = None
         self._server.connections.discard(self)
         self._pipeline.cancel()
+        self._discard_body()
 
     def pause_writing(self) -> None:
         """Start no further request, since the caller reads its responses too slowly."""
@@ -196,6 +207,8 @@
         length = find_header(self._headers, b"content-length")
         if length is not None and int(length) > self._limits.max_body_bytes:
             self._fail(413)
+        if length is not None:
+            self._hold_body(int(length))
         expected = find_header(self._headers, b"expect")
         if expected is not None and expected.lower() == b"100-continue":
             self._continue_due = True
@@ -206,6 +219,7 @@
         self._body_bytes += len(part)
         if self._body_bytes > self._limits.max_body_bytes:
             self._fail(413)
+        self._hold_body(self._body_bytes)
         self._framing_bytes -= len(part)
         self._body += part
 
@@ -217,7 +231,9 @@
         self._enter_phase(_Phase.RUNNING if keep_open else _Phase.DISCARDING)
         self._completed = True
         self._continue_due = False
-        self._pipeline.waiting.append(PipelinedRequest(request, keep_open))
+        self._pipeline.waiting.append(PipelinedRequest(request, keep_open, self._hold))
+        # The request has a copy of the body.
+        self._hold, self._body = BodyHold(self._server.bodies), bytearray()
         self._start_next()
 
     def _start_request(self) -> None:
@@ -230,6 +246,18 @@
         self._framing_bytes = 0
         self._continue_due = False
 
+    def _hold_body(self, size: int) -> None:
+        """Count a body with a size in bytes, or refuse its request if there is no memory for it."""
+        if not self._hold.extend(size):
+            self._is_body_refused = True
+            self._fail(503)
+
+    def _discard_body(self) -> None:
+        """Drop the part of a body that has been read."""
+        self._body = bytearray()
+        self._hold.release()
+        self._hold = BodyHold(self._server.bodies)
+
     def _fail(self, status: int) -> None:
         """Stop parsing; the request is rejected once the parser has returned."""
         self._error_status = status
@@ -263,10 +291,14 @@
                 self._server.counters.add("entry.pipelined")
             self._server.work.add()
             entry.task = self._loop.create_task(self._serve(entry))
-            entry.task.add_done_callback(lambda _: self._server.work.remove())
+            entry.task.add_done_callback(lambda _, entry=entry: self._end(entry))
         if len(pipeline.waiting) <= MAX_PIPELINED_REQUESTS:
             self._resume_reading()
 
+    def _end(self, entry: PipelinedRequest) -> None:
+        self._server.work.remove()
+        entry.hold.release()
+
     async def _serve(self, entry: PipelinedRequest) -> None:
         try:
             entry.response = await self._server.handle(entry.request)
@@ -313,12 +345,17 @@
 
     def _reject(self, status: int) -> None:
         """Reject a request that violates the protocol or a limit, and close the connection."""
+        self._discard_body()
         if self._pipeline.is_empty:
-            self._write(HttpResponse(status, []), False, False)
+            response = HttpResponse(status, [])
+            if self._is_body_refused:
+                held_bytes = self._server.bodies.held_bytes
+                response = self._server.refuse_body(self._headers, held_bytes)
+            self._write(response, False, False)
             self._linger()
             return
         # Earlier requests are not answered, so this one gets no response; nothing more starts.
-        self._pipeline.waiting.clear()
+        self._pipeline.drop_waiting()
         if self._pipeline.started:
             self._enter_phase(_Phase.DISCARDING)
         else:
@@ -345,7 +382,7 @@
 
     def _linger(self) -> None:
         """Close the sending side; the caller or the time limit closes the connection."""
-        self._pipeline.waiting.clear()
+        self._pipeline.drop_waiting()
         self._enter_phase(_Phase.LINGERING)
         self._resume_reading()
         if self._transport is not None and self._transport.can_write_eof():
--- a/tests/mesh/test_uploads.py
+++ b/tests/mesh/test_uploads.py
@@ -192,3 +192,40 @@
         assert gate.make_report().in_flight == 0
 
     run_scenario(scenario, ("s", "t"))
+
+
+def test_upload_over_the_memory_of_a_gate_is_refused_there_and_frees_it():
+    async def scenario(cluster):
+        first, second = await start(cluster)
+        second.node._bodies._max_bytes = len(BODY)
+        call, link = await hold_body(cluster, first, second)
+        assert second.node._bodies.held_bytes == len(BODY)
+        status, headers, _ = await upload(cluster, first, call_id="c2")
+        assert status == 503
+        assert "Retry-After" in headers
+        counters = second.node._telemetry.counters.totals
+        assert counters["gate.not-run.body-memory"] == 1
+        assert first.node._telemetry.counters.totals["entry.not-run.body-memory"] == 1
+        link._transfers.resume()
+        assert (await call)[0] == 200
+        await wait_until(lambda: not second.node._bodies.held_bytes)
+        assert not first.node._bodies.held_bytes
+
+    run_scenario(scenario, ("s", "t"))
+
+
+def test_upload_over_the_memory_of_the_entry_is_refused_without_being_read():
+    async def scenario(cluster):
+        first, second = await start(cluster)
+        first.node._bodies._max_bytes = len(BODY) - 1
+        reader, writer = await asyncio.open_connection(*first.entry.split(":"))
+        head = b"POST /u/x HTTP/1.1\r\nhost: %s\r\ncontent-length: 300000\r\n" % HOST.encode()
+        writer.write(head + b"ragwortvalve-attempt-id: c7\r\n\r\n")
+        reply = (await reader.read()).lower()
+        writer.close()
+        assert reply.startswith(b"http/1.1 503 ")
+        assert b"ragwortvalve-attempt-id: c7\r\n" in reply and b"retry-after: " in reply
+        assert first.node._telemetry.counters.totals["entry.not-run.body-memory"] == 1
+        await check_not_run(cluster, second)
+
+    run_scenario(scenario, ("s", "t"))
