Begin a session about a customer's limit only where it has calls

Every node began a session for each customer with each better coordinator as its links opened: 225,000 reports in the start of 300 nodes with 76 customers. Now an entry without calls of a customer holds two credits without a session, and its first call begins one. A coordinator counts on these credits at all linked nodes: a shortage withdraws them, and a node that reports nothing about the customer confirms that with a session. A node that starts holds none until its coordinator says by LimitsReady (tag 72; one message of 8 B per link and direction) that it is settled, and of which customers calls are not admitted. When a coordinator changes, only entries with calls in the last window, refused calls or a share tell the new one. The coordinators move to a module of their own.

--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -41,15 +41,19 @@
     start_trial,
 )
 from ragwort_flow._customer_limit import (
+    FIRST_CREDIT,
     CallLimit,
     EntryCredit,
     apply_grant,
     begin_session,
     choose_coordinator,
     count_recent,
+    end_session,
+    fill_first_credit,
     get_phase,
     give_back,
     is_low,
+    is_session_needed,
     rank_coordinator,
     spend_credit,
 )
@@ -71,6 +75,7 @@
     process_leaving_notice,
 )
 from ragwort_flow._limit_coordinator import (
+    SETTLE_S,
     Grant,
     LimitCoordinator,
     add_entry,
@@ -137,6 +142,11 @@
 from ragwort_flow._work import WorkEstimates, estimate_work, record_work
 
 __all__ = [
+    "is_session_needed",
+    "fill_first_credit",
+    "end_session",
+    "SETTLE_S",
+    "FIRST_CREDIT",
     "Blame",
     "CallLimit",
     "Crash",
--- a/packages/flow/src/ragwort_flow/_customer_limit.py
+++ b/packages/flow/src/ragwort_flow/_customer_limit.py
@@ -12,6 +12,11 @@
 
 from ragwort_common import CustomerName, NodeId
 
+FIRST_CREDIT = 2
+"""Credits of an entry without a session, and of one without recent calls, in calm. With one, a
+second call within a round trip to the coordinator would be refused; a call in 250 is one, where a
+node gets 0.07 calls a second."""
+
 SLOTS_PER_WINDOW = 25
 """Number of slots per window in which calls are counted."""
 
@@ -192,6 +197,26 @@
         credit.unanswered_at = None
 
 
+def is_session_needed(credit: EntryCredit, now: float, window_s: float) -> bool:
+    """Return whether another coordinator must know of this entry's calls or its share."""
+    recent = count_recent(credit.recent, now, window_s)
+    return credit.paced or credit.refused > 0 or recent > 0
+
+
+def end_session(credit: EntryCredit, now: float) -> None:
+    """Count for no coordinator, and keep at most the credits of an entry without a session."""
+    begin_session(credit, now)
+    credit.granted = credit.full = min(credit.held, FIRST_CREDIT)
+    credit.covered = min(credit.covered, credit.granted)
+    credit.unanswered_at = None
+
+
+def fill_first_credit(credit: EntryCredit) -> None:
+    """Grant the credits of an entry without a session, which its coordinator allows for."""
+    credit.granted = max(credit.granted, credit.spent + FIRST_CREDIT)
+    credit.full = credit.held
+
+
 def _is_paced(credit: EntryCredit, now: float) -> bool:
     if credit.paced or credit.unanswered_at is None:
         return credit.paced
--- a/packages/flow/src/ragwort_flow/_limit_coordinator.py
+++ b/packages/flow/src/ragwort_flow/_limit_coordinator.py
@@ -13,6 +13,7 @@
 from ragwort_common import NodeId
 
 from ragwort_flow._customer_limit import (
+    FIRST_CREDIT,
     SLOTS_PER_WINDOW,
     CallLimit,
     RecentCalls,
@@ -44,10 +45,6 @@
 short in any case, and from there to the second its shares shrink to zero. The rest covers calls
 that are not yet reported."""
 
-MIN_CREDIT = 2
-"""Credits of an entry without recent calls, in calm. With one, a second call within a round trip to
-the coordinator would be refused; a call in 250 is one, where a node gets 0.07 calls a second."""
-
 CREDIT_RATIO = 8.0
 """Further credits of an entry, as a multiple of the calls that its share brings in ``REACTION_S``.
 With 1.35 calls a second per node and 2 credits, 11 of 4,647 calls were refused below the limit."""
@@ -168,8 +165,12 @@
     coordinator: LimitCoordinator, now: float, node: NodeId, held: int, recent: int
 ) -> None:
     """Begin a session with an entry; ``recent`` calls were admitted there in the last window."""
+    former = coordinator.entries.get(node)
     drop_entry(coordinator, node)
     usage = coordinator.entries[node] = EntryUsage(now, held)
+    if former is not None and not (held or former.granted or former.calls_per_s):
+        # Its first credits are withdrawn, for which it has begun the session.
+        usage.outdated = former.outdated
     window_s = coordinator.limit.window_s
     for index in range(SLOTS_PER_WINDOW):
         # When they were admitted isn't known: evenly over the window, the earliest calls first.
@@ -242,7 +243,10 @@
 
 
 def plan_grants(
-    coordinator: LimitCoordinator, now: float, reporter: NodeId | None = None
+    coordinator: LimitCoordinator,
+    now: float,
+    reporter: NodeId | None = None,
+    others: Iterable[NodeId] = (),
 ) -> dict[NodeId, Grant]:
     """Return what changes for which entries.
 
@@ -250,6 +254,8 @@
     ----------
     reporter
         The entry that has just reported; None at regular intervals, when all are reviewed.
+    others
+        Nodes in reach; those without a session hold first credits, which a shortage withdraws.
     """
     if now < coordinator.settled_at:
         return {}
@@ -260,6 +266,10 @@
     was_short = coordinator.short
     coordinator.short = _is_short(coordinator, now)
     if coordinator.short != was_short:
+        if coordinator.short:
+            for node in others:
+                if node not in coordinator.entries:
+                    add_entry(coordinator, now, node, FIRST_CREDIT, 0)
         for usage in coordinator.entries.values():
             usage.outdated = True
     elif reporter is not None and coordinator.short:
@@ -334,7 +344,7 @@
         calls_per_s = round(limit.calls_per_s * part * ratio, 3)
         in_reaction = calls_per_s * REACTION_S
         covered = int(ratio * pool)
-        wanted = max(MIN_CREDIT + round(CREDIT_RATIO * in_reaction), covered)
+        wanted = max(FIRST_CREDIT + round(CREDIT_RATIO * in_reaction), covered)
         held = usage.granted - usage.spent
         if replies or held < wanted or held > 2 * wanted or usage.outdated:
             usage.outdated = False
--- a/packages/mesh/src/ragwort_mesh/_customer_limits.py
+++ b/packages/mesh/src/ragwort_mesh/_customer_limits.py
@@ -5,29 +5,38 @@
 
 from ragwort_common import CustomerName, NodeId
 from ragwort_flow import (
+    FIRST_CREDIT,
+    SETTLE_S,
     CallLimit,
     EntryCredit,
-    LimitCoordinator,
-    add_entry,
     apply_grant,
     begin_session,
     choose_coordinator,
     count_recent,
-    drop_entry,
+    end_session,
+    fill_first_credit,
     get_phase,
     give_back,
     is_low,
-    plan_grants,
+    is_session_needed,
     rank_coordinator,
-    record_usage,
-    set_limit,
-    set_part,
     spend_credit,
-    start_coordinator,
 )
 from ragwort_model import Bounds, Customer
-from ragwort_protocol import CustomerUsage, LimitShare, LimitShares, Message, UsageReport
+from ragwort_protocol import (
+    CustomerUsage,
+    LimitShare,
+    LimitShares,
+    LimitsReady,
+    Message,
+    UsageReport,
+)
 
+from ragwort_mesh._coordinated_limits import (
+    NO_SESSION,
+    SHARES_PER_MESSAGE,
+    CoordinatedLimits,
+)
 from ragwort_mesh._telemetry import Telemetry
 
 INTERVAL_S = 0.25
@@ -38,21 +47,10 @@
 their replies 96 messages a second of about 40 bytes, 4 of the 14 KB/s allowed for control traffic.
 Others wait until the interval ends."""
 
-FIRST_CREDIT = 2
-"""Calls that an entry may admit of a customer that gets a limit while the node runs, until it has
-credits: its calls must not be refused meanwhile. After a start, a node waits for its credits, since
-all nodes may have restarted at once."""
-
 REPEAT_INTERVALS = 4
 """Number of intervals after which a session without any grant is reported again: a coordinator with
 an older configuration doesn't know the limit yet."""
 
-NO_SESSION = 0
-"""Session number of an entry that no longer reports to a coordinator."""
-
-SHARES_PER_MESSAGE = 1_000
-"""Maximum number of customers in one message, which keeps it below the frame limit."""
-
 
 class CustomerLimits:
     """Admits customers' calls, and coordinates the limits for which this node ranks highest.
@@ -77,7 +75,6 @@
         self._node = node
         self._bounds = bounds
         self._send = send
-        self._count_nodes = count_nodes
         self._telemetry = telemetry
         self._clock = clock
         self._linked = {node}
@@ -85,16 +82,27 @@
         self._limits: dict[CustomerName, CallLimit] = {}
         self._credits: dict[CustomerName, EntryCredit] = {}
         self._coordinator_nodes: dict[CustomerName, NodeId] = {}
+        self._ranks: dict[CustomerName, bytes] = {}
         self._sessions: dict[CustomerName, tuple[int, int, int]] = {}
         self._session_number = 0
         self._reported: dict[CustomerName, CustomerUsage] = {}
         self._changed: set[CustomerName] = set()
         self._unanswered: set[CustomerName] = set()
         self._review_count = 0
-        self._coordinated: dict[CustomerName, LimitCoordinator] = {}
-        self._entry_sessions: dict[tuple[CustomerName, NodeId], int] = {}
         self._urgent_reports = 0
         self._configured = False
+        self._ready: set[NodeId] = set()
+        self._ready_at: float | None = None
+        self._coordinated = CoordinatedLimits(
+            node,
+            self._linked,
+            self._coordinator_nodes,
+            send,
+            self._apply_shares,
+            count_nodes,
+            telemetry,
+            clock,
+        )
 
     def set_customers(self, customers: dict[CustomerName, Customer]) -> None:
         """Apply the customers of a configuration that has come into force."""
@@ -113,6 +121,8 @@
         if limit is None:
             return None
         credit = self._credits[customer]
+        if customer not in self._sessions:
+            self._begin_session(customer, now)
         delay_s = spend_credit(credit, limit, now)
         self._changed.add(customer)
         if delay_s is not None:
@@ -131,42 +141,46 @@
 
     def open_link(self, node: NodeId) -> None:
         """Record that a node is linked, or linked anew; it may now rank highest."""
-        self._drop_entry(node)
+        self._coordinated.drop_entry(node)
         self._linked.add(node)
+        self._ready.discard(node)
         moved = [
             customer
             for customer, current in self._coordinator_nodes.items()
-            if current == node
-            or rank_coordinator(customer, node) > rank_coordinator(customer, current)
+            if current == node or rank_coordinator(customer, node) > self._ranks[customer]
         ]
-        for customer in moved:
-            self._begin_session(customer, node)
-        self._report(moved, self._clock())
+        self._move(dict.fromkeys(moved, node))
+        if self._node in self._ready:
+            self._send(node, self._make_ready())
 
     def close_link(self, node: NodeId) -> None:
         """Choose other coordinators in place of a node that is no longer linked."""
         self._linked.discard(node)
-        self._drop_entry(node)
-        moved = [
-            customer for customer, current in self._coordinator_nodes.items() if current == node
-        ]
-        for customer in moved:
-            self._begin_session(customer, choose_coordinator(customer, self._linked))
-        self._report(moved, self._clock())
+        self._ready.discard(node)
+        self._coordinated.drop_entry(node)
+        moved = {
+            customer: choose_coordinator(customer, self._linked)
+            for customer, current in self._coordinator_nodes.items()
+            if current == node
+        }
+        self._move(moved)
 
     def receive(self, node: NodeId, message: Message) -> None:
         """Handle a message of a linked node."""
         if type(message) is UsageReport:
-            self._receive_usages(node, message.usages)
+            self._coordinated.receive(node, message.usages)
         elif type(message) is LimitShares:
             self._apply_shares(node, message.shares)
+        elif type(message) is LimitsReady:
+            self._apply_ready(node, message.short)
 
     def review(self) -> None:
         """Report to the coordinators, and grant credits; done at each interval."""
         now = self._clock()
         self._urgent_reports = 0
         self._review_count += 1
-        for customer, credit in self._credits.items():
+        for customer in self._sessions:
+            credit = self._credits[customer]
             if credit.paced and credit.calls_per_s:
                 # The coordinator must know that this entry, which uses a share, is in reach.
                 self._reported.pop(customer, None)
@@ -176,21 +190,15 @@
                 self._reported.pop(customer, None)
             self._changed |= self._unanswered
         self._report([*self._changed], now)
-        grants: dict[NodeId, list[LimitShare]] = {}
-        for customer, coordinator in list(self._coordinated.items()):
-            if not coordinator.entries:
-                del self._coordinated[customer]
-                continue
-            set_part(coordinator, now, self._get_part(customer))
-            self._plan(customer, coordinator, now, None, grants)
-        self._send_grants(grants)
-        self._telemetry.counters.set_gauge("limits.coordinated", len(self._coordinated))
+        if self._ready_at is not None and now >= self._ready_at:
+            self._announce_ready()
+        self._coordinated.review()
 
     async def run(self) -> None:
         """Review the credits at each interval, until cancelled."""
         while True:
             await asyncio.sleep(INTERVAL_S)
-            if self._limits or self._coordinated:
+            if self._limits or self._coordinated.coordinators:
                 self.review()
 
     def _apply_limits(self) -> None:
@@ -207,13 +215,14 @@
             if customer.calls_per_s
         }
         for customer in self._limits.keys() - limits.keys():
-            for state in (self._credits, self._coordinator_nodes, self._sessions):
+            self._drop_session(customer)
+            for state in (self._credits, self._coordinator_nodes, self._ranks):
                 del state[customer]
-            self._reported.pop(customer, None)
-            self._changed.discard(customer)
-            self._unanswered.discard(customer)
-            self._drop_coordinator(customer)
+        self._coordinated.set_limits(limits)
         added = limits.keys() - self._limits.keys()
+        if bool(limits) != bool(self._limits):
+            self._ready_at = self._clock() + SETTLE_S if limits else None
+            self._ready.discard(self._node)
         self._limits = limits
         for customer in added:
             credit = EntryCredit(
@@ -221,37 +230,87 @@
                 tokens=get_phase(customer, self._node),
             )
             self._credits[customer] = credit
-            self._begin_session(customer, choose_coordinator(customer, self._linked))
-        for customer, coordinator in self._coordinated.items():
-            set_limit(coordinator, self._clock(), limits[customer])
+        self._move({customer: choose_coordinator(customer, self._linked) for customer in added})
 
-    def _drop_coordinator(self, customer: CustomerName) -> None:
-        coordinator = self._coordinated.pop(customer, None)
-        for node in coordinator.entries if coordinator is not None else ():
-            del self._entry_sessions[customer, node]
+    def _move(self, nodes: dict[CustomerName, NodeId]) -> None:
+        """Choose other coordinators, or anew the same ones, for some customers.
 
-    def _drop_entry(self, node: NodeId) -> None:
-        for customer, coordinator in self._coordinated.items():
-            if self._entry_sessions.pop((customer, node), None) is not None:
-                drop_entry(coordinator, node)
+        Only those get a report that must know of this entry. All others assume that it holds first
+        credits, so that no message is due for a customer without calls here.
+        """
+        now = self._clock()
+        left: dict[NodeId, list[CustomerUsage]] = {}
+        continued = []
+        for customer, node in nodes.items():
+            credit = self._credits[customer]
+            current = self._coordinator_nodes.get(customer, node)
+            self._coordinator_nodes[customer] = node
+            self._ranks[customer] = rank_coordinator(customer, node)
+            if node == self._node:
+                self._coordinated.start(customer)
+            if customer in self._sessions:
+                self._drop_session(customer)
+                if current != node:
+                    usage = CustomerUsage(customer, NO_SESSION, 0, 0, 0, 0)
+                    left.setdefault(current, []).append(usage)
+                if is_session_needed(credit, now, self._bounds.limit_window_s):
+                    self._begin_session(customer, now)
+                    continued.append(customer)
+                else:
+                    end_session(credit, now)
+            if customer not in self._sessions and node in self._ready:
+                fill_first_credit(credit)
+        for node, usages in left.items():
+            self._send_usages(node, usages)
+        self._report(continued, now)
+
+    def _drop_session(self, customer: CustomerName) -> None:
+        self._sessions.pop(customer, None)
+        self._reported.pop(customer, None)
+        self._changed.discard(customer)
+        self._unanswered.discard(customer)
 
-    def _begin_session(self, customer: CustomerName, node: NodeId) -> None:
-        """Begin to report to another coordinator, or anew to the same one."""
-        current = self._coordinator_nodes.get(customer)
-        if current is not None and current != node:
-            left = CustomerUsage(customer, NO_SESSION, 0, 0, 0, 0)
-            self._send_usages(current, [left])
+    def _begin_session(self, customer: CustomerName, now: float) -> None:
+        """Begin to report to the customer's coordinator."""
         credit = self._credits[customer]
-        now = self._clock()
         begin_session(credit, now)
         recent = count_recent(credit.recent, now, self._bounds.limit_window_s)
         self._session_number += 1
-        self._coordinator_nodes[customer] = node
         self._sessions[customer] = (self._session_number, credit.held, recent)
-        self._reported.pop(customer, None)
         self._changed.add(customer)
         self._unanswered.add(customer)
 
+    def _make_ready(self) -> LimitsReady:
+        return LimitsReady(
+            [name for name, limit in self._coordinated.coordinators.items() if limit.short]
+        )
+
+    def _announce_ready(self) -> None:
+        """Allow for first credits at all nodes, now that all that hold credits have reported."""
+        self._ready_at = None
+        self._apply_ready(self._node, [])
+        message = self._make_ready()
+        for node in self._linked - {self._node}:
+            self._send(node, message)
+
+    def _apply_ready(self, node: NodeId, short: list[str]) -> None:
+        self._ready.add(node)
+        for customer, current in self._coordinator_nodes.items():
+            if current == node and customer not in self._sessions:
+                if customer in short:
+                    self._withdraw(customer)
+                else:
+                    fill_first_credit(self._credits[customer])
+
+    def _withdraw(self, customer: CustomerName) -> None:
+        """Give up the credits held without a session, and begin one, which confirms that."""
+        credit, now = self._credits[customer], self._clock()
+        if not credit.paced:
+            apply_grant(credit, now, credit.spent, credit.spent, 0.0, True)
+        if customer not in self._sessions:
+            self._begin_session(customer, now)
+        self._changed.add(customer)
+
     def _report(self, customers: Iterable[CustomerName], now: float) -> None:
         reports: dict[NodeId, list[CustomerUsage]] = {}
         for customer in customers:
@@ -280,97 +339,22 @@
 
     def _send_usages(self, node: NodeId, usages: list[CustomerUsage]) -> None:
         if node == self._node:
-            self._receive_usages(node, usages)
+            self._coordinated.receive(node, usages)
         elif node in self._linked:
             self._telemetry.counters.add("limits.reports_sent")
             self._send(node, UsageReport(usages))
 
-    def _receive_usages(self, node: NodeId, usages: list[CustomerUsage]) -> None:
-        now = self._clock()
-        grants: dict[NodeId, list[LimitShare]] = {}
-        for usage in usages:
-            customer = CustomerName(usage.customer)
-            limit = self._limits.get(customer)
-            if limit is None:
-                # This node has another version of the configuration; the entry reports again.
-                continue
-            coordinator = self._coordinated.get(customer)
-            if usage.session == NO_SESSION:
-                if self._entry_sessions.pop((customer, node), None) is not None:
-                    drop_entry(self._coordinated[customer], node)
-                continue
-            if coordinator is None:
-                coordinator = self._coordinated[customer] = start_coordinator(limit, now)
-            if self._entry_sessions.get((customer, node)) != usage.session:
-                self._entry_sessions[customer, node] = usage.session
-                add_entry(coordinator, now, node, usage.held, usage.recent)
-            set_part(coordinator, now, self._get_part(customer))
-            record_usage(
-                coordinator,
-                now,
-                node,
-                usage.arrived,
-                usage.admitted,
-                usage.spent,
-                usage.granted,
-            )
-            self._plan(customer, coordinator, now, node, grants)
-        self._send_grants(grants)
-
-    def _get_part(self, customer: CustomerName) -> float:
-        """Return the part of the limit that this node divides as a coordinator.
-
-        A node that ranks highest of those that it is linked to serves all of them; another one only
-        the entries that can't reach that one.
-        """
-        if self._coordinator_nodes[customer] == self._node:
-            served = len(self._linked)
-        else:
-            served = len(self._coordinated[customer].entries)
-        return min(1.0, served / max(1, self._count_nodes(), len(self._linked)))
-
-    def _plan(
-        self,
-        customer: CustomerName,
-        coordinator: LimitCoordinator,
-        now: float,
-        reporter: NodeId | None,
-        grants: dict[NodeId, list[LimitShare]],
-    ) -> None:
-        was_short = coordinator.short
-        for node, grant in plan_grants(coordinator, now, reporter).items():
-            session = self._entry_sessions[customer, node]
-            share = LimitShare(
-                customer, session, grant.granted, grant.covered, grant.calls_per_s, grant.paced
-            )
-            grants.setdefault(node, []).append(share)
-        if coordinator.short != was_short:
-            self._telemetry.counters.add("limits.shortages", int(coordinator.short))
-            event = "customer-short" if coordinator.short else "customer-calm"
-            self._telemetry.events.write(
-                event,
-                customer=customer,
-                tokens=round(coordinator.tokens, 1),
-                demand=round(coordinator.demand, 1),
-                demand_age_ms=round((now - coordinator.demand_at) * 1000),
-                limit=coordinator.limit.calls_per_s,
-                part=round(coordinator.part, 3),
-                entries=len(coordinator.entries),
-            )
-
-    def _send_grants(self, grants: dict[NodeId, list[LimitShare]]) -> None:
-        for node, shares in grants.items():
-            if node == self._node:
-                self._apply_shares(node, shares)
-                continue
-            for start in range(0, len(shares), SHARES_PER_MESSAGE):
-                self._telemetry.counters.add("limits.grants_sent")
-                self._send(node, LimitShares(shares[start : start + SHARES_PER_MESSAGE]))
-
     def _apply_shares(self, node: NodeId, shares: list[LimitShare]) -> None:
         for share in shares:
             customer = CustomerName(share.customer)
             session = self._sessions.get(customer)
+            if share.session == NO_SESSION:
+                if self._coordinator_nodes.get(customer) == node:
+                    self._withdraw(customer)
+                else:
+                    # It counts on credits here until it knows that there are none.
+                    self._send_usages(node, [CustomerUsage(customer, NO_SESSION, 0, 0, 0, 0)])
+                continue
             if session is None or session[0] != share.session:
                 continue
             if self._coordinator_nodes[customer] != node:
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -20,6 +20,7 @@
     EvacuationNotice,
     Hello,
     LimitShares,
+    LimitsReady,
     LoadReport,
     Message,
     Probe,
@@ -408,7 +409,7 @@
             self._crashes.receive(link, message)
         elif kind is EvacuationNotice:
             self._evacuations.receive(link, message)
-        elif kind in (UsageReport, LimitShares):
+        elif kind in (UsageReport, LimitShares, LimitsReady):
             if link.peer is not None:
                 self._customer_limits.receive(link.peer, message)
         else:
--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -38,7 +38,13 @@
     Summary,
     measure_update,
 )
-from ragwort_protocol._limits import CustomerUsage, LimitShare, LimitShares, UsageReport
+from ragwort_protocol._limits import (
+    CustomerUsage,
+    LimitShare,
+    LimitShares,
+    LimitsReady,
+    UsageReport,
+)
 from ragwort_protocol._load import LoadReport, Probe, ProbeReply
 from ragwort_protocol._message import Message, replace_fields
 from ragwort_protocol._revision import (
@@ -70,6 +76,7 @@
     "Hello",
     "LimitShare",
     "LimitShares",
+    "LimitsReady",
     "LoadNotice",
     "LoadReport",
     "MAX_FRAME_BYTES",
--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -67,6 +67,7 @@
     | _evacuations.EvacuationNotice
     | _limits.UsageReport
     | _limits.LimitShares
+    | _limits.LimitsReady
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_MESSAGES)
--- a/packages/protocol/src/ragwort_protocol/_limits.py
+++ b/packages/protocol/src/ragwort_protocol/_limits.py
@@ -10,6 +10,7 @@
     ----------
     session
         Number of the entry's session with the coordinator; a new one starts the totals at zero.
+        Zero ends the session.
     arrived, admitted
         Totals of the calls in the session; calls that were not run are taken back from the latter.
     spent, granted
@@ -39,6 +40,8 @@
 
     Attributes
     ----------
+    session
+        Number of the entry's session; zero withdraws the credits of an entry without one.
     granted, covered
         Total of the credits in the session, and of those that stay valid while the entry does not
         hear from the coordinator.
@@ -58,3 +61,16 @@
     """Tells an entry how many calls it may admit."""
 
     shares: list[LimitShare]
+
+
+class LimitsReady(Message, tag=72):
+    """Tells a linked node that it may admit first calls without a session.
+
+    Attributes
+    ----------
+    short
+        Customers that the sender coordinates and that are over their limits: the node has no
+        credits for them.
+    """
+
+    short: list[str]
--- a/tests/mesh/test_customer_limits.py
+++ b/tests/mesh/test_customer_limits.py
@@ -79,7 +79,9 @@
     assert 40 <= counts[2] <= 80
     assert counts[3] >= 270
     assert counts[4] >= 270
-    assert not any(node._limits or node._coordinated for node in simulation.nodes.values())
+    assert not any(
+        node._limits or node._coordinated.coordinators for node in simulation.nodes.values()
+    )
 
 
 def test_a_limit_that_a_running_customer_gets_refuses_no_call_below_it():
