--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -72,6 +72,7 @@
     | _evacuations.EvacuationNotice
     | _limits.UsageReport
     | _limits.LimitShares
+    | _limits.LimitsReady
     | _uploads.BodyRequest
 )
 _encoder = msgspec.msgpack.Encoder()
