--- a/packages/flow/src/ragwort_flow/_call_start.py
+++ b/packages/flow/src/ragwort_flow/_call_start.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Iterable
 
+from ragwort_common import CustomerName
+
 from ragwort_flow._cold_start import has_cold_token, take_cold_token
 from ragwort_flow._concurrency_limit import find_knee_limit
+from ragwort_flow._customer_shares import list_first_customers
 from ragwort_flow._decision import EXPIRED
 from ragwort_flow._overload import needs_triage, order_waiting, record_refusal
 from ragwort_flow._rate_limit import has_token, take_token
@@ -36,7 +39,7 @@
         return False
     return any(
         _needs_speed(state, now, pending) and not is_last_slot_kept(state, now, pending)
-        for pending in _list_groups(state)
+        for pending in _list_groups(state, now)
     )
 
 
@@ -59,6 +62,8 @@
         return False
     if (pending.rank, pending.kind) in list_starved(state.ratios, now):
         return False
+    if pending.customer in list_first_customers(state.shares, now):
+        return False
     free_slots = state.limit - len(state.running)
     work_s = estimate_call_work(state, pending)
     return is_slot_kept(state.ratios, now, pending.rank, work_s, free_slots)
@@ -72,18 +77,21 @@
 
 def is_any_startable(state: SchedulerState, now: float) -> bool:
     """Return whether a waiting call may start now."""
-    return any(may_start(state, now, pending) for pending in _list_groups(state))
+    return any(may_start(state, now, pending) for pending in _list_groups(state, now))
 
 
-def _list_groups(state: SchedulerState) -> Iterable[PendingCall]:
+def _list_groups(state: SchedulerState, now: float) -> Iterable[PendingCall]:
     """Return one waiting call of each group."""
-    return {_get_group(state, call): call.pending for call in state.waiting}.values()
+    first = list_first_customers(state.shares, now)
+    return {_get_group(state, call, first): call.pending for call in state.waiting}.values()
 
 
-def _get_group(state: SchedulerState, call: Waiting) -> tuple[int, str, bool, float]:
-    """Return what distinguishes calls as to whether they may start: rank, kind and known work."""
+def _get_group(
+    state: SchedulerState, call: Waiting, first: frozenset[CustomerName]
+) -> tuple[int, str, bool, float, bool]:
+    """Return what distinguishes calls as to whether they may start, such as rank and known work."""
     work_s = 0.0 if call.kind in state.work.mean_s else call.work_s
-    return call.rank, call.kind, call.pending.may_move, work_s
+    return call.rank, call.kind, call.pending.may_move, work_s, call.customer in first
 
 
 def start_call(state: SchedulerState, now: float, pending: PendingCall) -> None:
@@ -108,10 +116,11 @@
     if not is_ordered and len(state.waiting) > 1 and needs_triage(state, now):
         state.waiting = order_waiting(state, now, state.waiting)
     # The calls of a group may start or not for the same reasons, so each group is tried once.
-    held: set[tuple[int, str, bool, float]] = set()
+    held: set[tuple[int, str, bool, float, bool]] = set()
+    first = list_first_customers(state.shares, now)
     is_room_free = has_room(state, now)
     for call in state.waiting:
-        group = _get_group(state, call)
+        group = _get_group(state, call, first)
         if call.pending.deadline <= now:
             record_refusal(state, now, call.pending)
             refused.append((call.call_id, EXPIRED))
--- a/tests/flow/test_customer_shares.py
+++ b/tests/flow/test_customer_shares.py
@@ -9,9 +9,11 @@
     Verdict,
     _overload,
     admit_call,
+    record_work,
     review_waiting,
     update_server,
 )
+from ragwort_flow._call_start import is_last_slot_kept
 from ragwort_flow._customer_shares import (
     LEARNING_S,
     MAX_CUSTOMERS,
@@ -25,6 +27,7 @@
     record_customer_refused,
 )
 from ragwort_flow._scheduler_state import Waiting
+from ragwort_flow._service_ratio import record_offered
 from ragwort_flow._triage import Outlook, Share, find_excess, order_calls
 
 SLOTS = 5
@@ -179,6 +182,24 @@
     assert "c1" not in list_beyond(shares, 0.2)
 
 
+def test_no_slot_is_kept_from_a_customer_that_is_served_too_rarely():
+    # At a server with two ranks, its calls waited for a slot until they were late and given up.
+    state = SchedulerState()
+    update_server(state, 0.0, 2, 0.0)
+    record_work(state.work, "b", 0.333)
+    for step in range(40):
+        for rank, kind, per_call_s in ((0, "a", 0.05), (2, "b", 0.333)):
+            record_offered(state.ratios, step * 0.05, rank, kind, per_call_s, 0.1)
+    running, waiting = (
+        PendingCall(CallId(n), "b", 2, 3.6, 8.0, 0.333, False, "c1") for n in range(2)
+    )
+    assert admit_call(state, 2.0, running).verdict is Verdict.RUN
+    assert is_last_slot_kept(state, 2.0, waiting)
+    state.shares.first, state.shares.first_at = frozenset(["c1"]), 2.0
+    assert not is_last_slot_kept(state, 2.0, waiting)
+    assert admit_call(state, 2.0, waiting).verdict is Verdict.RUN
+
+
 def test_refusals_do_not_take_from_what_a_customer_may_send():
     # The time of a refusal counted as that of the last call, so the tokens of that time were lost.
     shares = CustomerShares()
