--- a/tests/transport/test_body_transfers.py
+++ b/tests/transport/test_body_transfers.py
@@ -6,12 +6,15 @@
 from ragwort_common import Counters
 from ragwort_protocol import (
     BODY_PART_BYTES,
+    BodyRequest,
     Cancel,
     Data,
     FrameReader,
     Hello,
     LoadReport,
     Probe,
+    ProtocolError,
+    Refusal,
     Request,
     Response,
 )
@@ -130,6 +133,62 @@
     run_with_link(scenario)
 
 
+def test_a_silent_peer_ends_only_the_calls_whose_bodies_are_not_complete():
+    async def scenario(link, transport):
+        requests = [
+            Request(link.take_call_id(), "POST", b"/", [], b"x" * 2 * BODY_PART_BYTES, 1000.0)
+            for _ in range(3)
+        ]
+        replies = [link.start_call(request, body_on_request=True) for request in requests]
+        complete, partial, held = replies
+        for request in requests[:2]:
+            link._receive(BodyRequest(request.call_id))
+        for _ in range(3):
+            await iterate()
+            transport.drain()
+        link.give_up_repeatable()
+        await iterate()
+        assert await partial == await held == LinkLost(not_run=True)
+        assert not complete.done()
+        transport.drain()
+        assert [message.call_id for message in transport.messages if type(message) is Cancel] == [
+            request.call_id for request in requests[1:]
+        ]
+
+    run_with_link(scenario)
+
+
+def test_a_body_is_sent_once_and_only_while_its_call_is_in_progress():
+    async def scenario(link, transport):
+        body = b"x" * 2 * BODY_PART_BYTES
+        request = Request(link.take_call_id(), "POST", b"/", [], body, 1000.0)
+        link.start_call(request, body_on_request=True)
+        transport.drain()
+        head = transport.messages[-1]
+        assert (head.body, head.body_bytes, head.more) == (b"", len(body), False)
+        link._receive(Refusal(request.call_id, "not-run", "overloaded", 0, REPORT))
+        link._receive(BodyRequest(request.call_id))
+        await iterate()
+        transport.drain()
+        assert not list_parts(transport)
+        assert link._counters.totals["link.late_body_requests"] == 1
+
+    run_with_link(scenario)
+
+
+@pytest.mark.parametrize("size", [19_999, 20_001])
+def test_a_body_of_another_size_than_stated_is_a_protocol_error(size):
+    async def scenario(link, transport):
+        request = Request(5, "POST", b"/", [], b"", 1000.0, body_bytes=20_000)
+        received = link.request_body(request)
+        link._receive(Data(5, b"x" * BODY_PART_BYTES, True))
+        with pytest.raises(ProtocolError):
+            link._receive(Data(5, b"x" * (size - BODY_PART_BYTES), False))
+        assert not received.done()
+
+    run_with_link(scenario)
+
+
 @pytest.mark.parametrize("size", [1 << 20, 6 << 20])
 def test_link_with_much_to_send_is_not_used_for_new_calls(size):
     async def scenario(link, transport):
