Give the callers of the soak test keys, and let an operator remove keys

The soak test did not cover customers. Checks: removed keys, valid keys that are refused, the Authorization field and the customer's name at servers. One customer has a limit, and its callers send about six times as much; its calls do not count for the check of recovery. Versions are written one at a time, since two at once had the same number. A write is now repeated for 20 s, so that a version that may have arrived unacknowledged is not followed by one of the same number with other keys.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,7 @@
 flags.DEFINE_integer("copies", 1, "Servers of each service in a failure domain.", lower_bound=1)
 flags.DEFINE_integer("callers", 2, "Callers at each member.", lower_bound=1)
 flags.DEFINE_multi_enum_class("fault", None, Fault, "Kinds of faults to inject; all by default.")
+flags.DEFINE_bool("extended", False, "Also has customers, and an operator who removes their keys.")
 flags.DEFINE_string("logs", None, "Folder for process logs and plots.")
 
 
@@ -27,6 +28,7 @@
         copies=FLAGS.copies,
         callers=FLAGS.callers,
         faults=tuple(FLAGS.fault or Fault),
+        extended=FLAGS.extended,
     )
     reports: list[RunReport] = []
     for seed in range(FLAGS.seed, FLAGS.seed + FLAGS.count):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,11 +5,18 @@
 import itertools
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import aiohttp
-from ragwort_standins.application import ATTEMPT_ID_HEADER, SIGNATURE_HEADER
+from ragwort_standins.application import (
+    ATTEMPT_ID_HEADER,
+    CUSTOMER_HEADER,
+    SIGNATURE_HEADER,
+)
 
+from soak.customers import CUSTOMERS, Key
 from soak.fleet import HOST, Fleet, Member
 
 DEADLINE_MS = 1500
@@ -19,6 +26,9 @@
 CALL_PAUSE_S = 0.05
 """Mean pause between two calls of a caller."""
 
+FORGED_SHARE = 0.2
+"""Share of the calls with a key whose caller also names a customer of its own choice."""
+
 
 @dataclass(slots=True)
 class CallResult:
@@ -35,6 +45,8 @@
         timed out, -2 if it could not connect.
     expected
         Body of the request, which the server returns after its instance name.
+    key
+        Key that the caller sent, if any.
     """
 
     call_id: str
@@ -48,21 +60,30 @@
     body: bytes = b""
     expected: bytes = b""
     retry_after: str = ""
+    key: Key | None = None
 
 
 async def run_callers(
-    fleet: Fleet, seed: int, count: int, until: float, call_numbers: "itertools.count[int]"
+    fleet: Fleet,
+    seed: int,
+    count: int,
+    until: float,
+    call_numbers: "itertools.count[int]",
+    customers: tuple[str, ...] = CUSTOMERS,
 ) -> list[CallResult]:
     """Run callers at every member until a time, and return the results of all calls.
 
     Call ids are made from ``call_numbers``, which all callers of a run share to keep ids unique.
+    If the run has keys, each caller has the key of one of the ``customers``.
     """
     results: list[CallResult] = []
     async with asyncio.TaskGroup() as group:
         for member in fleet.members:
             for index in range(count):
                 rng = random.Random(f"{seed}-{member.number}-{index}")
-                group.create_task(_run_caller(member, rng, call_numbers, until, results))
+                customer = customers[(member.number + index) % len(customers)]
+                find_key = partial(fleet.keys.find_key, customer) if fleet.keys else None
+                group.create_task(_run_caller(member, rng, call_numbers, until, results, find_key))
     return results
 
 
@@ -72,6 +93,7 @@
     call_numbers: "itertools.count[int]",
     until: float,
     results: list[CallResult],
+    find_key: Callable[[float], Key] | None,
 ) -> None:
     connector = aiohttp.TCPConnector(limit=1)
     timeout = aiohttp.ClientTimeout(total=CALLER_TIMEOUT_S)
@@ -80,16 +102,34 @@
             service = rng.choice(("lookup", "lookup", "confirm"))
             body = rng.randbytes(rng.choice((0, 30, 5000, 90_000)))
             call_id = f"c-{next(call_numbers)}"
-            results.append(await _call(session, member, service, call_id, body))
+            headers, key = {}, None
+            if find_key is not None:
+                key = find_key(time.time())
+                headers = make_key_headers(key, rng)
+            results.append(await _call(session, member, service, call_id, body, headers, key))
             await asyncio.sleep(rng.expovariate(1 / CALL_PAUSE_S))
 
 
+def make_key_headers(key: Key, rng: random.Random) -> dict[str, str]:
+    """Return the header fields of a call with a key, some with the name of another customer."""
+    headers = {"Authorization": f"Bearer {key.text}"}
+    if rng.random() < FORGED_SHARE:
+        headers[CUSTOMER_HEADER] = "forged"
+    return headers
+
+
 async def _call(
-    session: aiohttp.ClientSession, member: Member, service: str, call_id: str, body: bytes
+    session: aiohttp.ClientSession,
+    member: Member,
+    service: str,
+    call_id: str,
+    body: bytes,
+    extra_headers: dict[str, str],
+    key: Key | None,
 ) -> CallResult:
     result = CallResult(call_id, member.number, member.node_starts, service, time.time(), 0.0, 0)
-    result.expected = body
-    headers = {
+    result.expected, result.key = body, key
+    headers = extra_headers | {
         "Host": HOST,
         ATTEMPT_ID_HEADER: call_id,
         "Ragwortvalve-Deadline-Ms": str(DEADLINE_MS),
@@ -112,10 +152,11 @@
 
 
 async def send_crashing_call(
-    session: aiohttp.ClientSession, member: Member, service: str, name: str
+    session: aiohttp.ClientSession, member: Member, service: str, name: str, key: Key | None
 ) -> None:
     """Send a request that crashes the server that runs it; its result doesn't count."""
-    headers = {
+    headers = {"Authorization": f"Bearer {key.text}"} if key is not None else {}
+    headers |= {
         "Host": HOST,
         ATTEMPT_ID_HEADER: f"{name}-{time.time_ns()}",
         "Ragwortvalve-Deadline-Ms": str(DEADLINE_MS),
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -41,12 +41,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerEvent:
-    """An event in the log of a server."""
+    """An event in the log of a server; ``customer`` is the one that an arriving request named."""
 
     instance: str
     at: float
     kind: str
     call_id: str
+    customer: str = ""
 
 
 def read_events(instance: str, lines: Iterable[str]) -> list[ServerEvent]:
@@ -55,7 +56,8 @@
     for line in lines:
         words = line.split()
         if len(words) >= 2 and words[0].replace(".", "").isdigit():
-            events.append(ServerEvent(instance, float(words[0]), words[1], "".join(words[2:3])))
+            call_id, customer = "".join(words[2:3]), "".join(words[3:4])
+            events.append(ServerEvent(instance, float(words[0]), words[1], call_id, customer))
     return events
 
 
--- /dev/null
+++ b/soak/extension.py
@@ -0,0 +1,25 @@
+"""What an extended run adds to the configuration and to the settings of the nodes.
+
+A run that is not extended has no customers, so earlier seeds replay as before.
+"""
+
+from typing import Any
+
+from soak.customers import KeyRing
+
+BOUNDS = ("quotaWindowS=5", "quotaExcess=0.1", "quotaSlack=20")
+
+
+def extend_configuration(configuration: dict[str, Any], keys: KeyRing) -> set[str]:
+    """Add the customers to a configuration, and return the keys that it has."""
+    tenants = keys.build_tenants()
+    configuration["tenants"] = tenants
+    for name, route in configuration["routes"].items():
+        # Inner calls and requests for the routes of versions have no key.
+        route["authExempt"] = name == "inner" or name.startswith("v")
+    return {key for tenant in tenants.values() for key in tenant["apiKeys"]}
+
+
+def extend_settings(settings: dict[str, Any]) -> None:
+    """Add the bounds to the settings of a node."""
+    settings["bounds"] += BOUNDS
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from soak.callers import send_crashing_call
+from soak.customers import CUSTOMERS
 from soak.fleet import GRACE_S, Fleet, Member
 from soak.plan import Fault, ScheduledFault
 
@@ -35,7 +36,7 @@
                 group.create_task(fleet.configure())
                 continue
             if scheduled.fault is Fault.STORE_PAUSE:
-                group.create_task(_pause_store(fleet, scheduled))
+                group.create_task(pause_store(fleet, scheduled.duration_s))
                 continue
             if scheduled.fault is Fault.CRASHING_CALLS:
                 group.create_task(_send_crashing_calls(fleet, scheduled))
@@ -50,9 +51,10 @@
         await asyncio.sleep(SETTLE_S)
 
 
-async def _pause_store(fleet: Fleet, scheduled: ScheduledFault) -> None:
+async def pause_store(fleet: Fleet, duration_s: float) -> None:
+    """Pause the store process."""
     fleet.signal(fleet.store, signal.SIGSTOP)
-    await asyncio.sleep(scheduled.duration_s)
+    await asyncio.sleep(duration_s)
     fleet.signal(fleet.store, signal.SIGCONT)
 
 
@@ -69,7 +71,8 @@
         async with asyncio.TaskGroup() as group, aiohttp.ClientSession() as session:
             group.create_task(_restart_crashed_servers(fleet, until + SETTLE_S))
             while time.time() < until:
-                call = send_crashing_call(session, rng.choice(callers), service, name)
+                key = fleet.keys.find_key(CUSTOMERS[0], time.time()) if fleet.keys else None
+                call = send_crashing_call(session, rng.choice(callers), service, name, key)
                 group.create_task(call)
                 await asyncio.sleep(rng.expovariate(1 / CRASHING_CALL_INTERVAL_S))
             await asyncio.sleep(SETTLE_S)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -13,6 +13,8 @@
 import aiohttp
 
 from bench.deployment import find_free_ports
+from soak.customers import KeyRing
+from soak.extension import extend_configuration, extend_settings
 from soak.proxy import Proxy
 
 HOST = "calls.example"
@@ -21,6 +23,9 @@
 DRAIN_S = 1.5
 """How long a draining server still takes calls after its node has acknowledged the drain."""
 
+WRITE_TIMEOUT_S = 20.0
+"""How long a write to the store is repeated; longer than all overlapping pauses of the store."""
+
 
 @dataclass(eq=False)
 class Member:
@@ -93,6 +98,10 @@
         Latest version of the configuration that the store accepted.
     accepted_versions
         Versions of the configuration, with the time at which the store accepted each.
+    keys
+        Keys of the customers, None if the run is not extended (``soak.extension``).
+    configure_lock
+        Held while a version is written, so that each version has one content.
     """
 
     folder: Path
@@ -102,6 +111,8 @@
     store: asyncio.subprocess.Process | None = None
     version: int = 0
     accepted_versions: list[tuple[int, float]] = field(default_factory=list)
+    keys: KeyRing | None = None
+    configure_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     async def start(self, domains: int, copies: int) -> None:
         """Start the store, write the first configuration and start the members."""
@@ -125,8 +136,12 @@
             await member.store_proxy.stop()
             await member.server_proxy.stop()
 
-    async def configure(self, timeout_s: float = 5.0) -> None:
+    async def configure(self, timeout_s: float = WRITE_TIMEOUT_S) -> None:
         """Write the next version of the configuration, which adds a route to the first service."""
+        async with self.configure_lock:
+            await self._configure(timeout_s)
+
+    async def _configure(self, timeout_s: float) -> None:
         version = self.version + 1
         routes = {
             service: _make_route(service, f"/{service}/", service != "confirm")
@@ -147,9 +162,12 @@
                 "idleTimeoutMs": 8000,
             },
         }
+        keys = extend_configuration(configuration, self.keys) if self.keys else set()
         if await self._write_configuration(configuration, timeout_s):
             self.version = version
             self.accepted_versions.append((version, time.time()))
+            if self.keys is not None:
+                self.keys.acknowledge(keys, time.time())
 
     async def _write_configuration(self, configuration: dict, timeout_s: float) -> bool:
         url = f"http://127.0.0.1:{self.store_port}/-/objects/config"
@@ -185,6 +203,8 @@
             "platform": {"addr": f"127.0.0.1:{member.store_proxy.port}"},
             "bounds": [f"graceS={GRACE_S}"],
         }
+        if self.keys is not None:
+            extend_settings(settings)
         path = member.folder / f"{member.name}.json"
         path.write_text(json.dumps(settings))
         member.node = await self._spawn(member.name, "-m", "ragwort_mesh", "--settings", str(path))
--- a/soak/report.py
+++ b/soak/report.py
@@ -16,13 +16,26 @@
             sum(report.statuses.values()),
             report.statuses[200],
             report.statuses[503],
+            report.statuses[401],
+            report.statuses[429],
             report.statuses[0] + report.statuses[-1] + report.statuses[-2],
             report.runs,
             len(report.violations),
         )
         for report in reports
     ]
-    names = ("seed", "faults", "calls", "served", "refused", "no answer", "runs", "broken")
+    names = (
+        "seed",
+        "faults",
+        "calls",
+        "served",
+        "503",
+        "401",
+        "429",
+        "no answer",
+        "runs",
+        "broken",
+    )
     return tabulate(rows, names)
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,10 +9,12 @@
 from pathlib import Path
 
 from bench.deployment import find_free_ports
-from soak import checks
+from soak import checks, customer_checks
 from soak.callers import CallResult, VersionObservation, poll_versions, run_callers
+from soak.customers import LIMITED_CUSTOMER, KeyRing
 from soak.faults import SETTLE_S, inject_faults
 from soak.fleet import DRAIN_S, Fleet, Member
+from soak.operations import ScheduledOperation, plan_operations, run_operations
 from soak.plan import Fault, ScheduledFault, plan_faults
 
 FAULT_FREE_S = 5.0
@@ -21,6 +23,9 @@
 STARTUP_TIMEOUT_S = 20.0
 """Time limit for every member to serve its first call."""
 
+LIMITED_CALLERS = 1
+"""Callers of the limited customer at each member; six send at least six times its limit."""
+
 
 @dataclass(frozen=True, slots=True)
 class Options:
@@ -38,6 +43,11 @@
         Callers at each member.
     faults
         Kinds of faults to inject.
+    tail_s
+        Time after the end of the last fault, the part without faults included.
+    extended
+        Whether the run has customers, and an operator who removes their keys. Runs of one seed
+        have the same faults with and without it.
     """
 
     seconds: float = 12.0
@@ -45,6 +55,8 @@
     copies: int = 1
     callers: int = 2
     faults: tuple[Fault, ...] = tuple(Fault)
+    tail_s: float = 2 * SETTLE_S + FAULT_FREE_S
+    extended: bool = False
 
 
 @dataclass(slots=True)
@@ -65,6 +77,7 @@
 
     seed: int
     schedule: list[ScheduledFault]
+    operations: list[ScheduledOperation] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
     runs: int = 0
     violations: list[str] = field(default_factory=list)
@@ -82,7 +95,7 @@
 
 
 async def _run(seed: int, options: Options, folder: Path) -> RunReport:
-    fleet = Fleet(folder, find_free_ports(1)[0])
+    fleet = Fleet(folder, find_free_ports(1)[0], keys=KeyRing() if options.extended else None)
     try:
         await fleet.start(options.domains, options.copies)
         call_numbers = itertools.count(1)
@@ -121,8 +134,13 @@
     call_numbers: "itertools.count[int]",
 ) -> RunReport:
     started_at = time.time()
-    last = max((scheduled.start_s + scheduled.duration_s for scheduled in schedule), default=0.0)
-    until = started_at + max(options.seconds, last) + 2 * SETTLE_S + FAULT_FREE_S
+    operations = plan_operations(seed, options.seconds) if options.extended else []
+    limited_callers = LIMITED_CALLERS if options.extended else 0
+    last = max(
+        (scheduled.start_s + scheduled.duration_s for scheduled in (*schedule, *operations)),
+        default=0.0,
+    )
+    until = started_at + max(options.seconds, last) + options.tail_s
     observations: list[VersionObservation] = []
     async with asyncio.TaskGroup() as group:
         caller_task = group.create_task(
@@ -130,11 +148,14 @@
         )
         group.create_task(poll_versions(fleet, until, observations))
         group.create_task(inject_faults(fleet, schedule, started_at))
-    results = caller_task.result()
+        group.create_task(run_operations(fleet, operations, started_at))
+        limited_task = group.create_task(
+            run_callers(fleet, seed, limited_callers, until, call_numbers, (LIMITED_CUSTOMER,))
+        )
+    results = [*caller_task.result(), *limited_task.result()]
     events = _read_events(fleet)
-    report = RunReport(
-        seed, schedule, Counter(result.status for result in results), started_at=started_at
-    )
+    report = RunReport(seed, schedule, operations, started_at=started_at)
+    report.statuses.update(result.status for result in results)
     report.results = results
     report.runs = sum(event.kind == "run" for event in events)
     was_undisturbed = _make_undisturbed_check(fleet.members)
@@ -147,8 +168,13 @@
         *checks.check_versions(observations, fleet.accepted_versions, was_undisturbed),
         *checks.check_retry_budget(results, events),
         *checks.check_crashing_requests(events),
-        *checks.check_recovery(results, until - FAULT_FREE_S),
+        *checks.check_recovery(customer_checks.select_servable(results), until - FAULT_FREE_S),
     ]
+    if options.extended:
+        report.violations += [
+            *customer_checks.check_keys(results, events, was_undisturbed),
+            *customer_checks.check_customer_fields(results, events),
+        ]
     return report
 
 
--- a/soak/server.py
+++ b/soak/server.py
@@ -2,6 +2,7 @@
 
 Each line holds a time, an event and the id of the call, if there is one. Lines are written
 unbuffered, so that the log of a killed server is complete. ``arrive`` is logged for each request,
+with the customer that it names, ``authorization`` for each request with a caller's key,
 ``run`` when a call that was run ends, ``crash`` when a request ends the process, with its body in
 place of the id, and ``leaving`` when the node has acknowledged the drain.
 """
@@ -16,6 +17,7 @@
 from aiohttp import web
 from ragwort_standins.application import (
     ATTEMPT_ID_HEADER,
+    CUSTOMER_HEADER,
     Application,
     build_application,
     deregister,
@@ -50,9 +52,9 @@
 """One in this many calls makes an inner call through the node."""
 
 
-def log_event(event: str, call_id: str = "") -> None:
+def log_event(event: str, call_id: str = "", customer: str = "") -> None:
     """Log one event."""
-    os.write(1, f"{time.time():.4f} {event} {call_id}\n".encode())
+    os.write(1, f"{time.time():.4f} {event} {call_id} {customer}\n".encode())
 
 
 async def serve() -> None:
@@ -83,7 +85,10 @@
             # The users' specification requires a draining server to report itself unhealthy.
             return web.Response(status=503 if stop_requested.is_set() else 200, headers=headers)
         call_id = request.headers.get(ATTEMPT_ID_HEADER, "")
-        log_event("arrive", call_id)
+        # A repeated field must not hide behind its first value.
+        log_event("arrive", call_id, ",".join(request.headers.getall(CUSTOMER_HEADER, [])))
+        if "Authorization" in request.headers:
+            log_event("authorization", call_id)
         body = await request.read()
         if body.startswith(CRASH_PREFIX):
             await asyncio.sleep(CRASH_DELAY_S)
--- a/standins/src/ragwort_standins/application.py
+++ b/standins/src/ragwort_standins/application.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 ATTEMPT_ID_HEADER = "Ragwortvalve-Attempt-Id"
+CUSTOMER_HEADER = "Ragwortvalve-Tenant-Id"
 SIGNATURE_HEADER = "Ragwortvalve-Response-Signature"
 TARGET_INSTANCE_HEADER = "Ragwortvalve-Target-Instance"
 
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -31,3 +31,13 @@
     report = run_seed(2, Options(seconds=3.0, faults=faults))
     assert {scheduled.fault for scheduled in report.schedule} == set(faults)
     assert report.violations == []
+
+
+def test_guarantees_of_customers_hold_under_faults():
+    options = Options(
+        seconds=3.0, faults=(Fault.CONFIGURE, Fault.SERVER_KILL), tail_s=6.0, extended=True
+    )
+    report = run_seed(3, options)
+    assert report.violations == []
+    assert report.operations
+    assert all(report.statuses[status] > 0 for status in (200, 401, 429))
