Check in the soak test that a customer stays within its limit

The limited customer's runs had no check. In any window of 5 s they must stay within the users' bound, (rate x window + burst) x 1.1 + 20, which is 86 here. Every run counts, also a second run of one call.

--- a/soak/customer_checks.py
+++ b/soak/customer_checks.py
@@ -1,8 +1,13 @@
-"""Checks of customers' keys and names; pure functions like those in ``soak.checks``."""
+"""Checks of customers' keys, names and limits; pure functions like those in ``soak.checks``."""
 
 from soak.callers import CallResult
 from soak.checks import MAX_CONFIGURE_S, ServerEvent, UndisturbedCheck
-from soak.customers import LIMITED_CUSTOMER
+from soak.customers import BURST, LIMITED_CUSTOMER, RATE_PER_S
+
+LIMIT_WINDOW_S = 5.0
+LIMIT_EXCESS = 0.1
+LIMIT_SLACK = 20
+"""The users' bound on the calls of a customer in any window: share and number above its limit."""
 
 
 def check_keys(
@@ -52,6 +57,26 @@
     return violations
 
 
+def check_limit(results: list[CallResult], events: list[ServerEvent]) -> list[str]:
+    """Report the window in which the most calls of the limited customer ran, if too many."""
+    limited = {
+        result.call_id
+        for result in results
+        if result.key is not None and result.key.customer == LIMITED_CUSTOMER
+    }
+    times = sorted(event.at for event in events if event.kind == "run" and event.call_id in limited)
+    allowed = (RATE_PER_S * LIMIT_WINDOW_S + BURST) * (1 + LIMIT_EXCESS) + LIMIT_SLACK
+    first, most, at = 0, 0, 0.0
+    for last, time in enumerate(times):
+        while times[first] <= time - LIMIT_WINDOW_S:
+            first += 1
+        if last - first + 1 > most:
+            most, at = last - first + 1, time
+    if most > allowed:
+        return [f"{LIMITED_CUSTOMER}: {most} runs in the {LIMIT_WINDOW_S:.0f} s before {at:.2f}"]
+    return []
+
+
 def select_servable(results: list[CallResult]) -> list[CallResult]:
     """Return the calls that neither a limit nor the removal of their key lets a node refuse."""
     return [
--- a/soak/run.py
+++ b/soak/run.py
@@ -174,6 +174,7 @@
         report.violations += [
             *customer_checks.check_keys(results, events, was_undisturbed),
             *customer_checks.check_customer_fields(results, events),
+            *customer_checks.check_limit(results, events),
         ]
     return report
 
--- a/tests/soak/test_customer_checks.py
+++ b/tests/soak/test_customer_checks.py
@@ -5,6 +5,7 @@
 from soak.customer_checks import (
     check_customer_fields,
     check_keys,
+    check_limit,
     select_servable,
 )
 from soak.customers import KEEP_KEY_S, LIMITED_CUSTOMER, Key, KeyRing
@@ -52,6 +53,15 @@
     assert check_customer_fields(results, [ServerEvent("i-0-1", 20.0, "authorization", "c-1")])
 
 
+def test_check_limit_reports_too_many_runs_in_any_window():
+    key = Key(LIMITED_CUSTOMER, "key")
+    results = [make_result(10.0, key=key)]
+    runs = [ServerEvent("i-0-1", 10.0 + number * 0.05, "run", "c-1") for number in range(87)]
+    assert check_limit(results, runs[:86]) == []
+    assert check_limit(results, runs)
+    assert check_limit([make_result(10.0)], runs) == []
+
+
 def test_select_servable_leaves_out_what_a_node_may_refuse():
     assert select_servable([make_result(10.0)])
     assert not select_servable([make_result(19.9)])
