Evacuate failure domains in the soak test

Evacuations had no kind in the soak test. In an extended run the operator now also writes and removes the object of one failure domain at a time, for 6 to 9 s and half of the time at a paused store. Check: no call reaches or runs at its servers from 5 s after the acknowledgement until the removal is sent.

--- a/soak/extension.py
+++ b/soak/extension.py
@@ -7,7 +7,7 @@
 
 from soak.customers import KeyRing
 
-BOUNDS = ("quotaWindowS=5", "quotaExcess=0.1", "quotaSlack=20")
+BOUNDS = ("evacuationMs=5000", "quotaWindowS=5", "quotaExcess=0.1", "quotaSlack=20")
 
 
 def extend_configuration(configuration: dict[str, Any], keys: KeyRing) -> set[str]:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from dataclasses import dataclass, field
+from math import inf
 from pathlib import Path
 
 import aiohttp
@@ -88,6 +89,15 @@
             span.append(time.time())
 
 
+@dataclass(slots=True)
+class Evacuation:
+    """An evacuation: when the store acknowledged it, and when its removal was first sent."""
+
+    domain: str
+    accepted_at: float
+    removal_sent_at: float = inf
+
+
 @dataclass(eq=False)
 class Fleet:
     """All processes of a run; signals only processes that it started itself.
@@ -100,6 +110,8 @@
         Versions of the configuration, with the time at which the store accepted each.
     keys
         Keys of the customers, None if the run is not extended (``soak.extension``).
+    evacuations
+        Evacuations that the store acknowledged.
     configure_lock
         Held while a version is written, so that each version has one content.
     """
@@ -112,6 +124,7 @@
     version: int = 0
     accepted_versions: list[tuple[int, float]] = field(default_factory=list)
     keys: KeyRing | None = None
+    evacuations: list[Evacuation] = field(default_factory=list)
     configure_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     async def start(self, domains: int, copies: int) -> None:
@@ -163,25 +176,37 @@
             },
         }
         keys = extend_configuration(configuration, self.keys) if self.keys else set()
-        if await self._write_configuration(configuration, timeout_s):
+        body = {"metadata": {"name": "main"}, "spec": configuration}
+        method, name = ("PUT", "config/main") if self.version else ("POST", "config")
+        if await self.write(method, name, body, timeout_s=timeout_s):
             self.version = version
             self.accepted_versions.append((version, time.time()))
             if self.keys is not None:
                 self.keys.acknowledge(keys, time.time())
 
-    async def _write_configuration(self, configuration: dict, timeout_s: float) -> bool:
-        url = f"http://127.0.0.1:{self.store_port}/-/objects/config"
-        body = {"metadata": {"name": "main"}, "spec": configuration}
+    async def write(
+        self,
+        method: str,
+        name: str,
+        body: dict | None,
+        settled: tuple[int, ...] = (),
+        timeout_s: float = WRITE_TIMEOUT_S,
+    ) -> bool:
+        """Change an object, repeated until the store acknowledges it; return whether it did.
+
+        Parameters
+        ----------
+        settled
+            Error statuses that also acknowledge it.
+        """
+        url = f"http://127.0.0.1:{self.store_port}/-/objects/{name}"
         deadline = time.time() + timeout_s
         async with aiohttp.ClientSession() as session:
             while time.time() < deadline:
                 try:
                     async with asyncio.timeout(1.0):
-                        if self.version == 0:
-                            reply = await session.post(url, json=body)
-                        else:
-                            reply = await session.put(f"{url}/main", json=body)
-                        if reply.status < 300:
+                        reply = await session.request(method, url, json=body)
+                        if reply.status < 300 or reply.status in settled:
                             return True
                 except (aiohttp.ClientError, TimeoutError):
                     pass
--- a/soak/operations.py
+++ b/soak/operations.py
@@ -1,5 +1,7 @@
 """Schedules what the operator does in an extended run, and does it.
 
+One failure domain at a time is evacuated, so that calls can be served.
+
 It has a random source of its own, so that a seed gives the same faults with and without it.
 """
 
@@ -11,8 +13,9 @@
 
 from soak.customers import CUSTOMERS
 from soak.faults import pause_store
-from soak.fleet import Fleet
+from soak.fleet import Evacuation, Fleet
 
+EVACUATIONS_KIND = "evacuations"
 FIRST_OPERATION_S = 1.0
 MEAN_INTERVAL_S = 2.5
 """Mean time between two operations."""
@@ -23,11 +26,18 @@
 PAUSE_LEAD_S = 0.2
 """Time between the pause of the store and the operation."""
 
+EVACUATION_RANGE_S = (6.0, 9.0)
+"""Shortest and longest evacuation; both longer than the time within which it must take effect."""
+
+EVACUATION_PAUSE_S = 5.0
+"""Least time between two evacuations; the store may be paused when the first one is to end."""
+
 
 class Operation(Enum):
     """What the operator does."""
 
     REMOVE_KEY = "remove-key"
+    EVACUATE = "evacuate"
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +51,9 @@
     duration_s
         Time until the operator undoes it, in seconds; 0 if it is not undone.
     subject
-        Customer whose key is removed.
+        Customer whose key is removed, or failure domain that is evacuated.
+    pauses_store
+        Whether the store is paused before the operation.
     """
 
     start_s: float
@@ -51,16 +63,20 @@
     pauses_store: bool
 
 
-def plan_operations(seed: int, seconds: float) -> list[ScheduledOperation]:
-    """Return the operations of a run."""
+def plan_operations(seed: int, seconds: float, domains: list[str]) -> list[ScheduledOperation]:
+    """Return the operations of a run on the given failure domains."""
     rng = random.Random(f"operator-{seed}")
     schedule = []
     start_s = FIRST_OPERATION_S
+    evacuated_until = 0.0
     while start_s < seconds:
-        customer, pauses_store = rng.choice(CUSTOMERS), rng.random() < 0.5
-        schedule.append(
-            ScheduledOperation(start_s, 0.0, Operation.REMOVE_KEY, customer, pauses_store)
-        )
+        operation, subject, duration_s = Operation.REMOVE_KEY, rng.choice(CUSTOMERS), 0.0
+        if start_s >= evacuated_until and rng.random() < 0.5:
+            operation, subject = Operation.EVACUATE, rng.choice(domains)
+            duration_s = rng.uniform(*EVACUATION_RANGE_S)
+            evacuated_until = start_s + duration_s + EVACUATION_PAUSE_S
+        pauses_store = rng.random() < 0.5
+        schedule.append(ScheduledOperation(start_s, duration_s, operation, subject, pauses_store))
         start_s += rng.expovariate(1 / MEAN_INTERVAL_S)
     return schedule
 
@@ -84,4 +100,16 @@
     await fleet.configure()
 
 
-_OPERATIONS = {Operation.REMOVE_KEY: _remove_key}
+async def _evacuate(fleet: Fleet, scheduled: ScheduledOperation) -> None:
+    started_at = time.time()
+    body = {"metadata": {"name": scheduled.subject}, "spec": {}}
+    # An earlier attempt, of which the reply was lost, may have written or removed the object.
+    await fleet.write("POST", EVACUATIONS_KIND, body, (409,))
+    evacuation = Evacuation(scheduled.subject, time.time())
+    fleet.evacuations.append(evacuation)
+    await asyncio.sleep(max(0.0, started_at + scheduled.duration_s - time.time()))
+    evacuation.removal_sent_at = time.time()
+    await fleet.write("DELETE", f"{EVACUATIONS_KIND}/{scheduled.subject}", None, (404,))
+
+
+_OPERATIONS = {Operation.REMOVE_KEY: _remove_key, Operation.EVACUATE: _evacuate}
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from bench.deployment import find_free_ports
-from soak import checks, customer_checks
+from soak import checks, customer_checks, placement_checks
 from soak.callers import CallResult, VersionObservation, poll_versions, run_callers
 from soak.customers import LIMITED_CUSTOMER, KeyRing
 from soak.faults import SETTLE_S, inject_faults
@@ -46,8 +46,8 @@
     tail_s
         Time after the end of the last fault, the part without faults included.
     extended
-        Whether the run has customers, and an operator who removes their keys. Runs of one seed
-        have the same faults with and without it.
+        Whether the run has customers, and an operator who removes keys and evacuates domains. Runs
+        of one seed have the same faults with and without it.
     """
 
     seconds: float = 12.0
@@ -134,7 +134,7 @@
     call_numbers: "itertools.count[int]",
 ) -> RunReport:
     started_at = time.time()
-    operations = plan_operations(seed, options.seconds) if options.extended else []
+    operations = _plan_operations(fleet, seed, options)
     limited_callers = LIMITED_CALLERS if options.extended else 0
     last = max(
         (scheduled.start_s + scheduled.duration_s for scheduled in (*schedule, *operations)),
@@ -171,14 +171,21 @@
         *checks.check_recovery(customer_checks.select_servable(results), until - FAULT_FREE_S),
     ]
     if options.extended:
+        places = {str(member.number): member for member in fleet.members}
         report.violations += [
             *customer_checks.check_keys(results, events, was_undisturbed),
             *customer_checks.check_customer_fields(results, events),
             *customer_checks.check_limit(results, events),
+            *placement_checks.check_evacuations(events, fleet.evacuations, places),
         ]
     return report
 
 
+def _plan_operations(fleet: Fleet, seed: int, options: Options) -> list[ScheduledOperation]:
+    domains = sorted({member.domain for member in fleet.members})
+    return plan_operations(seed, options.seconds, domains) if options.extended else []
+
+
 def _read_events(fleet: Fleet) -> list[checks.ServerEvent]:
     events = []
     for path in fleet.folder.glob("i-*.log"):
