Send calls that are allowed in one region only in the soak test

Home regions had no kind in the soak test. In an extended run there are two regions, and 3 in 10 lookups of callers with a key use a route that is allowed in the second region only.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -26,6 +26,9 @@
 CALL_PAUSE_S = 0.05
 """Mean pause between two calls of a caller."""
 
+HOME_SHARE = 0.3
+"""Share of the lookups that a caller with a key sends by the home route."""
+
 FORGED_SHARE = 0.2
 """Share of the calls with a key whose caller also names a customer of its own choice."""
 
@@ -47,6 +50,8 @@
         Body of the request, which the server returns after its instance name.
     key
         Key that the caller sent, if any.
+    route
+        Route of the call, named like its service unless it is the home route.
     """
 
     call_id: str
@@ -61,6 +66,7 @@
     expected: bytes = b""
     retry_after: str = ""
     key: Key | None = None
+    route: str = ""
 
 
 async def run_callers(
@@ -102,11 +108,16 @@
             service = rng.choice(("lookup", "lookup", "confirm"))
             body = rng.randbytes(rng.choice((0, 30, 5000, 90_000)))
             call_id = f"c-{next(call_numbers)}"
-            headers, key = {}, None
+            headers, key, route = {}, None, service
             if find_key is not None:
                 key = find_key(time.time())
                 headers = make_key_headers(key, rng)
-            results.append(await _call(session, member, service, call_id, body, headers, key))
+                if service == "lookup" and rng.random() < HOME_SHARE:
+                    route = "home"
+            result = CallResult(call_id, member.number, member.node_starts, service, 0.0, 0.0, 0)
+            result.expected, result.key, result.route = body, key, route
+            results.append(result)
+            await _call(session, member, result, headers)
             await asyncio.sleep(rng.expovariate(1 / CALL_PAUSE_S))
 
 
@@ -121,22 +132,19 @@
 async def _call(
     session: aiohttp.ClientSession,
     member: Member,
-    service: str,
-    call_id: str,
-    body: bytes,
+    result: CallResult,
     extra_headers: dict[str, str],
-    key: Key | None,
-) -> CallResult:
-    result = CallResult(call_id, member.number, member.node_starts, service, time.time(), 0.0, 0)
-    result.expected, result.key = body, key
+) -> None:
+    """Send a call, and complete its result."""
+    result.sent_at = time.time()
     headers = extra_headers | {
         "Host": HOST,
-        ATTEMPT_ID_HEADER: call_id,
+        ATTEMPT_ID_HEADER: result.call_id,
         "Ragwortvalve-Deadline-Ms": str(DEADLINE_MS),
     }
-    url = f"http://{member.outbound_address}/{service}/x"
+    url = f"http://{member.outbound_address}/{result.route}/x"
     try:
-        async with session.post(url, headers=headers, data=body) as reply:
+        async with session.post(url, headers=headers, data=result.expected) as reply:
             result.body = await reply.read()
             result.status = reply.status
             result.signature = reply.headers.get(SIGNATURE_HEADER, "")
@@ -148,7 +156,6 @@
     except aiohttp.ClientError:
         result.status = 0
     result.ended_at = time.time()
-    return result
 
 
 async def send_crashing_call(
--- a/soak/extension.py
+++ b/soak/extension.py
@@ -7,14 +7,19 @@
 
 from soak.customers import KeyRing
 
+HOME_REGION = "r1"
+"""The only region whose servers may run the calls of the home route."""
+
 BOUNDS = ("evacuationMs=5000", "quotaWindowS=5", "quotaExcess=0.1", "quotaSlack=20")
 
 
 def extend_configuration(configuration: dict[str, Any], keys: KeyRing) -> set[str]:
-    """Add the customers to a configuration, and return the keys that it has."""
+    """Add the customers and the home route to a configuration, and return the keys that it has."""
     tenants = keys.build_tenants()
+    routes = configuration["routes"]
+    routes["home"] = routes["lookup"] | {"pathPrefix": "/home/", "allowedRegions": [HOME_REGION]}
     configuration["tenants"] = tenants
-    for name, route in configuration["routes"].items():
+    for name, route in routes.items():
         # Inner calls and requests for the routes of versions have no key.
         route["authExempt"] = name == "inner" or name.startswith("v")
     return {key for tenant in tenants.values() for key in tenant["apiKeys"]}
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -47,6 +47,7 @@
     number: int
     service: str
     domain: str
+    region: str
     folder: Path
     ports: dict[str, int]
     store_proxy: Proxy
@@ -135,7 +136,10 @@
         for number in range(domains * copies * len(SERVICES)):
             domain = f"d{number % domains}"
             service = SERVICES[number // domains % len(SERVICES)]
-            self.members.append(await self._create_member(number, service, domain))
+            # An extended run always has two regions.
+            domains_per_region = 2 if self.keys is None else (domains + 1) // 2
+            region = f"r{number % domains // domains_per_region}"
+            self.members.append(await self._create_member(number, service, domain, region))
         await asyncio.gather(*(self.start_server(member) for member in self.members))
         await asyncio.gather(*(self.start_node(member) for member in self.members))
 
@@ -219,7 +223,7 @@
         settings = {
             "nodeName": member.name,
             "zone": member.domain,
-            "region": "r" + str(int(member.domain[1:]) // 2),
+            "region": member.region,
             "service": member.service,
             "appAddr": f"127.0.0.1:{member.server_proxy.port}",
             "listenAddrs": {
@@ -251,14 +255,16 @@
         if process is not None and process.returncode is None:
             process.send_signal(signum)
 
-    async def _create_member(self, number: int, service: str, domain: str) -> Member:
+    async def _create_member(self, number: int, service: str, domain: str, region: str) -> Member:
         names = ("inbound", "outbound", "ready", "control", "server")
         ports = dict(zip(names, find_free_ports(len(names)), strict=True))
         store_proxy = Proxy(f"127.0.0.1:{self.store_port}")
         server_proxy = Proxy(f"127.0.0.1:{ports['server']}")
         await store_proxy.start()
         await server_proxy.start()
-        return Member(number, service, domain, self.folder, ports, store_proxy, server_proxy)
+        return Member(
+            number, service, domain, region, self.folder, ports, store_proxy, server_proxy
+        )
 
     async def _spawn(self, name: str, *arguments: str) -> asyncio.subprocess.Process:
         with (self.folder / f"{name}.log").open("ab") as output:
