Start servers cold in the soak test

In an extended run the servers of one service are cold for 4 s after each start; they state it in reports and health checks, and callers send them more than the 20 calls per second that they can sustain. Check: in any second of that time at most 20 x 1.5 + 8 calls arrive, without those that the server answers with 421.

--- a/soak/extension.py
+++ b/soak/extension.py
@@ -10,13 +10,30 @@
 HOME_REGION = "r1"
 """The only region whose servers may run the calls of the home route."""
 
-BOUNDS = ("evacuationMs=5000", "quotaWindowS=5", "quotaExcess=0.1", "quotaSlack=20")
+COLD_SERVICE = "lookup"
+COLD_START_S = 4.0
+COLD_PER_S = 20.0
+"""The service whose servers are cold after their start, for how long, and the calls that they can
+sustain meanwhile. Callers send it several times as many."""
+
+BOUNDS = (
+    "coldExcess=1.5",
+    "coldSlack=8",
+    "evacuationMs=5000",
+    "quotaWindowS=5",
+    "quotaExcess=0.1",
+    "quotaSlack=20",
+)
 
 
 def extend_configuration(configuration: dict[str, Any], keys: KeyRing) -> set[str]:
-    """Add the customers and the home route to a configuration, and return the keys that it has."""
+    """Add what is not in other runs to a configuration, and return the keys that it has."""
     tenants = keys.build_tenants()
     routes = configuration["routes"]
+    configuration["services"][COLD_SERVICE] |= {
+        "coldStartS": COLD_START_S,
+        "coldPerS": COLD_PER_S,
+    }
     routes["home"] = routes["lookup"] | {"pathPrefix": "/home/", "allowedRegions": [HOME_REGION]}
     configuration["tenants"] = tenants
     for name, route in routes.items():
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -15,7 +15,12 @@
 
 from bench.deployment import find_free_ports
 from soak.customers import KeyRing
-from soak.extension import extend_configuration, extend_settings
+from soak.extension import (
+    COLD_SERVICE,
+    COLD_START_S,
+    extend_configuration,
+    extend_settings,
+)
 from soak.proxy import Proxy
 
 HOST = "calls.example"
@@ -248,8 +253,13 @@
             *("--port", str(member.ports["server"]), "--drain_s", str(DRAIN_S)),
             *("--control", f"127.0.0.1:{member.ports['control']}"),
             *("--outbound", member.outbound_address),
+            *("--cold_s", str(COLD_START_S if self.is_cold_after_start(member) else 0.0)),
         )
 
+    def is_cold_after_start(self, member: Member) -> bool:
+        """Return whether the member's server is cold after each of its starts."""
+        return self.keys is not None and member.service == COLD_SERVICE
+
     def signal(self, process: asyncio.subprocess.Process | None, signum: signal.Signals) -> None:
         """Send a signal to a process unless it has exited."""
         if process is not None and process.returncode is None:
--- a/soak/placement_checks.py
+++ b/soak/placement_checks.py
@@ -1,18 +1,23 @@
-"""Checks of where calls run: evacuated failure domains and home regions.
+"""Checks of the calls that servers get: evacuated domains, home regions and cold servers.
 
 Pure functions like those in ``soak.checks``.
 """
 
+from collections import Counter, defaultdict
 from collections.abc import Mapping
 
 from soak.callers import CallResult
 from soak.checks import ServerEvent
-from soak.extension import HOME_REGION
+from soak.extension import COLD_PER_S, COLD_SERVICE, COLD_START_S, HOME_REGION
 from soak.fleet import Evacuation, Member
 
 MAX_EVACUATION_S = 5.0
 """Time within which the servers of an evacuated domain must get no calls; the users' bound."""
 
+COLD_EXCESS = 1.5
+COLD_SLACK = 8
+"""The users' bound on the calls of a cold server in any second: factor and extra number."""
+
 
 def check_evacuations(
     events: list[ServerEvent], evacuations: list[Evacuation], places: Mapping[str, Member]
@@ -47,6 +52,30 @@
     ]
 
 
+def check_cold_starts(events: list[ServerEvent], places: Mapping[str, Member]) -> list[str]:
+    """Report servers that got too many calls in a second in which they were cold."""
+    cold = [event for event in events if find_member(event, places).service == COLD_SERVICE]
+    misdirected = Counter(
+        (event.instance, event.call_id) for event in cold if event.kind == "misdirected"
+    )
+    started_at = {event.instance: event.at for event in cold if event.kind == "start"}
+    arrivals: dict[str, list[float]] = defaultdict(list)
+    for event in sorted(cold, key=lambda event: event.at):
+        is_cold = event.at < started_at.get(event.instance, 0.0) + COLD_START_S
+        if event.kind != "arrive" or not is_cold:
+            continue
+        if misdirected[event.instance, event.call_id]:
+            misdirected[event.instance, event.call_id] -= 1
+        else:
+            arrivals[event.instance].append(event.at)
+    violations = []
+    for instance, times in arrivals.items():
+        most = max(sum(at <= other < at + 1.0 for other in times) for at in times)
+        if most > COLD_PER_S * COLD_EXCESS + COLD_SLACK:
+            violations.append(f"{instance}: {most} calls in a second while it was cold")
+    return violations
+
+
 def find_member(event: ServerEvent, places: Mapping[str, Member]) -> Member:
     """Return the member whose server logged an event."""
     return places[event.instance.split("-")[1]]
--- a/soak/run.py
+++ b/soak/run.py
@@ -178,6 +178,7 @@
             *customer_checks.check_limit(results, events),
             *placement_checks.check_evacuations(events, fleet.evacuations, places),
             *placement_checks.check_home_regions(results, events, places),
+            *placement_checks.check_cold_starts(events, places),
         ]
     return report
 
--- a/soak/server.py
+++ b/soak/server.py
@@ -4,7 +4,8 @@
 unbuffered, so that the log of a killed server is complete. ``arrive`` is logged for each request,
 with the customer that it names, ``authorization`` for each request with a caller's key,
 ``run`` when a call that was run ends, ``crash`` when a request ends the process, with its body in
-place of the id, and ``leaving`` when the node has acknowledged the drain.
+place of the id, and ``leaving`` when the node has acknowledged the drain. ``start`` is logged once,
+and ``misdirected`` for each request that was addressed to another instance.
 """
 
 import asyncio
@@ -36,6 +37,10 @@
 )
 flags.DEFINE_float("drain_s", 1.5, "How long it still serves calls while draining, in seconds.")
 
+flags.DEFINE_float("cold_s", 0.0, "How long it states that it is cold after its start, in seconds.")
+
+STARTED_AT = time.time()
+
 REPORT_INTERVAL_S = 0.5
 """Interval between two reports to the node."""
 
@@ -57,9 +62,15 @@
     os.write(1, f"{time.time():.4f} {event} {call_id} {customer}\n".encode())
 
 
+def count_cold_ms() -> int:
+    """Return how long the server is still cold, in milliseconds."""
+    return max(0, round((STARTED_AT + FLAGS.cold_s - time.time()) * 1000))
+
+
 async def serve() -> None:
     """Serve until SIGTERM, then drain and deregister."""
     application = Application(FLAGS.instance, FLAGS.service, slots=6, service_time_s=SERVICE_TIME_S)
+    log_event("start")
     stop_requested = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop_requested.set)
     async with aiohttp.ClientSession() as session:
@@ -82,6 +93,7 @@
         if request.path == "/healthz":
             headers = {"Ragwortvalve-Instance-Id": application.instance}
             headers["Ragwortvalve-Server-Load"] = f"{application.running},0,6,100"
+            headers["Ragwortvalve-Cold-Ms"] = str(count_cold_ms())
             # The users' specification requires a draining server to report itself unhealthy.
             return web.Response(status=503 if stop_requested.is_set() else 200, headers=headers)
         call_id = request.headers.get(ATTEMPT_ID_HEADER, "")
@@ -101,7 +113,10 @@
         ):
             await _call_inner(session, call_id)
         try:
-            return await handler(request)
+            reply = await handler(request)
+            if reply.status == 421:
+                log_event("misdirected", call_id)
+            return reply
         finally:
             if application.runs[call_id] > runs_before:
                 log_event("run", call_id)
@@ -144,7 +159,9 @@
 async def _report(application: Application, sequence: int, state: str, born: int) -> int:
     try:
         async with asyncio.timeout(1.0):
-            return await send_report(FLAGS.control, application, sequence, state, born)
+            return await send_report(
+                FLAGS.control, application, sequence, state, born, count_cold_ms()
+            )
     except (aiohttp.ClientError, TimeoutError, OSError):
         return 0
 
--- a/standins/src/ragwort_standins/application.py
+++ b/standins/src/ragwort_standins/application.py
@@ -113,7 +113,12 @@
 
 
 async def send_report(
-    control: str, application: Application, sequence: int, state: str = "ready", born: int = 1
+    control: str,
+    application: Application,
+    sequence: int,
+    state: str = "ready",
+    born: int = 1,
+    cold_remaining_ms: int = 0,
 ) -> int:
     """Report a server's state to its node, and return the status of the reply."""
     content = {
@@ -123,7 +128,7 @@
         "version": "v1",
         "slots": application.slots,
         "state": state,
-        "coldRemainingMs": 0,
+        "coldRemainingMs": cold_remaining_ms,
         "seq": sequence,
         "born": born,
     }
