Send pipelined calls in the soak test

Pipelined calls had no kind in the soak test. In an extended run one caller at each node sends 2 to 12 GET requests at once on a connection, 3 in 10 of which take longer, so that those behind them are done first. Check: responses arrive in the order of the requests; the other checks cover these calls as well. Requests without a response behind one that closes the connection are left out, as they count as not read.

Servers are cold for 3 s instead of 4.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,7 +17,7 @@
 flags.DEFINE_integer("copies", 1, "Servers of each service in a failure domain.", lower_bound=1)
 flags.DEFINE_integer("callers", 2, "Callers at each member.", lower_bound=1)
 flags.DEFINE_multi_enum_class("fault", None, Fault, "Kinds of faults to inject; all by default.")
-flags.DEFINE_bool("extended", False, "Also has customers and an operator.")
+flags.DEFINE_bool("extended", False, "Also has customers, cold servers and an operator.")
 flags.DEFINE_string("logs", None, "Folder for process logs and plots.")
 
 
--- a/soak/extension.py
+++ b/soak/extension.py
@@ -11,7 +11,7 @@
 """The only region whose servers may run the calls of the home route."""
 
 COLD_SERVICE = "lookup"
-COLD_START_S = 4.0
+COLD_START_S = 3.0
 COLD_PER_S = 20.0
 """The service whose servers are cold after their start, for how long, and the calls that they can
 sustain meanwhile. Callers send it several times as many."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,7 @@
 from soak.faults import SETTLE_S, inject_faults
 from soak.fleet import DRAIN_S, Fleet, Member
 from soak.operations import ScheduledOperation, plan_operations, run_operations
+from soak.pipeline import Batch, check_order, run_pipelining_callers
 from soak.plan import Fault, ScheduledFault, plan_faults
 
 FAULT_FREE_S = 5.0
@@ -44,10 +45,13 @@
     faults
         Kinds of faults to inject.
     tail_s
-        Time after the end of the last fault, the part without faults included.
+        Time after the end of the last fault.
+    fault_free_s
+        The last part of it, in which calls must be served again.
     extended
-        Whether the run has customers, and an operator who removes keys and evacuates domains. Runs
-        of one seed have the same faults with and without it.
+        Whether the run has customers, cold servers, a home route and pipelining callers, and an
+        operator who removes keys and evacuates domains. Runs of one seed have the same faults with
+        and without it.
     """
 
     seconds: float = 12.0
@@ -56,6 +60,7 @@
     callers: int = 2
     faults: tuple[Fault, ...] = tuple(Fault)
     tail_s: float = 2 * SETTLE_S + FAULT_FREE_S
+    fault_free_s: float = FAULT_FREE_S
     extended: bool = False
 
 
@@ -152,7 +157,9 @@
         limited_task = group.create_task(
             run_callers(fleet, seed, limited_callers, until, call_numbers, (LIMITED_CUSTOMER,))
         )
-    results = [*caller_task.result(), *limited_task.result()]
+        pipeline_task = group.create_task(_run_pipelines(fleet, seed, until, call_numbers))
+    pipelined, batches = pipeline_task.result()
+    results = [*caller_task.result(), *limited_task.result(), *pipelined]
     events = _read_events(fleet)
     report = RunReport(seed, schedule, operations, started_at=started_at)
     report.statuses.update(result.status for result in results)
@@ -168,7 +175,9 @@
         *checks.check_versions(observations, fleet.accepted_versions, was_undisturbed),
         *checks.check_retry_budget(results, events),
         *checks.check_crashing_requests(events),
-        *checks.check_recovery(customer_checks.select_servable(results), until - FAULT_FREE_S),
+        *checks.check_recovery(
+            customer_checks.select_servable(results), until - options.fault_free_s
+        ),
     ]
     if options.extended:
         places = {str(member.number): member for member in fleet.members}
@@ -179,10 +188,19 @@
             *placement_checks.check_evacuations(events, fleet.evacuations, places),
             *placement_checks.check_home_regions(results, events, places),
             *placement_checks.check_cold_starts(events, places),
+            *check_order(batches),
         ]
     return report
 
 
+async def _run_pipelines(
+    fleet: Fleet, seed: int, until: float, call_numbers: "itertools.count[int]"
+) -> tuple[list[CallResult], list[Batch]]:
+    if fleet.keys is None:
+        return [], []
+    return await run_pipelining_callers(fleet, seed, until, call_numbers)
+
+
 def _plan_operations(fleet: Fleet, seed: int, options: Options) -> list[ScheduledOperation]:
     domains = sorted({member.domain for member in fleet.members})
     return plan_operations(seed, options.seconds, domains) if options.extended else []
--- a/soak/server.py
+++ b/soak/server.py
@@ -47,6 +47,10 @@
 SERVICE_TIME_S = 0.02
 """Service time of a call."""
 
+SLOW_PATH = "/slow"
+SLOW_TIME_S = 0.06
+"""End of the path of a call that takes longer, and how much longer."""
+
 CRASH_PREFIX = b"crash-"
 """Start of the body of a request that ends the process."""
 
@@ -106,6 +110,8 @@
             await asyncio.sleep(CRASH_DELAY_S)
             log_event("crash", body.decode())
             os._exit(1)
+        if request.path.endswith(SLOW_PATH):
+            await asyncio.sleep(SLOW_TIME_S)
         runs_before = application.runs[call_id]
         if (
             FLAGS.service != "inner"
