Leave the results of the calls out of the representation of a soak report

asyncio.run makes a representation of the finished task and so of the whole report, with every body that was sent; a stack dump during the 4 s between the end of the processes and the return of run_seed showed it.

--- a/soak/run.py
+++ b/soak/run.py
@@ -86,7 +86,8 @@
     statuses: Counter[int] = field(default_factory=Counter)
     runs: int = 0
     violations: list[str] = field(default_factory=list)
-    results: list[CallResult] = field(default_factory=list)
+    # Left out of the representation, which asyncio.run makes of the result: it took 4 s.
+    results: list[CallResult] = field(default_factory=list, repr=False)
     started_at: float = 0.0
 
 
