--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -8,11 +8,19 @@
 import sys
 import time
 from dataclasses import dataclass, field
+from math import inf
 from pathlib import Path
 
 import aiohttp
 
 from bench.deployment import find_free_ports
+from soak.customers import KeyRing
+from soak.extension import (
+    COLD_SERVICE,
+    COLD_START_S,
+    extend_configuration,
+    extend_settings,
+)
 from soak.proxy import Proxy
 
 HOST = "calls.example"
@@ -21,6 +29,9 @@
 DRAIN_S = 1.5
 """How long a draining server still takes calls after its node has acknowledged the drain."""
 
+WRITE_TIMEOUT_S = 20.0
+"""How long a write to the store is repeated; longer than all overlapping pauses of the store."""
+
 
 @dataclass(eq=False)
 class Member:
@@ -41,6 +52,7 @@
     number: int
     service: str
     domain: str
+    region: str
     folder: Path
     ports: dict[str, int]
     store_proxy: Proxy
@@ -83,6 +95,15 @@
             span.append(time.time())
 
 
+@dataclass(slots=True)
+class Evacuation:
+    """An evacuation: when the store acknowledged it, and when its removal was first sent."""
+
+    domain: str
+    accepted_at: float
+    removal_sent_at: float = inf
+
+
 @dataclass(eq=False)
 class Fleet:
     """All processes of a run; signals only processes that it started itself.
@@ -93,6 +114,12 @@
         Latest version of the configuration that the store accepted.
     accepted_versions
         Versions of the configuration, with the time at which the store accepted each.
+    keys
+        Keys of the customers, None if the run is not extended (``soak.extension``).
+    evacuations
+        Evacuations that the store acknowledged.
+    configure_lock
+        Held while a version is written, so that each version has one content.
     """
 
     folder: Path
@@ -102,6 +129,9 @@
     store: asyncio.subprocess.Process | None = None
     version: int = 0
     accepted_versions: list[tuple[int, float]] = field(default_factory=list)
+    keys: KeyRing | None = None
+    evacuations: list[Evacuation] = field(default_factory=list)
+    configure_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     async def start(self, domains: int, copies: int) -> None:
         """Start the store, write the first configuration and start the members."""
@@ -111,7 +141,10 @@
         for number in range(domains * copies * len(SERVICES)):
             domain = f"d{number % domains}"
             service = SERVICES[number // domains % len(SERVICES)]
-            self.members.append(await self._create_member(number, service, domain))
+            # An extended run always has two regions.
+            domains_per_region = 2 if self.keys is None else (domains + 1) // 2
+            region = f"r{number % domains // domains_per_region}"
+            self.members.append(await self._create_member(number, service, domain, region))
         await asyncio.gather(*(self.start_server(member) for member in self.members))
         await asyncio.gather(*(self.start_node(member) for member in self.members))
 
@@ -125,8 +158,12 @@
             await member.store_proxy.stop()
             await member.server_proxy.stop()
 
-    async def configure(self, timeout_s: float = 5.0) -> None:
+    async def configure(self, timeout_s: float = WRITE_TIMEOUT_S) -> None:
         """Write the next version of the configuration, which adds a route to the first service."""
+        async with self.configure_lock:
+            await self._configure(timeout_s)
+
+    async def _configure(self, timeout_s: float) -> None:
         version = self.version + 1
         routes = {
             service: _make_route(service, f"/{service}/", service != "confirm")
@@ -147,23 +184,38 @@
                 "idleTimeoutMs": 8000,
             },
         }
-        if await self._write_configuration(configuration, timeout_s):
+        keys = extend_configuration(configuration, self.keys) if self.keys else set()
+        body = {"metadata": {"name": "main"}, "spec": configuration}
+        method, name = ("PUT", "config/main") if self.version else ("POST", "config")
+        if await self.write(method, name, body, timeout_s=timeout_s):
             self.version = version
             self.accepted_versions.append((version, time.time()))
+            if self.keys is not None:
+                self.keys.acknowledge(keys, time.time())
 
-    async def _write_configuration(self, configuration: dict, timeout_s: float) -> bool:
-        url = f"http://127.0.0.1:{self.store_port}/-/objects/config"
-        body = {"metadata": {"name": "main"}, "spec": configuration}
+    async def write(
+        self,
+        method: str,
+        name: str,
+        body: dict | None,
+        settled: tuple[int, ...] = (),
+        timeout_s: float = WRITE_TIMEOUT_S,
+    ) -> bool:
+        """Change an object, repeated until the store acknowledges it; return whether it did.
+
+        Parameters
+        ----------
+        settled
+            Error statuses that also acknowledge it.
+        """
+        url = f"http://127.0.0.1:{self.store_port}/-/objects/{name}"
         deadline = time.time() + timeout_s
         async with aiohttp.ClientSession() as session:
             while time.time() < deadline:
                 try:
                     async with asyncio.timeout(1.0):
-                        if self.version == 0:
-                            reply = await session.post(url, json=body)
-                        else:
-                            reply = await session.put(f"{url}/main", json=body)
-                        if reply.status < 300:
+                        reply = await session.request(method, url, json=body)
+                        if reply.status < 300 or reply.status in settled:
                             return True
                 except (aiohttp.ClientError, TimeoutError):
                     pass
@@ -176,7 +228,7 @@
         settings = {
             "nodeName": member.name,
             "zone": member.domain,
-            "region": "r" + str(int(member.domain[1:]) // 2),
+            "region": member.region,
             "service": member.service,
             "appAddr": f"127.0.0.1:{member.server_proxy.port}",
             "listenAddrs": {
@@ -185,6 +237,8 @@
             "platform": {"addr": f"127.0.0.1:{member.store_proxy.port}"},
             "bounds": [f"graceS={GRACE_S}"],
         }
+        if self.keys is not None:
+            extend_settings(settings)
         path = member.folder / f"{member.name}.json"
         path.write_text(json.dumps(settings))
         member.node = await self._spawn(member.name, "-m", "ragwort_mesh", "--settings", str(path))
@@ -199,21 +253,28 @@
             *("--port", str(member.ports["server"]), "--drain_s", str(DRAIN_S)),
             *("--control", f"127.0.0.1:{member.ports['control']}"),
             *("--outbound", member.outbound_address),
+            *("--cold_s", str(COLD_START_S if self.is_cold_after_start(member) else 0.0)),
         )
 
+    def is_cold_after_start(self, member: Member) -> bool:
+        """Return whether the member's server is cold after each of its starts."""
+        return self.keys is not None and member.service == COLD_SERVICE
+
     def signal(self, process: asyncio.subprocess.Process | None, signum: signal.Signals) -> None:
         """Send a signal to a process unless it has exited."""
         if process is not None and process.returncode is None:
             process.send_signal(signum)
 
-    async def _create_member(self, number: int, service: str, domain: str) -> Member:
+    async def _create_member(self, number: int, service: str, domain: str, region: str) -> Member:
         names = ("inbound", "outbound", "ready", "control", "server")
         ports = dict(zip(names, find_free_ports(len(names)), strict=True))
         store_proxy = Proxy(f"127.0.0.1:{self.store_port}")
         server_proxy = Proxy(f"127.0.0.1:{ports['server']}")
         await store_proxy.start()
         await server_proxy.start()
-        return Member(number, service, domain, self.folder, ports, store_proxy, server_proxy)
+        return Member(
+            number, service, domain, region, self.folder, ports, store_proxy, server_proxy
+        )
 
     async def _spawn(self, name: str, *arguments: str) -> asyncio.subprocess.Process:
         with (self.folder / f"{name}.log").open("ab") as output:
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,10 +9,13 @@
 from pathlib import Path
 
 from bench.deployment import find_free_ports
-from soak import checks
+from soak import checks, customer_checks, placement_checks
 from soak.callers import CallResult, VersionObservation, poll_versions, run_callers
+from soak.customers import LIMITED_CUSTOMER, KeyRing
 from soak.faults import SETTLE_S, inject_faults
 from soak.fleet import DRAIN_S, Fleet, Member
+from soak.operations import ScheduledOperation, plan_operations, run_operations
+from soak.pipeline import Batch, check_order, run_pipelining_callers
 from soak.plan import Fault, ScheduledFault, plan_faults
 
 FAULT_FREE_S = 5.0
@@ -21,6 +24,9 @@
 STARTUP_TIMEOUT_S = 20.0
 """Time limit for every member to serve its first call."""
 
+LIMITED_CALLERS = 1
+"""Callers of the limited customer at each member; six send at least six times its limit."""
+
 
 @dataclass(frozen=True, slots=True)
 class Options:
@@ -38,6 +44,14 @@
         Callers at each member.
     faults
         Kinds of faults to inject.
+    tail_s
+        Time after the end of the last fault.
+    fault_free_s
+        The last part of it, in which calls must be served again.
+    extended
+        Whether the run has customers, cold servers, a home route and pipelining callers, and an
+        operator who removes keys and evacuates domains. Runs of one seed have the same faults with
+        and without it.
     """
 
     seconds: float = 12.0
@@ -45,6 +59,9 @@
     copies: int = 1
     callers: int = 2
     faults: tuple[Fault, ...] = tuple(Fault)
+    tail_s: float = 2 * SETTLE_S + FAULT_FREE_S
+    fault_free_s: float = FAULT_FREE_S
+    extended: bool = False
 
 
 @dataclass(slots=True)
@@ -65,10 +82,12 @@
 
     seed: int
     schedule: list[ScheduledFault]
+    operations: list[ScheduledOperation] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
     runs: int = 0
     violations: list[str] = field(default_factory=list)
-    results: list[CallResult] = field(default_factory=list)
+    # Left out of the representation, which asyncio.run makes of the result: it took 4 s.
+    results: list[CallResult] = field(default_factory=list, repr=False)
     started_at: float = 0.0
 
 
@@ -82,7 +101,7 @@
 
 
 async def _run(seed: int, options: Options, folder: Path) -> RunReport:
-    fleet = Fleet(folder, find_free_ports(1)[0])
+    fleet = Fleet(folder, find_free_ports(1)[0], keys=KeyRing() if options.extended else None)
     try:
         await fleet.start(options.domains, options.copies)
         call_numbers = itertools.count(1)
@@ -121,8 +140,13 @@
     call_numbers: "itertools.count[int]",
 ) -> RunReport:
     started_at = time.time()
-    last = max((scheduled.start_s + scheduled.duration_s for scheduled in schedule), default=0.0)
-    until = started_at + max(options.seconds, last) + 2 * SETTLE_S + FAULT_FREE_S
+    operations = _plan_operations(fleet, seed, options)
+    limited_callers = LIMITED_CALLERS if options.extended else 0
+    last = max(
+        (scheduled.start_s + scheduled.duration_s for scheduled in (*schedule, *operations)),
+        default=0.0,
+    )
+    until = started_at + max(options.seconds, last) + options.tail_s
     observations: list[VersionObservation] = []
     async with asyncio.TaskGroup() as group:
         caller_task = group.create_task(
@@ -130,11 +154,16 @@
         )
         group.create_task(poll_versions(fleet, until, observations))
         group.create_task(inject_faults(fleet, schedule, started_at))
-    results = caller_task.result()
+        group.create_task(run_operations(fleet, operations, started_at))
+        limited_task = group.create_task(
+            run_callers(fleet, seed, limited_callers, until, call_numbers, (LIMITED_CUSTOMER,))
+        )
+        pipeline_task = group.create_task(_run_pipelines(fleet, seed, until, call_numbers))
+    pipelined, batches = pipeline_task.result()
+    results = [*caller_task.result(), *limited_task.result(), *pipelined]
     events = _read_events(fleet)
-    report = RunReport(
-        seed, schedule, Counter(result.status for result in results), started_at=started_at
-    )
+    report = RunReport(seed, schedule, operations, started_at=started_at)
+    report.statuses.update(result.status for result in results)
     report.results = results
     report.runs = sum(event.kind == "run" for event in events)
     was_undisturbed = _make_undisturbed_check(fleet.members)
@@ -147,11 +176,37 @@
         *checks.check_versions(observations, fleet.accepted_versions, was_undisturbed),
         *checks.check_retry_budget(results, events),
         *checks.check_crashing_requests(events),
-        *checks.check_recovery(results, until - FAULT_FREE_S),
+        *checks.check_recovery(
+            customer_checks.select_servable(results), until - options.fault_free_s
+        ),
     ]
+    if options.extended:
+        places = {str(member.number): member for member in fleet.members}
+        report.violations += [
+            *customer_checks.check_keys(results, events, was_undisturbed),
+            *customer_checks.check_customer_fields(results, events),
+            *customer_checks.check_limit(results, events),
+            *placement_checks.check_evacuations(events, fleet.evacuations, places),
+            *placement_checks.check_home_regions(results, events, places),
+            *placement_checks.check_cold_starts(events, places),
+            *check_order(batches),
+        ]
     return report
 
 
+async def _run_pipelines(
+    fleet: Fleet, seed: int, until: float, call_numbers: "itertools.count[int]"
+) -> tuple[list[CallResult], list[Batch]]:
+    if fleet.keys is None:
+        return [], []
+    return await run_pipelining_callers(fleet, seed, until, call_numbers)
+
+
+def _plan_operations(fleet: Fleet, seed: int, options: Options) -> list[ScheduledOperation]:
+    domains = sorted({member.domain for member in fleet.members})
+    return plan_operations(seed, options.seconds, domains) if options.extended else []
+
+
 def _read_events(fleet: Fleet) -> list[checks.ServerEvent]:
     events = []
     for path in fleet.folder.glob("i-*.log"):
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from soak.operations import Operation
 from soak.plan import Fault
 from soak.run import Options, run_seed
 
@@ -31,3 +32,17 @@
     report = run_seed(2, Options(seconds=3.0, faults=faults))
     assert {scheduled.fault for scheduled in report.schedule} == set(faults)
     assert report.violations == []
+
+
+def test_guarantees_of_extended_run_hold_under_faults():
+    options = Options(
+        seconds=2.0,
+        faults=(Fault.CONFIGURE, Fault.SERVER_KILL),
+        tail_s=2.5,
+        fault_free_s=1.5,
+        extended=True,
+    )
+    report = run_seed(4, options)
+    assert report.violations == []
+    assert {scheduled.operation for scheduled in report.operations} == set(Operation)
+    assert all(report.statuses[status] > 0 for status in (200, 401, 429))
