--- a/tests/mesh/test_main.py
+++ b/tests/mesh/test_main.py
@@ -1,6 +1,7 @@
 """The command line of the mesh node, run as a process."""
 
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -56,6 +57,18 @@
     assert run_command("--settings", str(tmp_path / "none")).returncode == 2
 
 
+def test_reload_signal_before_the_settings_are_read_does_not_end_the_process(tmp_path):
+    # Nodes that were told to reload while they started did not come back.
+    path = tmp_path / "settings.json"
+    os.mkfifo(path)
+    process = subprocess.Popen([sys.executable, "-m", "ragwort_mesh", "--settings", str(path)])
+    # Opening waits until the process reads its settings, which it does right after its imports.
+    with path.open("w") as settings:
+        process.send_signal(signal.SIGHUP)
+        settings.write("not settings")
+    assert process.wait(timeout=30) == 2
+
+
 @pytest.fixture
 def node(tmp_path):
     path = tmp_path / "settings.json"
