Give the fake link of the caller's tests the methods that exchange_call uses

Since exchange_call tells the link whether the body is sent on request and asks it whether the body is unsent, which the fake link in tests/node/test_caller.py didn't know: most tests there ended with a TypeError. The fake now has both, and checks that this node doesn't defer bodies. All tests of the module pass.

--- a/tests/node/test_caller.py
+++ b/tests/node/test_caller.py
@@ -31,7 +31,8 @@
     def take_call_id(self):
         return next(self._ids)
 
-    def start_call(self, request):
+    def start_call(self, request, body_on_request):
+        assert not body_on_request
         self._log.append((self._node, request))
         future = asyncio.get_running_loop().create_future()
         reply = self._replies.pop(0) if self._replies else None
@@ -39,6 +40,9 @@
             future.set_result(reply)
         return future
 
+    def is_body_unsent(self, call_id):
+        return False
+
     def forget_call(self, call_id):
         pass
 
