Bound the long bodies of a node by a fixed 32 MB

The bound was 16% of the memory that the process could read: of the control group's limit or, without one, of the whole machine. On a host whose share of the machine isn't set by a control group that would have been gigabytes, more than the 200 MB that the smallest host has, so nothing would have been refused before memory ran out.

--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -31,7 +31,6 @@
 )
 from ragwort_transport import HeldBodies, HttpServer, Link, PeerCalls
 
-from ragwort_mesh._body_limit import find_body_limit
 from ragwort_mesh._clock import read_clock
 from ragwort_mesh._cold_server import find_cold_limit
 from ragwort_mesh._configuration import ActiveConfiguration
@@ -71,6 +70,11 @@
 CLOSING_FRACTION = 1 / 6
 """Fraction of the grace period reserved for closing; calls that still run then are aborted."""
 
+MAX_REQUEST_BODY_BYTES = 32_000_000
+"""Bound on the bytes of the long bodies that a node holds: a sixth of the smallest host's memory of
+200 MB, of which the node itself takes up to 128 MB. The memory that a container reports isn't
+relied on: without a limit in its control group it is that of the whole machine."""
+
 
 class Node:
     """The components of one running node."""
@@ -113,7 +117,7 @@
         self._crashes = CrashLedger(
             settings.node, lambda: self._peers.list_links(), telemetry, read_clock
         )
-        self._bodies = HeldBodies(find_body_limit(), telemetry.counters)
+        self._bodies = HeldBodies(MAX_REQUEST_BODY_BYTES, telemetry.counters)
         self._gate = Gate(
             addresses.server,
             settings.service,
