Use one report interval and one list of short customers for the limits

Read through the whole change: the interval of reports and reviews stood in flow and again in mesh with the same value, of which the coordinator's estimates rely on the one and the node's task on the other; and the message of a started node listed the short customers by a loop of its own beside list_short, which nothing called. Behaviour stays as it is.

--- a/bench/limit_messages.py
+++ b/bench/limit_messages.py
@@ -18,8 +18,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from limits_simulation import BOUNDS, INTERVAL_S, LATENCY_S, Result, Simulation
+from limits_simulation import BOUNDS, LATENCY_S, Result, Simulation
 from ragwort_common import CustomerName, NodeId
+from ragwort_flow import REPORT_INTERVAL_S
 from ragwort_mesh._customer_limits import CustomerLimits
 from ragwort_mesh._events import EventLog
 from ragwort_mesh._telemetry import Telemetry
@@ -128,7 +129,7 @@
                 round_trip = 2 * LATENCY_S[self.region[name] == self.region[other]]
                 delay = round_trip + self.random.uniform(0, LINK_DELAY_S)
                 self.at(self.now + delay, self.open_link, name, node, other, other_node)
-        self.at(self.now + self.random.uniform(0, INTERVAL_S), self.review, name, node)
+        self.at(self.now + self.random.uniform(0, REPORT_INTERVAL_S), self.review, name, node)
 
     def open_link(self, one: NodeId, node: Any, other: NodeId, other_node: Any) -> None:
         """Open a link, unless an end has stopped meanwhile."""
@@ -172,7 +173,7 @@
         """Review a node's limits, and again after the interval."""
         if self.nodes.get(name) is node:
             self.measure(name, "review", node.review)
-            self.at(self.now + INTERVAL_S, self.review, name, node)
+            self.at(self.now + REPORT_INTERVAL_S, self.review, name, node)
 
     def schedule_calls(self, customer: CustomerName, start: float, end: float, per_s: float):
         """Schedule the first of the calls that arrive at random times at random nodes."""
--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -85,6 +85,7 @@
     process_leaving_notice,
 )
 from ragwort_flow._limit_coordinator import (
+    REPORT_INTERVAL_S,
     SETTLE_S,
     Grant,
     LimitCoordinator,
@@ -156,6 +157,7 @@
     "is_session_needed",
     "fill_first_credit",
     "end_session",
+    "REPORT_INTERVAL_S",
     "SETTLE_S",
     "FIRST_CREDIT",
     "Blame",
--- a/packages/mesh/src/ragwort_mesh/_customer_limits.py
+++ b/packages/mesh/src/ragwort_mesh/_customer_limits.py
@@ -6,6 +6,7 @@
 from ragwort_common import CustomerName, NodeId
 from ragwort_flow import (
     FIRST_CREDIT,
+    REPORT_INTERVAL_S,
     SETTLE_S,
     CallLimit,
     EntryCredit,
@@ -39,9 +40,6 @@
 )
 from ragwort_mesh._telemetry import Telemetry
 
-INTERVAL_S = 0.25
-"""How often entries report and coordinators review all credits."""
-
 MAX_URGENT_REPORTS = 12
 """Maximum number of reports in an interval that are sent at once, when a credit runs low: with
 their replies 96 messages a second of about 40 bytes, 4 of the 14 KB/s allowed for control traffic.
@@ -209,7 +207,7 @@
     async def run(self) -> None:
         """Review the credits at each interval, until cancelled."""
         while True:
-            await asyncio.sleep(INTERVAL_S)
+            await asyncio.sleep(REPORT_INTERVAL_S)
             if self._limits or self._coordinated.coordinators:
                 self.review()
 
@@ -293,9 +291,7 @@
         self._unanswered.add(customer)
 
     def _make_ready(self) -> LimitsReady:
-        return LimitsReady(
-            [name for name, limit in self._coordinated.coordinators.items() if limit.short]
-        )
+        return LimitsReady(self._coordinated.list_short())
 
     def _announce_ready(self) -> None:
         """Allow for first credits at all nodes, now that all that hold credits have reported."""
--- a/tests/limits_simulation.py
+++ b/tests/limits_simulation.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 
 from ragwort_common import CustomerName, NodeId
-from ragwort_mesh._customer_limits import INTERVAL_S, CustomerLimits
+from ragwort_flow import REPORT_INTERVAL_S
+from ragwort_mesh._customer_limits import CustomerLimits
 from ragwort_mesh._events import EventLog
 from ragwort_mesh._telemetry import Telemetry
 from ragwort_model import Bounds, Customer
@@ -142,12 +143,12 @@
             if other != name and self.is_open(name, other):
                 node.open_link(other)
                 other_node.open_link(name)
-        self.at(self.now + self.random.uniform(0, INTERVAL_S), self.review, name, node)
+        self.at(self.now + self.random.uniform(0, REPORT_INTERVAL_S), self.review, name, node)
 
     def review(self, name, node):
         if not self.postpone(name, self.review, name, node) and self.nodes.get(name) is node:
             node.review()
-            self.at(self.now + INTERVAL_S, self.review, name, node)
+            self.at(self.now + REPORT_INTERVAL_S, self.review, name, node)
 
     def restart(self, names):
         """End some nodes, and start them again after a while."""
