Bound what servers state, and ignore heartbeats of other services

Cause: the limits on concurrency were searched among all slots that a heartbeat states, on the event loop, and the adapter took any integer for slots, sequence and start. A heartbeat of any service was taken for one of the server beside the node.

Ruled out: a wait for the server or the log, since the node used 1.00 of a core.

Reports with a number out of range get 400, and loads with such a figure in answers are ignored. A health check that states 0 slots, which ended the node, counts as one slot. Heartbeats of another service than the node's get 400 and change nothing.

--- a/packages/flow/src/ragwort_flow/_concurrency_limit.py
+++ b/packages/flow/src/ragwort_flow/_concurrency_limit.py
@@ -8,7 +8,7 @@
 """
 
 from dataclasses import dataclass
-from functools import cache
+from functools import lru_cache
 
 KNEE_UTILIZATION = 0.8
 """Utilization up to which a server runs at full speed; from the users' data sheets."""
@@ -33,6 +33,9 @@
 """Calls below the knee after which calls above it are admitted. Their work varies by a third of
 its mean, so the mean is then known to a tenth."""
 
+MAX_CACHED_LIMITS = 16
+"""Numbers of slots whose limits are kept; a node's server rarely changes its number."""
+
 
 @dataclass(slots=True)
 class KneeState:
@@ -51,28 +54,44 @@
     slowdown: float = 1.0
 
 
-@cache
+@lru_cache(maxsize=MAX_CACHED_LIMITS)
 def find_knee_limit(slots: int) -> int:
     """Return the concurrency at which a server with a knee has the highest throughput.
 
-    Of two values with about the same throughput, the lower one gives the lower latency.
+    Of two values with about the same throughput, the lower one gives the lower latency. The
+    throughput rises up to the knee and falls beyond it, so only the integers beside it are
+    compared.
     """
+    below_knee = int(KNEE_UTILIZATION * slots)
     return max(
-        range(1, slots + 1),
+        _bound_candidates(below_knee, slots),
         key=lambda running: running / _get_slowdown(running, slots) - MIN_THROUGHPUT_GAIN * running,
     )
 
 
-@cache
+@lru_cache(maxsize=MAX_CACHED_LIMITS)
 def find_minimax_limit(slots: int) -> int:
-    """Return the concurrency limit for a server that is not yet known to have a knee or none."""
-    best = find_knee_limit(slots) / _get_slowdown(find_knee_limit(slots), slots)
+    """Return the concurrency limit for a server that is not yet known to have a knee or none.
+
+    The regret without a knee falls with the concurrency, and the regret with one rises beyond the
+    knee, so only the integers beside the point where they are equal are compared.
+    """
+    knee_limit = find_knee_limit(slots)
+    best = knee_limit / _get_slowdown(knee_limit, slots)
 
     def get_regret(running: int) -> float:
         with_knee = running / _get_slowdown(running, slots)
         return max(1.0 - running / slots, 1.0 - with_knee / best)
 
-    return min(range(1, slots + 1), key=get_regret)
+    # Both are equal where best * slowdown = slots, and the slowdown is linear beyond the knee.
+    excess = (slots / best - 1.0) / (FULL_SLOWDOWN - 1.0)
+    utilization = KNEE_UTILIZATION + (1.0 - KNEE_UTILIZATION) * excess
+    return min(_bound_candidates(int(utilization * slots), slots), key=get_regret)
+
+
+def _bound_candidates(running: int, slots: int) -> range:
+    """Return the integers beside a value, of those from 1 to the number of slots."""
+    return range(min(slots, max(1, running - 1)), min(slots, running + 2) + 1)
 
 
 def record_call_below(state: KneeState) -> None:
--- a/packages/mesh/src/ragwort_mesh/_control.py
+++ b/packages/mesh/src/ragwort_mesh/_control.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 from urllib.parse import parse_qsl
 
-from ragwort_model import InputError
+from ragwort_common import ServiceName
+from ragwort_model import Heartbeat, InputError
 from ragwort_platform import is_readiness_check, read_server_report
 from ragwort_transport import HttpLimits, HttpRequest, HttpResponse, RequestHandler
 
@@ -21,14 +22,20 @@
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
-def build_report_handler(gate: Gate, telemetry: Telemetry) -> RequestHandler:
-    """Return the handler of reports from the server on this host."""
+def build_report_handler(gate: Gate, service: ServiceName, telemetry: Telemetry) -> RequestHandler:
+    """Return the handler of reports from the server on this host, which provides ``service``."""
 
     async def handle(request: HttpRequest) -> HttpResponse:
         report = read_server_report(request)
         if isinstance(report, InputError):
             telemetry.counters.add("control.unreadable_reports")
-            telemetry.events.write("server-report-unreadable", mistake=str(report))
+            telemetry.events.write_call("server-report-unreadable", True, mistake=str(report))
+            return HttpResponse(400, JSON_HEADERS, b"{}")
+        if isinstance(report, Heartbeat) and report.service != service:
+            telemetry.counters.add("control.foreign_reports")
+            telemetry.events.write_call(
+                "server-report-foreign", True, report=repr(report), service=service
+            )
             return HttpResponse(400, JSON_HEADERS, b"{}")
         gate.apply_server_report(report)
         return HttpResponse(200, JSON_HEADERS, b"{}")
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -213,7 +213,7 @@
             self._entry.refuse_body,
         )
         self._control_server = HttpServer(
-            build_report_handler(self._gate, telemetry), lambda: CONTROL_LIMITS
+            build_report_handler(self._gate, settings.service, telemetry), lambda: CONTROL_LIMITS
         )
         self._ready_server = HttpServer(
             build_readiness_handler(self._is_ready), lambda: CONTROL_LIMITS
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -154,3 +154,24 @@
     stated = Answer(200, [*fields, (b"ragwortvalve-cold-ms", value)], b"")
     assert read_health(stated).cold_ms == read_cold_ms(stated) == cold_ms
     assert read_health(Answer(200, fields, b"")).cold_ms is None
+
+
+@pytest.mark.parametrize(
+    "load", [b"0,0,2147483647", b"0,0,3," + b"9" * 400, b"1,2," + b"9" * 5000, b"0,,3"]
+)
+def test_load_with_a_figure_out_of_range_is_ignored(load):
+    # A health answer's number of slots reached the search for the limits on concurrency, and one
+    # of thousands of digits is an error in Python.
+    answer = Answer(200, [(b"ragwortvalve-server-load", load)], b"")
+    assert read_server_answer(answer).load is None
+
+
+def test_server_that_states_no_slots_counts_as_one_with_a_slot():
+    # Without a slot there was no limit to choose, which ended the node at its start.
+    answer = Answer(200, [(b"ragwortvalve-server-load", b"0,0,0")], b"")
+    assert read_server_answer(answer).load == ServerLoad(0, 0, 1, 100)
+
+
+def test_cold_time_of_more_than_a_day_is_ignored():
+    answer = Answer(200, [(b"ragwortvalve-cold-ms", b"1e300")], b"")
+    assert read_cold_ms(answer) is None
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -57,6 +57,26 @@
     assert isinstance(read(body), InputError)
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"slots": 2**31 - 1},
+        {"slots": 10**25},
+        {"seq": 2**64},
+        {"seq": -1},
+        {"born": 2**64},
+        {"coldRemainingMs": 1e300},
+    ],
+)
+def test_number_that_no_server_has_does_not_reach_the_scheduler(change):
+    # The limits on concurrency were searched among all slots that a heartbeat states.
+    assert isinstance(read({**HEARTBEAT, **change}), InputError)
+
+
+def test_departure_with_a_start_time_out_of_range_is_rejected():
+    assert isinstance(read(b'{"born": 18446744073709551616}', "DELETE"), InputError)
+
+
 def test_other_paths_and_methods_are_rejected():
     assert isinstance(read(HEARTBEAT, target=b"/-/instances/"), InputError)
     assert isinstance(read(HEARTBEAT, target=b"/x"), InputError)
