Give a refused call back only to the limit it was counted against

Cause: give_back found the limit by the customer's name after the wait. A call that was admitted without a limit was given back to the new one, and its customer was marked for a report although it had no session: KeyError in the next review. A session that ended meanwhile, as its coordinator was lost, led there too; a limit that was removed and set again got a credit nobody had granted.

Ruled out: applying the configuration itself; the trace is of the review of credits, and customers without waiting calls got their limit without harm.

Change: the entry remembers the credit that a call was counted against. It is given back only if it is still the customer's and has a session, so no coordinator's count is touched otherwise.

--- a/packages/mesh/src/ragwort_mesh/_customer_limits.py
+++ b/packages/mesh/src/ragwort_mesh/_customer_limits.py
@@ -136,11 +136,21 @@
             self._report([customer], now)
         return delay_s
 
-    def give_back(self, customer: CustomerName) -> None:
-        """Return the credit of an admitted call that was refused as not run."""
+    def find_credit(self, customer: CustomerName) -> EntryCredit | None:
+        """Return what calls of a customer are counted against now, None without a limit."""
+        return self._credits.get(customer)
+
+    def give_back(self, customer: CustomerName, credit: EntryCredit) -> None:
+        """Return the credit of an admitted call that was refused as not run.
+
+        ``credit`` is what the call was counted against. Since then the limit may have been removed
+        or set anew, or the session may have ended; then no coordinator counts the call any more.
+        """
         limit = self._limits.get(customer)
-        if limit is not None:
-            give_back(self._credits[customer], limit, self._clock())
+        if limit is None or self._credits[customer] is not credit:
+            return
+        if customer in self._sessions:
+            give_back(credit, limit, self._clock())
             self._changed.add(customer)
 
     def open_link(self, node: NodeId) -> None:
--- a/packages/mesh/src/ragwort_mesh/_entry.py
+++ b/packages/mesh/src/ragwort_mesh/_entry.py
@@ -139,6 +139,8 @@
             return self._refuse_key(fields, arrived, route, key)
         call = self._make_call(request, fields, route, terms, arrived)
         progress = Progress()
+        customer = call.customer
+        credit = None if customer is None else self._customer_limits.find_credit(customer)
         over_limit = self._check_customer_limit(call)
         if over_limit is not None:
             return self._make_reply(fields, over_limit, arrived, call, progress)
@@ -149,8 +151,8 @@
             self._count_for_customer(call, refused=False)
             self._log(fields, arrived, call, 0, Reason.CANCELLED.value, progress)
             raise
-        if call.customer is not None and _is_not_run(reply):
-            self._customer_limits.give_back(call.customer)
+        if customer is not None and credit is not None and _is_not_run(reply):
+            self._customer_limits.give_back(customer, credit)
         return self._make_reply(fields, reply, arrived, call, progress)
 
     def _check_customer_limit(self, call: Call) -> Refusal | None:
--- a/tests/mesh/test_customer_limits.py
+++ b/tests/mesh/test_customer_limits.py
@@ -1,15 +1,19 @@
 """Customers' limits over all nodes: in virtual time, and calls through complete nodes."""
 
+import asyncio
 import time
 from dataclasses import replace
 
 import pytest
 from helper import wait_until
-from limits_simulation import CUSTOMER, Simulation
+from limits_simulation import BOUNDS, CUSTOMER, Simulation
 from mesh_cluster import make_configuration, make_route
 from mesh_cluster import run_scenario as run_cluster_scenario
+from ragwort_common import Outcome, Reason
+from ragwort_flow._customer_limit import FIRST_CREDIT
 from ragwort_mesh._entry import Entry
 from ragwort_model import Bounds
+from ragwort_transport import make_refusal
 
 from bench.limits import run_scenario
 
@@ -135,3 +139,95 @@
         )
 
     run_cluster_scenario(scenario, ("s", "s"))
+
+
+KEY = {"Authorization": "Bearer k"}
+
+
+def configure_limit(cluster, version, **limit):
+    """Write a configuration with one customer and its limit, if any."""
+    tenants = {CUSTOMER: {"apiKeys": ["k"], **limit}}
+    configuration = {**make_configuration(version, {"a": make_route("s")}), "tenants": tenants}
+    return cluster.store.put("config", "main", configuration)
+
+
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [({}, {"ratePerS": 40, "burst": 40}), ({"ratePerS": 40, "burst": 40}, {})],
+    ids=["first limit", "limit removed"],
+)
+def test_call_that_is_refused_after_its_customers_limit_has_changed_ends_no_node(before, after):
+    # A call admitted without a limit was given back to one that came into force while it waited,
+    # and the next report of that customer, which had no session, ended the node.
+    async def scenario(cluster):
+        node = cluster.members[0].node
+        limits, held = node._customer_limits, asyncio.Event()
+
+        async def refuse_later(call, progress):
+            await held.wait()
+            return make_refusal(Outcome.NOT_RUN, Reason.OVERLOADED, 100)
+
+        await configure_limit(cluster, 1, **before)
+        await cluster.wait_until_linked()
+        await wait_until(lambda: bool(limits._credits) == bool(before))
+        await wait_until(lambda: all(credit.held for credit in limits._credits.values()))
+        node._dispatcher.run_call = refuse_later
+        call = asyncio.create_task(cluster.call(cluster.members[0], headers=KEY))
+        await wait_until(lambda: node._entry_server.work.count == 1)
+        await configure_limit(cluster, 2, **after)
+        await wait_until(lambda: bool(limits._limits) == bool(after))
+        held.set()
+        assert (await call)[0] == 503
+        limits.review()
+        assert not any(task.exception() for task in node._tasks if task.done())
+        assert all(credit.held <= FIRST_CREDIT for credit in limits._credits.values())
+
+    run_cluster_scenario(scenario)
+
+
+def make_entry(calls_per_s=10.0):
+    """Return a simulation of three nodes, and one that doesn't coordinate the customer's limit."""
+    simulation = Simulation(3, calls_per_s, 10.0)
+    simulation.run(5.0)
+    entry = next(
+        node
+        for node in simulation.nodes.values()
+        if node._coordinator_nodes[CUSTOMER] != node._node
+    )
+    return simulation, entry
+
+
+def test_call_that_is_refused_after_its_session_has_ended_is_not_reported_without_one():
+    simulation, entry = make_entry()
+    assert entry.admit(CUSTOMER, simulation.now) is None
+    credit = entry.find_credit(CUSTOMER)
+    # The coordinator is lost after the window in which the call counts.
+    simulation.run(simulation.now + 2 * BOUNDS.limit_window_s)
+    entry.close_link(entry._coordinator_nodes[CUSTOMER])
+    assert CUSTOMER not in entry._sessions
+    held = credit.held
+    entry.give_back(CUSTOMER, credit)
+    entry.review()
+    assert credit.held == held
+
+
+def test_call_of_a_former_limit_adds_no_credit_to_the_one_set_since():
+    simulation, entry = make_entry()
+    assert entry.admit(CUSTOMER, simulation.now) is None
+    credit = entry.find_credit(CUSTOMER)
+    entry.set_customers({})
+    entry.set_customers({CUSTOMER: simulation.customer})
+    held = entry.find_credit(CUSTOMER).held
+    entry.give_back(CUSTOMER, credit)
+    entry.review()
+    assert entry.find_credit(CUSTOMER).held == held
+
+
+def test_call_below_the_limit_that_is_refused_is_given_back_in_its_session():
+    simulation, entry = make_entry()
+    assert entry.admit(CUSTOMER, simulation.now) is None
+    credit = entry.find_credit(CUSTOMER)
+    held = credit.held
+    entry.give_back(CUSTOMER, credit)
+    assert credit.held == held + 1
+    assert CUSTOMER in entry._changed
