Keep departures of servers beyond the process that acknowledged them

What callers saw: a server said goodbye, its node acknowledged that and was killed, and a heartbeat from before arrived 2 s late at the new process.

Cause: departures were known only to the process that had heard of them. The new one took the late report for the first of a ready server, and a server that has left sends none that corrects it.

Ruled out: load reports that other nodes kept, and the health check at the start. No call reached the server between the goodbye and the late report, and the check had failed with 503.

Change: a node stores the departures from its host in one object before it acknowledges them, waiting 0.5 s at most, and tells the peers of its failure domain, which tell them to a new process while the store is away. A gate accepts calls once either has told. The same holds for draining, for notices in answers, and for goodbyes to a node that had not heard of the server. The tables of departed servers are bounded. A health check at a start is no longer skipped because another server has left.

A server that has not left, a new one at the address and one that starts again under its id are used at their first report after a restart, with the store and without.

--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -83,6 +83,7 @@
     process_departure,
     process_heartbeat,
     process_leaving_notice,
+    record_leaving,
 )
 from ragwort_flow._limit_coordinator import (
     REPORT_INTERVAL_S,
@@ -263,6 +264,7 @@
     "record_broken_connection",
     "record_crash",
     "record_end",
+    "record_leaving",
     "record_failed_probe",
     "record_refused_connection",
     "record_reported_slowdown",
--- a/packages/mesh/src/ragwort_mesh/_control.py
+++ b/packages/mesh/src/ragwort_mesh/_control.py
@@ -1,10 +1,10 @@
 """HTTP handlers for server reports, readiness checks and metrics."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qsl
 
 from ragwort_common import ServiceName
-from ragwort_model import Heartbeat, InputError
+from ragwort_model import Heartbeat, InputError, InstanceState
 from ragwort_platform import is_readiness_check, read_server_report
 from ragwort_transport import HttpLimits, HttpRequest, HttpResponse, RequestHandler
 
@@ -22,8 +22,16 @@
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
-def build_report_handler(gate: Gate, service: ServiceName, telemetry: Telemetry) -> RequestHandler:
-    """Return the handler of reports from the server on this host, which provides ``service``."""
+def build_report_handler(
+    gate: Gate,
+    service: ServiceName,
+    telemetry: Telemetry,
+    keep_departures: Callable[[], Awaitable[None]],
+) -> RequestHandler:
+    """Return the handler of reports from the server on this host, which provides ``service``.
+
+    ``keep_departures`` is awaited before a server that leaves gets its acknowledgement.
+    """
 
     async def handle(request: HttpRequest) -> HttpResponse:
         report = read_server_report(request)
@@ -38,6 +46,8 @@
             )
             return HttpResponse(400, JSON_HEADERS, b"{}")
         gate.apply_server_report(report)
+        if not isinstance(report, Heartbeat) or report.state is InstanceState.DRAINING:
+            await keep_departures()
         return HttpResponse(200, JSON_HEADERS, b"{}")
 
     return handle
--- a/packages/mesh/src/ragwort_mesh/_gate.py
+++ b/packages/mesh/src/ragwort_mesh/_gate.py
@@ -28,7 +28,7 @@
     record_withdrawal,
     review_waiting,
 )
-from ragwort_model import Departure, Heartbeat
+from ragwort_model import Departure, Heartbeat, Leaving
 from ragwort_platform import (
     build_answer_headers,
     build_server_request,
@@ -92,6 +92,8 @@
         no calls are accepted either.
     bodies
         Bounds the bytes of the bodies that peers send; None for no bound.
+    on_leaving, departures_known
+        See ``LocalServer``.
 
     Attributes
     ----------
@@ -109,6 +111,8 @@
         crashes: CrashLedger,
         evacuated: bool | None = False,
         bodies: HeldBodies | None = None,
+        on_leaving: Callable[[Leaving], None] = lambda leaving: None,
+        departures_known: bool = True,
     ) -> None:
         self._pool = ClientPool(address, max_idle=64, max_response_bytes=MAX_ANSWER_BYTES)
         self._telemetry = telemetry
@@ -126,6 +130,8 @@
             on_change,
             crashes,
             evacuated,
+            on_leaving,
+            departures_known,
         )
         self._bodies = bodies or HeldBodies()
         self._uploads = Uploads(self._state, telemetry, clock)
@@ -155,6 +161,10 @@
         """Apply a report from the server."""
         self._server.apply_server_report(report)
 
+    def learn_departures(self, departures: list[Leaving]) -> None:
+        """Apply which servers have left under earlier processes of this node."""
+        self._server.learn_departures(departures)
+
     def set_evacuated(self, evacuated: bool) -> None:
         """Refuse all calls while the server's domain is evacuated; running ones continue."""
         self._server.set_evacuated(evacuated)
--- a/packages/mesh/src/ragwort_mesh/_local_server.py
+++ b/packages/mesh/src/ragwort_mesh/_local_server.py
@@ -4,7 +4,9 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
+from dataclasses import replace
 from math import inf
 
 from ragwort_common import Reason, ServiceName
@@ -22,6 +24,7 @@
     process_leaving_notice,
     record_accepted_connection,
     record_broken_connection,
+    record_leaving,
     record_refused_connection,
     record_reported_slowdown,
     record_server_report,
@@ -31,7 +34,7 @@
     stop_accepting,
     update_server,
 )
-from ragwort_model import Departure, Heartbeat, InstanceId, InstanceState
+from ragwort_model import Departure, Heartbeat, InstanceId, InstanceState, Leaving
 from ragwort_platform import (
     ServerNotices,
     build_health_request,
@@ -79,6 +82,11 @@
     evacuated
         Whether the server's failure domain is evacuated; None until that is known, and until then
         no calls are accepted either.
+    on_leaving
+        Called when a server has announced that it leaves.
+    departures_known
+        Whether it is known which servers have left under earlier processes of this node; until
+        ``learn_departures`` is called no calls are accepted either.
 
     Attributes
     ----------
@@ -98,6 +106,8 @@
         on_change: Callable[[], None],
         crashes: CrashLedger,
         evacuated: bool | None,
+        on_leaving: Callable[[Leaving], None],
+        departures_known: bool,
     ) -> None:
         self.pool = pool
         self.health_target: str | None = None
@@ -114,6 +124,9 @@
         self._tracker = InstanceTracker()
         self._stopping = False
         self._evacuated = evacuated
+        self._on_leaving = on_leaving
+        self._departures_known = departures_known
+        self._is_new_held = False
         self._is_available = False
         self._notices = ServerNotices(max_calls_per_s=None, is_leaving=False)
         self._end_check: asyncio.Task[None] | None = None
@@ -138,7 +151,7 @@
         now = self._clock()
         before = self.current
         if isinstance(report, Departure):
-            accepted = process_departure(self._tracker, report)
+            accepted = self._apply_departure(report)
         else:
             accepted = process_heartbeat(self._tracker, now, report)
         if not accepted:
@@ -147,6 +160,8 @@
             return
         current = self.current
         if current is None or not is_ready(self._tracker):
+            if current is not None:
+                self._announce_leaving(current)
             self.mark_unavailable("leaving", report)
             return
         is_new = (
@@ -164,6 +179,39 @@
         self._accept(current, now, self._read_cold(current, now), is_new)
         self.cold.note_change("report")
 
+    def _apply_departure(self, departure: Departure) -> bool:
+        """Apply a goodbye, and return whether it is that of the current server."""
+        current = self.current
+        is_current = current is not None and current.instance == departure.instance
+        is_start_known = is_current and current is not None and current.born_ms
+        if not departure.born_ms and not is_start_known:
+            # All starts up to now have left.
+            departure = replace(departure, born_ms=_read_time_ms())
+        accepted = process_departure(self._tracker, departure)
+        if accepted or not is_current:
+            born_ms = self._tracker.departed[departure.instance]
+            self._on_leaving(Leaving(departure.instance, born_ms, _read_time_ms(), True))
+        return accepted
+
+    def _announce_leaving(self, server: Heartbeat) -> None:
+        # A health check doesn't state when the server started.
+        born_ms = server.born_ms or _read_time_ms()
+        leaving = Leaving(server.instance, born_ms, _read_time_ms(), False)
+        record_leaving(self._tracker, leaving)
+        self._on_leaving(leaving)
+
+    def learn_departures(self, departures: list[Leaving]) -> None:
+        """Apply which servers have left under earlier processes of this node."""
+        was_known, self._departures_known = self._departures_known, True
+        for leaving in departures:
+            record_leaving(self._tracker, leaving)
+        current = self.current
+        if current is None or not is_ready(self._tracker):
+            self.mark_unavailable("leaving", departures)
+        elif not was_known and self._is_available:
+            now = self._clock()
+            self._accept(current, now, self._read_cold(current, now), self._is_new_held)
+
     def set_evacuated(self, evacuated: bool) -> None:
         """Refuse all calls while the server's domain is evacuated; running ones continue."""
         was_evacuated = self._evacuated
@@ -219,7 +267,7 @@
         health = read_health(result) if isinstance(result, Answer) else None
         if health is None:
             self._telemetry.events.write("server-health-unknown", answer=repr(result))
-        elif self.current is None and not self._tracker.departed:
+        elif self.current is None:
             self.apply_server_report(
                 Heartbeat(
                     instance=health.instance,
@@ -248,6 +296,9 @@
         self, server: Heartbeat, now: float, cold_s: float | None, is_new: bool = False
     ) -> None:
         """Accept calls for the server, given its latest report, unless the gate is closed."""
+        if not self._departures_known:
+            self._is_new_held |= is_new
+            return
         if self._stopping or self._evacuated is not False:
             return
         was_accepting = self._state.accepting
@@ -340,6 +391,7 @@
             return
         if notices.is_leaving:
             process_leaving_notice(self._tracker, instance)
+            self._announce_leaving(current)
             self.mark_unavailable("leaving", notices)
         limit_rate(self._state, self._clock(), notices.max_calls_per_s)
         if notices == self._notices:
@@ -363,5 +415,9 @@
                 task.cancel()
 
 
+def _read_time_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
 def _describe_running(call: Request) -> RunningCall:
     return RunningCall(find_call_id(call.headers).decode("latin-1"), fingerprint_call(call))
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -17,6 +17,7 @@
     CrashCleared,
     CrashNotice,
     CrashTrial,
+    DepartureNotice,
     EvacuationNotice,
     Hello,
     LimitShares,
@@ -43,6 +44,7 @@
 from ragwort_mesh._crash_archive import CrashArchive
 from ragwort_mesh._crash_ledger import CrashLedger
 from ragwort_mesh._customer_limits import CustomerLimits
+from ragwort_mesh._departures import Departures
 from ragwort_mesh._directory import Directory
 from ragwort_mesh._dispatcher import Dispatcher
 from ragwort_mesh._entry import Entry
@@ -117,6 +119,14 @@
         self._crashes = CrashLedger(
             settings.node, lambda: self._peers.list_links(), telemetry, read_clock
         )
+        self._departures = Departures(
+            settings.node,
+            self._store,
+            telemetry,
+            lambda: self._list_domain_links() or [link for _, link in self._peers.list_links()],
+            lambda departures: self._gate.learn_departures(departures),
+            watch_enabled,
+        )
         self._bodies = HeldBodies(MAX_REQUEST_BODY_BYTES, telemetry.counters)
         self._gate = Gate(
             addresses.server,
@@ -127,6 +137,8 @@
             self._crashes,
             None if self._evacuations.is_enabled else False,
             self._bodies,
+            self._departures.record,
+            departures_known=False,
         )
         self._gate.set_cold_limit(find_cold_limit(None, settings))
         self._calls = PeerCalls(self._gate.run_call, telemetry.counters, self._receive_other)
@@ -213,7 +225,10 @@
             self._entry.refuse_body,
         )
         self._control_server = HttpServer(
-            build_report_handler(self._gate, settings.service, telemetry), lambda: CONTROL_LIMITS
+            build_report_handler(
+                self._gate, settings.service, telemetry, self._departures.wait_until_stored
+            ),
+            lambda: CONTROL_LIMITS,
         )
         self._ready_server = HttpServer(
             build_readiness_handler(self._is_ready), lambda: CONTROL_LIMITS
@@ -251,6 +266,8 @@
         for coroutine in (
             self._configuration.run(),
             self._evacuations.run(),
+            self._departures.run(),
+            self._departures.run_cleaning(),
             self._directory.run(),
             self._directory.run_watch(),
             self._peer_sync.run(),
@@ -345,6 +362,7 @@
         self._evacuations.list_again()
         self._directory.list_again()
         self._crash_archive.publish_again()
+        self._departures.publish_again()
 
     def _on_records(self, records: dict[NodeId, NodeRecord]) -> None:
         self._targets.set_records(records)
@@ -357,6 +375,7 @@
         link.send(self._gate.make_report())
         self._peer_sync.announce(link)
         self._evacuations.announce(link)
+        self._departures.announce(link)
         if link.peer is not None:
             self._customer_limits.open_link(link.peer)
         if self._watch_enabled.is_set() and self._is_domain_peer(link.peer):
@@ -420,6 +439,8 @@
             self._crashes.receive(link, message)
         elif kind is EvacuationNotice:
             self._evacuations.receive(link, message)
+        elif kind is DepartureNotice:
+            self._departures.receive(link, message)
         elif kind in (UsageReport, LimitShares, LimitsReady):
             if link.peer is not None:
                 self._customer_limits.receive(link.peer, message)
--- a/packages/mesh/src/ragwort_mesh/_own_object.py
+++ b/packages/mesh/src/ragwort_mesh/_own_object.py
@@ -64,12 +64,17 @@
             self.stored = None
         return self.stored is None
 
-    async def read(self) -> None:
-        """Read the object from the store."""
+    async def read(self) -> bool:
+        """Read the object from the store, and return whether it is known now."""
         reply = await self._store.call(build_get(self._kind, self._node))
         if isinstance(reply, StoreReply):
             stored = read_object(reply.body)
-            if not isinstance(stored, InputError):
-                self.stored = stored
+            if isinstance(stored, InputError):
+                self._telemetry.events.write("store-reply-unreadable", mistake=str(stored))
+                return False
+            self.stored = stored
         elif reply.kind is ErrorKind.NOT_FOUND:
             self.stored = None
+        else:
+            return False
+        return True
--- a/packages/model/src/ragwort_model/__init__.py
+++ b/packages/model/src/ragwort_model/__init__.py
@@ -12,7 +12,7 @@
 )
 from ragwort_model._crash import CrashId, CrashRecord
 from ragwort_model._input_error import InputError
-from ragwort_model._instance import Departure, Heartbeat, InstanceId, InstanceState
+from ragwort_model._instance import Departure, Heartbeat, InstanceId, InstanceState, Leaving
 from ragwort_model._node import Addresses, Bounds, NodeRecord, NodeSettings
 from ragwort_model._routing import FindRoute, build_route_finder
 from ragwort_model._store_error import ErrorKind, StoreError
@@ -34,6 +34,7 @@
     "InputError",
     "InstanceId",
     "InstanceState",
+    "Leaving",
     "NodeRecord",
     "NodeSettings",
     "Route",
--- a/packages/model/src/ragwort_model/_instance.py
+++ b/packages/model/src/ragwort_model/_instance.py
@@ -55,3 +55,25 @@
 
     instance: InstanceId
     born_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """A server's announcement that it leaves, which outlasts the process that acknowledged it.
+
+    Attributes
+    ----------
+    instance
+        Name of the server instance.
+    born_ms
+        Latest start that has been announced to leave, in Unix milliseconds.
+    at_ms
+        When it was announced, in Unix milliseconds by the clock of the node's host.
+    has_left
+        Whether the server has said goodbye, so that even its reports of draining are late ones.
+    """
+
+    instance: InstanceId
+    born_ms: int
+    at_ms: int
+    has_left: bool
--- a/packages/protocol/src/ragwort_protocol/__init__.py
+++ b/packages/protocol/src/ragwort_protocol/__init__.py
@@ -21,6 +21,7 @@
     encode_frame,
 )
 from ragwort_protocol._crashes import CrashCleared, CrashNotice, CrashTrial
+from ragwort_protocol._departures import DepartureNotice, LeavingServer
 from ragwort_protocol._evacuations import EvacuationNotice
 from ragwort_protocol._gossip import (
     Digest,
@@ -70,12 +71,14 @@
     "CrashTrial",
     "CustomerUsage",
     "Data",
+    "DepartureNotice",
     "Digest",
     "Document",
     "DocumentRequest",
     "EvacuationNotice",
     "FrameReader",
     "Hello",
+    "LeavingServer",
     "LimitShare",
     "LimitShares",
     "LimitsReady",
--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -13,6 +13,7 @@
     _calls,
     _claims,
     _crashes,
+    _departures,
     _evacuations,
     _gossip,
     _limits,
@@ -74,6 +75,7 @@
     | _limits.LimitShares
     | _limits.LimitsReady
     | _uploads.BodyRequest
+    | _departures.DepartureNotice
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_MESSAGES)
--- a/tests/flow/test_instance_tracker.py
+++ b/tests/flow/test_instance_tracker.py
@@ -10,8 +10,10 @@
     process_departure,
     process_heartbeat,
     process_leaving_notice,
+    record_leaving,
 )
-from ragwort_model import Departure, Heartbeat, InstanceId, InstanceState
+from ragwort_flow._instance_tracker import MAX_INSTANCES
+from ragwort_model import Departure, Heartbeat, InstanceId, InstanceState, Leaving
 
 FIRST = Heartbeat(
     InstanceId("i-1"), 1000, 1, ServiceName("s"), "10.0.0.1:80", InstanceState.READY, 4, 0.0
@@ -101,3 +103,34 @@
     assert not process_heartbeat(tracker, 0.1, make_heartbeat(sequence=2))
     assert process_heartbeat(tracker, 0.2, make_heartbeat(instance="i-2", born_ms=2000))
     assert is_ready(tracker)
+
+
+@pytest.mark.parametrize("has_left", [True, False])
+def test_report_from_before_a_departure_that_an_earlier_process_acknowledged_is_ignored(has_left):
+    tracker = InstanceTracker()
+    record_leaving(tracker, Leaving(FIRST.instance, FIRST.born_ms, 0, has_left))
+    assert not process_heartbeat(tracker, 0.0, FIRST)
+    assert process_heartbeat(tracker, 0.0, make_heartbeat(born_ms=FIRST.born_ms + 1))
+    assert is_ready(tracker)
+
+
+def test_departure_that_becomes_known_later_ends_the_use_of_that_start_only():
+    for born_ms in (FIRST.born_ms, FIRST.born_ms - 1):
+        tracker = make_tracker(FIRST)
+        record_leaving(tracker, Leaving(FIRST.instance, born_ms, 0, True))
+        assert is_ready(tracker) == (born_ms < FIRST.born_ms)
+
+
+def test_reports_of_a_draining_server_count_after_the_restart_of_its_node():
+    tracker = InstanceTracker()
+    record_leaving(tracker, Leaving(FIRST.instance, FIRST.born_ms, 0, False))
+    assert process_heartbeat(tracker, 0.0, make_heartbeat(state=InstanceState.DRAINING))
+    assert tracker.current is not None
+    assert not is_ready(tracker)
+
+
+def test_number_of_departed_instances_is_bounded():
+    tracker = InstanceTracker()
+    for number in range(3 * MAX_INSTANCES):
+        process_departure(tracker, Departure(InstanceId(f"i-{number}"), 1))
+    assert len(tracker.departed) == MAX_INSTANCES
--- a/tests/mesh/test_server_reports.py
+++ b/tests/mesh/test_server_reports.py
@@ -28,7 +28,10 @@
         self.gate = make_gate(**options)
         self.counters = Counters()
         telemetry = Telemetry(EventLog("n"), self.counters)
-        self._handle = build_report_handler(self.gate, HEARTBEAT.service, telemetry)
+        self._handle = build_report_handler(self.gate, HEARTBEAT.service, telemetry, self.keep)
+
+    async def keep(self):
+        """Keep nothing beyond the process."""
 
     async def send(self, instance, method="PUT", **changes):
         body = json.dumps({**CONTENT, **changes}).encode()
