Let an unreadable entry in the store cost only itself

Cause: msgspec raises RecursionError for deep nesting, which nothing caught, and a page was decoded as a whole, so that a lone surrogate hid all its entries. Ports, times and counts in entries had no range: a dial to port 99999 and the age of a time of -10^400 ms fail with errors that nobody awaits.

Ruled out: use of the entry's content; the trace is of read_page.

Change: the errors of unreadable text have one name, and the parts of a listing are found without decoding them. What is left out is counted, and logged at a bounded rate.

--- a/packages/mesh/src/ragwort_mesh/_crash_archive.py
+++ b/packages/mesh/src/ragwort_mesh/_crash_archive.py
@@ -131,7 +131,8 @@
     async def _apply(self, stored: StoredObject) -> None:
         records = decode_crashes(stored)
         if isinstance(records, InputError):
-            self._telemetry.events.write("crashes-unreadable", mistake=str(records))
+            self._telemetry.counters.add("store.unreadable_objects")
+            self._telemetry.events.write_call("crashes-unreadable", True, mistake=str(records))
             return
         if stored.name == self._node:
             self._own.stored = stored
--- a/packages/mesh/src/ragwort_mesh/_departures.py
+++ b/packages/mesh/src/ragwort_mesh/_departures.py
@@ -194,7 +194,10 @@
             return []
         departures = decode_departures(self._own.stored)
         if isinstance(departures, InputError):
-            self._telemetry.events.write("departures-unreadable", mistake=str(departures))
+            self._telemetry.counters.add("store.unreadable_objects")
+            self._telemetry.events.write_call(
+                "departures-unreadable", True, mistake=str(departures)
+            )
             return []
         return departures
 
--- a/packages/mesh/src/ragwort_mesh/_directory.py
+++ b/packages/mesh/src/ragwort_mesh/_directory.py
@@ -249,7 +249,8 @@
             self._own.stored = stored
         record = decode_node(stored)
         if isinstance(record, InputError):
-            self._telemetry.events.write("record-unreadable", mistake=str(record))
+            self._telemetry.counters.add("store.unreadable_objects")
+            self._telemetry.events.write_call("record-unreadable", True, mistake=str(record))
             return
         if self._records.get(record.node) != record:
             self._telemetry.events.write(
--- a/packages/mesh/src/ragwort_mesh/_peer_sync.py
+++ b/packages/mesh/src/ragwort_mesh/_peer_sync.py
@@ -12,7 +12,7 @@
 
 from ragwort_common import FailureDomain, NodeId, Region, ServiceName
 from ragwort_flow import find_probe_interval, is_watcher_among
-from ragwort_model import NodeRecord
+from ragwort_model import NodeRecord, is_address
 from ragwort_protocol import (
     MAX_FRAME_BYTES,
     Document,
@@ -176,6 +176,11 @@
         """Handle a message from a peer."""
         kind = type(message)
         if kind is NodeNotice:
+            if not is_address(message.link_address):
+                self._telemetry.events.write_call(
+                    "record-unreadable", True, mistake=f"link address of {message.node_id[:100]!r}"
+                )
+                return
             self._directory.apply_announced(
                 NodeRecord(
                     NodeId(message.node_id),
--- a/packages/mesh/src/ragwort_mesh/_watch.py
+++ b/packages/mesh/src/ragwort_mesh/_watch.py
@@ -74,11 +74,15 @@
             if era not in (None, reply.era):
                 return StoreError(ErrorKind.UNAVAILABLE, "the store was restored between two pages")
             era = reply.era
+            self._count_unreadable(page.unreadable)
             objects += page.objects
             # Changes after the first page was read may be missing from it.
             revision = page.revision if revision is None else min(revision, page.revision)
-            if not page.has_more or not page.objects:
+            if not page.has_more or not (page.objects or page.unreadable):
                 return Listing(objects, revision, era)
+            if not page.objects:
+                # The name after which the next page starts is not known.
+                return self._reject(InputError("invalid listing", "a page without readable names"))
             after = page.objects[-1].name
 
     async def list_changes(self, revision: int, wait_s: float) -> EraChanges | StoreError:
@@ -93,10 +97,18 @@
         changes = read_changes(reply.body)
         if isinstance(changes, InputError):
             return self._reject(changes)
+        self._count_unreadable(changes.unreadable)
         return EraChanges(changes.changes, changes.revision, reply.era)
 
+    def _count_unreadable(self, count: int) -> None:
+        if count:
+            self._telemetry.counters.add("store.unreadable_objects", count)
+            self._telemetry.events.write_call(
+                "store-objects-unreadable", True, kind=self._kind, objects=count
+            )
+
     def _reject(self, error: InputError) -> StoreError:
-        self._telemetry.events.write("store-reply-unreadable", mistake=str(error))
+        self._telemetry.events.write_call("store-reply-unreadable", True, mistake=str(error))
         return StoreError(ErrorKind.INVALID, str(error))
 
 
--- a/packages/model/src/ragwort_model/__init__.py
+++ b/packages/model/src/ragwort_model/__init__.py
@@ -13,7 +13,7 @@
 from ragwort_model._crash import CrashId, CrashRecord
 from ragwort_model._input_error import InputError
 from ragwort_model._instance import Departure, Heartbeat, InstanceId, InstanceState, Leaving
-from ragwort_model._node import Addresses, Bounds, NodeRecord, NodeSettings
+from ragwort_model._node import Addresses, Bounds, NodeRecord, NodeSettings, is_address
 from ragwort_model._routing import FindRoute, build_route_finder
 from ragwort_model._store_error import ErrorKind, StoreError
 
@@ -42,4 +42,5 @@
     "StoreError",
     "WeightedService",
     "build_route_finder",
+    "is_address",
 ]
--- a/packages/model/src/ragwort_model/_node.py
+++ b/packages/model/src/ragwort_model/_node.py
@@ -1,9 +1,26 @@
 """The record that a node publishes, and the settings that it starts with."""
 
 from dataclasses import dataclass, field
+from ipaddress import AddressValueError, IPv4Address
 
 from ragwort_common import FailureDomain, NodeId, Region, ServiceName
 
+MAX_PORT = 65_535
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address and a port, ``host:port``.
+
+    Names are not looked up, since that would block.
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return False
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
+    return is_number and 1 <= int(port) <= MAX_PORT
+
 
 @dataclass(frozen=True, slots=True)
 class NodeRecord:
--- a/packages/node/src/ragwort_node/_owner_exchange.py
+++ b/packages/node/src/ragwort_node/_owner_exchange.py
@@ -7,7 +7,7 @@
 
 from expression import Result
 from ragwort_common import Counters, Epoch, NodeId
-from ragwort_policy import EpochFence, OwnerMap
+from ragwort_policy import KEY_RANGES, EpochFence, OwnerMap
 from ragwort_protocol import Message, OwnerNotice
 from ragwort_store import ObjectStore, StoreError, decode_lease_holder
 
@@ -87,8 +87,18 @@
     listed = await store.list_objects(LEASES_PREFIX)
     return listed.map(
         lambda listing: [
-            OwnerNotice(int(item.path.removeprefix(LEASES_PREFIX)), holder.epoch, holder.holder)
+            OwnerNotice(key_range, holder.epoch, holder.holder)
             for item in listing.items
-            if (holder := decode_lease_holder(item)) is not None
+            if (key_range := _read_key_range(item.path)) is not None
+            and (holder := decode_lease_holder(item)) is not None
         ]
     )
+
+
+def _read_key_range(path: str) -> int | None:
+    """Return the key range of a lease, None if the path is not that of one."""
+    name = path.removeprefix(LEASES_PREFIX)
+    if not name.isascii() or not name.isdigit() or len(name) > len(str(KEY_RANGES)):
+        return None
+    number = int(name)
+    return number if number < KEY_RANGES else None
--- a/packages/node/src/ragwort_node/_pool.py
+++ b/packages/node/src/ragwort_node/_pool.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from ragwort_common import Counters, NodeId
+from ragwort_model import is_address
 from ragwort_protocol import Hello, Message, encode_frame
 from ragwort_transport import Link, MessageHandler, bind_socket
 
@@ -147,6 +148,9 @@
 
     async def _connect(self, address: str) -> Link | None:
         """Open a link and wait for the peer's hello message."""
+        if not is_address(address):
+            self._counters.add("link.connect_failures")
+            return None
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         link: Link | None = None
--- a/packages/protocol/src/ragwort_protocol/_codec.py
+++ b/packages/protocol/src/ragwort_protocol/_codec.py
@@ -138,5 +138,5 @@
     with memoryview(buffer) as view, view[start:end] as body:
         try:
             return _decoder.decode(body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise ProtocolError(f"malformed message: {error}") from error
--- a/packages/store/src/ragwort_store/_document.py
+++ b/packages/store/src/ragwort_store/_document.py
@@ -6,6 +6,7 @@
 
 from expression import Error, Ok, Result
 from ragwort_common import FailureDomain, Incarnation, NodeId, Region, Revision, ServiceName
+from ragwort_model import is_address
 
 RULES_PATH = "rules/current"
 NODES_PREFIX = "nodes/"
@@ -102,9 +103,9 @@
                 service=ServiceName(_read_text(fields, "service")),
                 region=Region(_read_text(fields, "region")),
                 failure_domain=FailureDomain(_read_text(fields, "failure_domain")),
-                link_address=_read_text(fields, "link_address"),
-                entry_address=_read_text(fields, "entry_address"),
-                control_address=_read_text(fields, "control_address"),
+                link_address=_read_address(fields, "link_address"),
+                entry_address=_read_address(fields, "entry_address"),
+                control_address=_read_address(fields, "control_address"),
                 incarnation=Incarnation(_read_non_negative_int(fields, "incarnation")),
             )
         )
@@ -119,6 +120,14 @@
     return value
 
 
+def _read_address(fields: Any, name: str) -> str:
+    """Return an address, which is empty if the node doesn't state it."""
+    value = _read_text(fields, name)
+    if value and not is_address(value):
+        raise ValueError(f"{name} is not an IPv4 address and a port")
+    return value
+
+
 def _read_non_negative_int(fields: Any, name: str) -> int:
     value = fields[name]
     if type(value) is not int or not 0 <= value < 1 << 63:
--- a/packages/store/src/ragwort_store/_lease.py
+++ b/packages/store/src/ragwort_store/_lease.py
@@ -265,8 +265,8 @@
         fields: Any = json.loads(stored.data)
         record = _LeaseRecord(**fields)
         numbers = (record.serial, record.epoch, record.ttl_ms)
-        if any(type(number) is not int or number < 0 for number in numbers):
-            raise ValueError("serial, epoch and ttl_ms must be integers of at least 0")
+        if any(type(number) is not int or not 0 <= number < 1 << 63 for number in numbers):
+            raise ValueError("serial, epoch and ttl_ms must be integers from 0 to 2**63 - 1")
         return Ok((stored.version, record))
     except (TypeError, ValueError, RecursionError) as error:
         return Error(LeaseError(LeaseErrorKind.INVALID, f"malformed lease: {error!r}"))
--- a/tests/adapter/test_configuration.py
+++ b/tests/adapter/test_configuration.py
@@ -135,3 +135,10 @@
     route = decode({**ROUTE, "allowedRegions": ["n"], "authExempt": True}).routes[0]
     assert route.allowed_regions == {"n"} and not route.needs_key
     assert decode().routes[0].needs_key and not decode().routes[0].allowed_regions
+
+
+def test_nested_content_is_rejected_with_an_error_and_has_no_keys_to_redact():
+    # The decoder's error for deep nesting is not one of its own, and ended the node.
+    content = b'{"version":"r1","routes":{},"tenants":%s}' % (b"[" * 3000 + b"]" * 3000)
+    assert isinstance(decode_configuration(content), InputError)
+    assert redact_keys(content) == content
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -47,6 +47,7 @@
         b"",
         b"\xff\xfe",
         b"[]",
+        b'{"other":%s}' % (b"[" * 3000 + b"]" * 3000),
         {**HEARTBEAT, "seq": "4"},
         {**HEARTBEAT, "seq": True},
         {**HEARTBEAT, "state": "sleeping"},
--- a/tests/node/test_owner.py
+++ b/tests/node/test_owner.py
@@ -1,9 +1,12 @@
 import asyncio
+import json
 
 import pytest
+from fake_store import FakeStore
 from helper import wait_until
 from ragwort_common import Epoch, NodeId
 from ragwort_node._owner import LEASE_MARGIN_MS, LEASE_TTL_MS, KeyOwner
+from ragwort_node._owner_exchange import list_owners
 from ragwort_node._owner_limits import OwnerClocks, OwnerLimits
 from ragwort_policy import JournalHead, OwnerMap, encode_head
 from ragwort_protocol import ClaimRequest, ClaimResult, ClaimVerdict, StoredResponse
@@ -304,3 +307,17 @@
             await scenario(platform, store)
 
     asyncio.run(main())
+
+
+def test_object_of_another_writer_among_the_leases_hides_none_of_them():
+    # A name that is not a number, or a number out of range, ended the task that lists the owners.
+    async def scenario():
+        store = FakeStore()
+        lease = {"holder": "a", "nonce": "x", "serial": 1, "ttl_ms": 1, "released": False}
+        names = {"3": 7, "other": 1, "\u00b2": 1, "64": 1, "9" * 5000: 1, "4": 2**70}
+        for name, epoch in names.items():
+            store.put(f"leases/keys/{name}", json.dumps({**lease, "epoch": epoch}).encode())
+        listed = await list_owners(store)
+        assert [(notice.key_range, notice.epoch) for notice in listed.ok] == [(3, 7)]
+
+    asyncio.run(scenario())
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -2,6 +2,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from ragwort_protocol import (
+    PROTOCOL_VERSION,
     Cancel,
     CrashCleared,
     CrashNotice,
@@ -17,6 +18,7 @@
     UsageReport,
     encode_frame,
 )
+from ragwort_protocol._codec import FRAME_HEADER
 
 _TOTALS = (st.text(max_size=20), *[st.integers(-(2**40), 2**40)] * 7)
 messages = st.one_of(
@@ -82,3 +84,15 @@
     request = Request(1, "POST", b"/", [], b"x" * (1 << 20), 100.0)
     with pytest.raises(ProtocolError, match="over the frame limit"):
         encode_frame(request)
+
+
+def test_deeply_nested_frame_is_a_protocol_error():
+    # The decoder's error for deep nesting is not one of its own.
+    body = b"\x91" * 5000 + b"\xc0"
+    frame = FRAME_HEADER.pack(len(body) + 1, PROTOCOL_VERSION) + body
+    with pytest.raises(ProtocolError):
+        FrameReader().feed(frame)
+    unknown_field = b"\x93\x05\x01" + body
+    frame = FRAME_HEADER.pack(len(unknown_field) + 1, PROTOCOL_VERSION) + unknown_field
+    with pytest.raises(ProtocolError):
+        FrameReader().feed(frame)
