Use no connection of the product's own node after a refusal

What callers saw (reported by operators of a similar system): a faulty server wrote an earlier refusal once more on a kept connection, and calls that ran were reported as not run, or ran again at a second server.

Cause, in ragwortd only: its servers don't echo which call a response is for, so a copy that arrived after the next call had been sent was taken for that call's refusal.

Ruled out for the node of the users' platform: responses there are matched by the call's id. A test plays the copy with and without the id at three moments, against two servers, and passed before.

Change: a connection is not used again after a refusal.

--- a/packages/node/src/ragwort_node/_server.py
+++ b/packages/node/src/ragwort_node/_server.py
@@ -29,9 +29,15 @@
     async def run_call(
         self, method: str, target: bytes, headers: Headers, body: bytes, budget_ms: float
     ) -> Answer | Failure:
-        """Send a call to the server and return its complete response, or the failure."""
+        """Send a call to the server and return its complete response, or the failure.
+
+        Responses don't tell which request they belong to, so a connection is not used after
+        a refusal: a second copy of it would be taken for the next call's.
+        """
         request = build_request(method, target, [self._host_field, *headers], body)
-        return await self._pool.exchange(request, budget_ms / 1000, method == "HEAD")
+        return await self._pool.exchange(
+            request, budget_ms / 1000, method == "HEAD", is_last=is_shed
+        )
 
     async def close(self) -> None:
         """Close the idle connections."""
--- a/packages/transport/src/ragwort_transport/_client.py
+++ b/packages/transport/src/ragwort_transport/_client.py
@@ -362,6 +362,7 @@
         may_resend: bool = False,
         max_stall_s: float = 0.0,
         max_transfer_s: float = 0.0,
+        is_last: Callable[[Answer], bool] | None = None,
     ) -> Answer | Failure:
         """Send one request and return its complete response, or why there is none.
 
@@ -380,6 +381,8 @@
         max_stall_s, max_transfer_s
             While parts of the response arrive at most ``max_stall_s`` seconds apart, the time limit
             is extended up to ``max_transfer_s`` seconds after the start.
+        is_last
+            Tells from the response whether the connection carries no other request.
         """
         connection: ClientConnection | None = None
         loop = asyncio.get_running_loop()
@@ -400,13 +403,14 @@
                     self.requests_sent += 1
                     result = await connection.exchange(request, without_body, find_owner, on_data)
                     if result != CONNECTION_LOST:
-                        return result
+                        return _retire_if_last(connection, result, is_last)
                     connection.close()
                     connection, connect_failure = None, CONNECTION_LOST
                 if connection is None:
                     connection = await self._connect()
                 self.requests_sent += 1
-                return await connection.exchange(request, without_body, find_owner, on_data)
+                result = await connection.exchange(request, without_body, find_owner, on_data)
+                return _retire_if_last(connection, result, is_last)
         except TimeoutError:
             return connect_failure if connection is None else TIMED_OUT
         except OSError:
@@ -475,6 +479,17 @@
         return connection
 
 
+def _retire_if_last(
+    connection: ClientConnection,
+    result: Answer | Failure,
+    is_last: Callable[[Answer], bool] | None,
+) -> Answer | Failure:
+    """Close the connection after a response that is its last, and return the response."""
+    if is_last is not None and isinstance(result, Answer) and is_last(result):
+        connection.close()
+    return result
+
+
 def set_unacknowledged_timeout(transport: asyncio.BaseTransport, unacknowledged_ms: int) -> None:
     """Make the kernel drop a connection whose peer stops acknowledging data.
 
--- a/tests/mesh/test_other_operators.py
+++ b/tests/mesh/test_other_operators.py
@@ -96,6 +96,55 @@
     run_scenario(scenario)
 
 
+def make_refusal(call_id, with_id=True):
+    echo = b"Ragwortvalve-Attempt-Id: " + call_id + b"\r\n" if with_id else b""
+    return (
+        b"HTTP/1.1 503 Service Unavailable\r\nRagwortvalve-Not-Executed: 1\r\n%s"
+        b"Content-Length: 0\r\n\r\n" % echo
+    )
+
+
+@pytest.mark.parametrize("with_id", [True, False])
+@pytest.mark.parametrize("moment", ["before the answer", "with the answer", "without an answer"])
+def test_an_earlier_refusal_written_again_never_counts_for_a_call_that_runs(with_id, moment):
+    # A call that runs would be reported as not run, or run again at the second server.
+    runs, kept = [], []
+
+    async def answer(writer, call_id, earlier):
+        if len(earlier) % 2 == 0:
+            writer.write(make_refusal(call_id, with_id))
+            return True
+        runs.append(call_id)
+        kept.append(writer)
+        writer.write(make_refusal(earlier[-1], with_id))
+        if moment == "before the answer":
+            await asyncio.sleep(0.002)
+        elif moment == "without an answer":
+            await asyncio.sleep(0.05)
+            return False
+        writer.write(make_answer(call_id))
+        return True
+
+    async def scenario(cluster):
+        async with run_server(answer) as address:
+            for _ in range(2):
+                await cluster.add(service="raw", server=address)
+            await cluster.configure(1, a=make_route("raw", kind="non_idempotent", maxAttempts=2))
+            await cluster.wait_until_linked()
+            for number in range(30):
+                call_id = f"c{number}"
+                status, _, _ = await cluster.call(
+                    cluster.members[0], method="POST", call_id=call_id
+                )
+                count = runs.count(call_id.encode())
+                assert count <= 1
+                assert not (count and status in (408, 421, 429, 503)), (call_id, status)
+            # The refusals were written on connections that were in use again.
+            assert kept
+
+    run_scenario(scenario)
+
+
 FRAMINGS = {
     "length": make_answer(b"c1", body=b"0123456789"),
     "chunks": (
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -145,3 +145,25 @@
             return await call(server.sockets[0].getsockname()[1], budget_ms=50.0)
 
     assert asyncio.run(call_silent()) == Failure(Outcome.UNKNOWN, Reason.DEADLINE)
+
+
+def test_an_earlier_refusal_written_again_is_not_taken_for_that_of_the_next_call():
+    # The server runs the next call, which would be reported as not run.
+    shed = b"HTTP/1.1 503 Service Unavailable\r\nRagwort-Shed: 1\r\nContent-Length: 0\r\n\r\n"
+
+    async def scenario():
+        async def serve(reader, writer):
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(WHOLE if refused else shed)
+                refused.append(writer)
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(shed + WHOLE)
+            writer.close()
+
+        refused = []
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        async with server:
+            return await call(server.sockets[0].getsockname()[1], count=2)
+
+    assert asyncio.run(scenario()).status == 200
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -1,5 +1,7 @@
 import asyncio
+import contextlib
 
+import pytest
 from ragwort_common import Outcome, Reason
 from ragwort_transport import Answer, ClientPool, Failure, ResponseOwner, find_header
 
@@ -62,6 +64,32 @@
     return asyncio.run(exchange_all(script, **options))
 
 
+HEADS = {
+    "length": b"HTTP/1.1 200 OK\r\nid: %d\r\nContent-Length: 2\r\n\r\n",
+    "no body": b"HTTP/1.1 200 OK\r\nid: %d\r\nContent-Length: 0\r\n\r\n",
+    "chunks": b"HTTP/1.1 200 OK\r\nid: %d\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "until the close": b"HTTP/1.1 200 OK\r\nid: %d\r\nserver: s\r\n\r\n",
+    "interim first": b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nid: %d\r\n\r\n",
+    "earlier first": make_response(7) + b"HTTP/1.1 200 OK\r\nid: %d\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("head", HEADS.values(), ids=HEADS)
+@pytest.mark.parametrize("number", [0, 1], ids=["new connection", "kept connection"])
+def test_an_answer_whose_head_breaks_off_anywhere_is_no_answer(head, number):
+    # Such an answer would reach the caller as a success with an empty body.
+    whole = head % number
+
+    async def exchange_cut():
+        for cut in range(len(whole)):
+            script = [[make_response(0)]] * number + [[whole[:cut], None]]
+            results, connects = await exchange_all(script, requests=number + 1)
+            assert isinstance(results[-1], Failure), (cut, results[-1])
+            assert connects == 1
+
+    asyncio.run(exchange_cut())
+
+
 def test_an_idle_connection_is_reused():
     results, connects = run([[make_response(0)], [make_response(1)]])
     assert [result.body for result in results] == [b"ok", b"ok"]
@@ -212,3 +240,24 @@
         return await pool.exchange(REQUEST, 2.0, may_resend=True)
 
     assert asyncio.run(scenario()) == Failure(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
+
+
+def test_a_connection_is_not_reused_after_a_response_that_is_its_last():
+    async def scenario():
+        async def serve(reader, writer):
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(make_response(0))
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        pool = ClientPool(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", 4, 1000)
+        async with server:
+            for is_last in (True, True, False, False):
+                await pool.exchange(REQUEST, 2.0, is_last=lambda answer, last=is_last: last)
+            await pool.close()
+            await asyncio.sleep(0.01)
+        return pool.connects
+
+    assert asyncio.run(scenario()) == 3
