--- a/packages/mesh/src/ragwort_mesh/_local_server.py
+++ b/packages/mesh/src/ragwort_mesh/_local_server.py
@@ -127,6 +127,7 @@
         self._on_leaving = on_leaving
         self._departures_known = departures_known
         self._is_new_held = False
+        self._announced: tuple[InstanceId, int] | None = None
         self._is_available = False
         self._notices = ServerNotices(max_calls_per_s=None, is_leaving=False)
         self._end_check: asyncio.Task[None] | None = None
@@ -194,6 +195,9 @@
         return accepted
 
     def _announce_leaving(self, server: Heartbeat) -> None:
+        if self._announced == (server.instance, server.born_ms):
+            return
+        self._announced = (server.instance, server.born_ms)
         # A health check doesn't state when the server started.
         born_ms = server.born_ms or _read_time_ms()
         leaving = Leaving(server.instance, born_ms, _read_time_ms(), False)
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -67,6 +67,8 @@
         {"seq": -1},
         {"born": 2**64},
         {"coldRemainingMs": 1e300},
+        {"addr": "x" * 300},
+        {"service": "x" * 300},
     ],
 )
 def test_number_that_no_server_has_does_not_reach_the_scheduler(change):
@@ -74,6 +76,14 @@
     assert isinstance(read({**HEARTBEAT, **change}), InputError)
 
 
+def test_instance_with_an_id_of_any_length_is_not_kept():
+    # The ids of departed instances are stored, and sent to peers.
+    for method in ("PUT", "DELETE"):
+        report = read(HEARTBEAT, method, b"/-/instances/" + b"i" * 300)
+        assert isinstance(report, InputError)
+        assert len(str(report)) < 400
+
+
 def test_departure_with_a_start_time_out_of_range_is_rejected():
     assert isinstance(read(b'{"born": 18446744073709551616}', "DELETE"), InputError)
 
--- a/tests/mesh/test_departures.py
+++ b/tests/mesh/test_departures.py
@@ -19,6 +19,8 @@
 from ragwort_standins.application import Application, deregister, send_report
 from ragwort_standins.store import StoreFault
 
+DEPARTURES = "/-/objects/departures"
+
 LATE_SEQUENCE = 1
 """Sequence number of a report that was made before the server left."""
 
@@ -173,6 +175,18 @@
     run_scenario(scenario, ())
 
 
+def test_draining_server_that_does_not_state_its_start_is_announced_once():
+    async def scenario(cluster):
+        await cluster.configure(1, a=make_route("s"))
+        member = await cluster.add("s", without_heartbeat=True)
+        for sequence, state in enumerate(("ready", "draining", "draining", "draining"), 1):
+            await send_report(member.control, member.application, sequence, state, born=0)
+        writes = [call for call in cluster.store.calls if call[1].startswith(DEPARTURES)]
+        assert [method for method, _ in writes if method != "GET"] == ["POST"]
+
+    run_scenario(scenario, ())
+
+
 def make_departures(read_time_ms=lambda: 0):
     """Return departures without a store, and the list of those that are learned."""
     learned = []
