List that a peer without knowledge may stand for the store at a restart

The test shows a way to it: an empty notice of a peer that is never told of departures lets a restarted node accept calls before the store has replied.

--- a/tests/mesh/test_departures.py
+++ b/tests/mesh/test_departures.py
@@ -238,3 +238,15 @@
         assert ("departures", "recent") in cluster.store.objects
 
     run_scenario(scenario, ())
+
+
+def test_peer_that_knows_of_no_departure_does_not_stand_for_the_store():
+    # A peer of another failure domain is not told of departures. If its notice comes before the
+    # store's reply, a restarted node takes a late report of a server that has left.
+    departures, learned = make_departures()
+    peer = SimpleNamespace(peer=NodeId("other-domain"))
+    departures.receive(peer, DepartureNotice("n", []))
+    if departures._is_known:
+        pytest.fail("departures are known before the store has replied")
+    departures.receive(peer, DepartureNotice("n", [LeavingServer("i", 1, 0, True)]))
+    assert [leaving.instance for leaving in learned] == ["i"]
