--- a/packages/mesh/src/ragwort_mesh/_crash_archive.py
+++ b/packages/mesh/src/ragwort_mesh/_crash_archive.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import random
 from collections.abc import Callable, Iterable
 
 from ragwort_common import NodeId
@@ -21,7 +20,7 @@
 
 from ragwort_mesh._crash_ledger import CrashLedger
 from ragwort_mesh._own_object import OwnObject
-from ragwort_mesh._store import StoreClient, pause_before_retry
+from ragwort_mesh._store import StoreClient, retry_until_done
 from ragwort_mesh._telemetry import Telemetry
 from ragwort_mesh._watch import KindReader
 
@@ -63,7 +62,6 @@
         self._watch_enabled = watch_enabled
         self._own = OwnObject(CRASHES_KIND, node, store, telemetry)
         self._reader = KindReader(CRASHES_KIND, store, telemetry)
-        self._random = random.Random()
         self._must_read = asyncio.Event()
 
     def publish_again(self) -> None:
@@ -77,7 +75,6 @@
 
     async def run(self) -> None:
         """Store the crashes of this node's server each time they change, until cancelled."""
-        loop = asyncio.get_running_loop()
         while True:
             try:
                 async with asyncio.timeout(FORGET_INTERVAL_S):
@@ -85,24 +82,15 @@
             except TimeoutError:
                 self._ledger.forget_old()
             self._ledger.changed.clear()
-            failures, started = 0, loop.time()
-            while not await self._publish():
-                failures += 1
-                await pause_before_retry(failures, self._random.random(), started)
-                started = loop.time()
+            await retry_until_done(self._publish)
             await asyncio.sleep(MIN_WRITE_INTERVAL_S)
 
     async def run_reading(self) -> None:
         """Read the stored crashes each time that this is asked for, until cancelled."""
-        loop = asyncio.get_running_loop()
         while True:
             await self._must_read.wait()
             self._must_read.clear()
-            failures, started = 0, loop.time()
-            while self._watch_enabled.is_set() and not await self._read():
-                failures += 1
-                await pause_before_retry(failures, self._random.random(), started)
-                started = loop.time()
+            await retry_until_done(self._read_on_duty)
 
     async def _publish(self) -> bool:
         """Store the crashes unless they are stored, and return whether they are."""
@@ -117,6 +105,10 @@
         self._telemetry.events.write("crashes-stored", crashes=len(records))
         return True
 
+    async def _read_on_duty(self) -> bool:
+        """Read the crashes of all nodes unless this node no longer watches the store."""
+        return not self._watch_enabled.is_set() or await self._read()
+
     async def _read(self) -> bool:
         """Read the crashes of all nodes, and return whether that succeeded."""
         listing = await self._reader.list_objects(stale=False)
--- a/packages/mesh/src/ragwort_mesh/_departures.py
+++ b/packages/mesh/src/ragwort_mesh/_departures.py
@@ -7,10 +7,8 @@
 
 import asyncio
 import contextlib
-import random
 import time
-from collections.abc import Callable, Coroutine, Iterable
-from typing import Any
+from collections.abc import Callable, Iterable
 
 from ragwort_common import NodeId
 from ragwort_model import InputError, InstanceId, Leaving, StoreError
@@ -25,7 +23,7 @@
 from ragwort_transport import Link
 
 from ragwort_mesh._own_object import OwnObject
-from ragwort_mesh._store import StoreClient, pause_before_retry
+from ragwort_mesh._store import StoreClient, retry_until_done
 from ragwort_mesh._telemetry import Telemetry
 from ragwort_mesh._watch import KindReader
 
@@ -91,7 +89,6 @@
         self._changed = asyncio.Event()
         self._is_stored = asyncio.Event()
         self._is_stored.set()
-        self._random = random.Random()
 
     def record(self, leaving: Leaving) -> None:
         """Keep the departure of a server beside this node, and tell the peers of its domain."""
@@ -142,11 +139,11 @@
         """Read the departures of earlier processes, and store later ones, until cancelled."""
         give_up = asyncio.get_running_loop().call_later(UNKNOWN_S, self._give_up_waiting)
         try:
-            await self._retry(self._read)
+            await retry_until_done(self._read)
             while True:
                 await self._changed.wait()
                 self._changed.clear()
-                await self._retry(self._publish)
+                await retry_until_done(self._publish)
                 await asyncio.sleep(MIN_WRITE_INTERVAL_S)
         finally:
             give_up.cancel()
@@ -158,16 +155,6 @@
             if self._watch_enabled.is_set():
                 await self._remove_outdated()
 
-    async def _retry(self, step: Callable[[], Coroutine[Any, Any, bool]]) -> None:
-        """Repeat a step with growing pauses until it succeeds."""
-        failures = 0
-        loop = asyncio.get_running_loop()
-        started = loop.time()
-        while not await step():
-            failures += 1
-            await pause_before_retry(failures, self._random.random(), started)
-            started = loop.time()
-
     async def _read(self) -> bool:
         """Read this node's object, and return whether that succeeded."""
         if not await self._own.read():
--- a/packages/mesh/src/ragwort_mesh/_directory.py
+++ b/packages/mesh/src/ragwort_mesh/_directory.py
@@ -9,8 +9,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 from ragwort_common import NodeId
 from ragwort_model import ErrorKind, InputError, NodeRecord, StoreError
@@ -29,7 +28,7 @@
     StoreReply,
     get_revision,
     order_revision,
-    pause_before_retry,
+    retry_until_done,
 )
 from ragwort_mesh._telemetry import Telemetry
 from ragwort_mesh._watch import KindReader, KindWatch, Listing, WatchSettings
@@ -104,7 +103,7 @@
     async def run(self) -> None:
         """Read the records and keep this node's own in the store, until cancelled."""
         while True:
-            await self._retry(self._read)
+            await retry_until_done(self._read)
             if not self._is_published():
                 await self._publish_and_catch_up()
             spread = 1.0 + RELIST_SPREAD * (self._random.random() - 0.5)
@@ -113,7 +112,7 @@
                     while True:
                         await self._own_record_missing.wait()
                         self._own_record_missing.clear()
-                        await self._retry(self._publish)
+                        await retry_until_done(self._publish)
 
     def republish(self) -> None:
         """Publish this node's record again, because it is missing from the store."""
@@ -123,19 +122,9 @@
     async def _publish_and_catch_up(self) -> None:
         """Publish the record, remove those it replaces, and read the changes made meanwhile."""
         since = get_revision(self._newest_order)
-        await self._retry(self._publish)
+        await retry_until_done(self._publish)
         await self._remove_replaced()
-        await self._retry(lambda: self._catch_up(since))
-
-    async def _retry(self, step: Callable[[], Coroutine[Any, Any, bool]]) -> None:
-        """Repeat a step with growing pauses until it succeeds."""
-        failures = 0
-        loop = asyncio.get_running_loop()
-        started = loop.time()
-        while not await step():
-            failures += 1
-            await pause_before_retry(failures, self._random.random(), started)
-            started = loop.time()
+        await retry_until_done(lambda: self._catch_up(since))
 
     async def _read(self, stale: bool = True) -> bool:
         """Read all records, and return whether that succeeded."""
--- a/packages/mesh/src/ragwort_mesh/_store.py
+++ b/packages/mesh/src/ragwort_mesh/_store.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from ragwort_model import ErrorKind, StoreError
@@ -211,3 +211,14 @@
     interval_s = min(1.5, 0.1 * 2.0 ** min(failures, 10)) * (0.5 + 0.5 * jitter)
     elapsed_s = asyncio.get_running_loop().time() - started
     await asyncio.sleep(max(0.0, interval_s - elapsed_s))
+
+
+async def retry_until_done(step: Callable[[], Awaitable[bool]]) -> None:
+    """Repeat a step with growing pauses until it returns True."""
+    failures = 0
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    while not await step():
+        failures += 1
+        await pause_before_retry(failures, random.random(), started)
+        started = loop.time()
