Read the time of day in one place of the node

Change: read_time_ms beside read_clock serves all, once for each announcement; whether the current server's start is known is asked directly. What is kept of a departure stays the same.

--- a/packages/mesh/src/ragwort_mesh/_clock.py
+++ b/packages/mesh/src/ragwort_mesh/_clock.py
@@ -1,4 +1,4 @@
-"""The node's clock."""
+"""The node's clock, and the time of day."""
 
 import time
 
@@ -10,3 +10,8 @@
     either one a call could run past its deadline.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def read_time_ms() -> int:
+    """Return the time of day in Unix milliseconds, for what outlasts the process; it may jump."""
+    return time.time_ns() // 1_000_000
--- a/packages/mesh/src/ragwort_mesh/_crash_ledger.py
+++ b/packages/mesh/src/ragwort_mesh/_crash_ledger.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -28,6 +27,7 @@
 from ragwort_transport import Link
 
 from ragwort_mesh._call import Call, fingerprint_call
+from ragwort_mesh._clock import read_time_ms
 from ragwort_mesh._telemetry import Telemetry
 
 MAX_CALLS = 32
@@ -75,7 +75,7 @@
         list_links: Callable[[], Iterable[tuple[NodeId, Link]]],
         telemetry: Telemetry,
         clock: Callable[[], float],
-        read_time_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000,
+        read_time_ms: Callable[[], int] = read_time_ms,
     ) -> None:
         self.changed = asyncio.Event()
         self._node = node
--- a/packages/mesh/src/ragwort_mesh/_departures.py
+++ b/packages/mesh/src/ragwort_mesh/_departures.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import contextlib
-import time
 from collections.abc import Callable, Iterable
 
 from ragwort_common import NodeId
@@ -22,6 +21,7 @@
 from ragwort_protocol import DepartureNotice, LeavingServer
 from ragwort_transport import Link
 
+from ragwort_mesh._clock import read_time_ms
 from ragwort_mesh._own_object import OwnObject
 from ragwort_mesh._store import StoreClient, retry_until_done
 from ragwort_mesh._telemetry import Telemetry
@@ -72,7 +72,7 @@
         list_domain_links: Callable[[], Iterable[Link]],
         on_known: Callable[[list[Leaving]], None],
         watch_enabled: asyncio.Event,
-        read_time_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000,
+        read_time_ms: Callable[[], int] = read_time_ms,
     ) -> None:
         self._node = node
         self._store = store
--- a/packages/mesh/src/ragwort_mesh/_local_server.py
+++ b/packages/mesh/src/ragwort_mesh/_local_server.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 from dataclasses import replace
 from math import inf
@@ -47,6 +46,7 @@
 from ragwort_transport import CONNECT_FAILED, Answer, ClientPool
 
 from ragwort_mesh._call import fingerprint_call
+from ragwort_mesh._clock import read_time_ms
 from ragwort_mesh._cold_server import ColdServer
 from ragwort_mesh._crash_ledger import CrashLedger
 from ragwort_mesh._telemetry import Telemetry
@@ -182,25 +182,26 @@
 
     def _apply_departure(self, departure: Departure) -> bool:
         """Apply a goodbye, and return whether it is that of the current server."""
+        now_ms = read_time_ms()
         current = self.current
-        is_current = current is not None and current.instance == departure.instance
-        is_start_known = is_current and current is not None and current.born_ms
-        if not departure.born_ms and not is_start_known:
+        if current is not None and current.instance != departure.instance:
+            current = None
+        if not departure.born_ms and (current is None or not current.born_ms):
             # All starts up to now have left.
-            departure = replace(departure, born_ms=_read_time_ms())
+            departure = replace(departure, born_ms=now_ms)
         accepted = process_departure(self._tracker, departure)
-        if accepted or not is_current:
+        if accepted or current is None:
             born_ms = self._tracker.departed[departure.instance]
-            self._on_leaving(Leaving(departure.instance, born_ms, _read_time_ms(), True))
+            self._on_leaving(Leaving(departure.instance, born_ms, now_ms, True))
         return accepted
 
     def _announce_leaving(self, server: Heartbeat) -> None:
         if self._announced == (server.instance, server.born_ms):
             return
         self._announced = (server.instance, server.born_ms)
+        now_ms = read_time_ms()
         # A health check doesn't state when the server started.
-        born_ms = server.born_ms or _read_time_ms()
-        leaving = Leaving(server.instance, born_ms, _read_time_ms(), False)
+        leaving = Leaving(server.instance, server.born_ms or now_ms, now_ms, False)
         record_leaving(self._tracker, leaving)
         self._on_leaving(leaving)
 
@@ -419,9 +420,5 @@
                 task.cancel()
 
 
-def _read_time_ms() -> int:
-    return time.time_ns() // 1_000_000
-
-
 def _describe_running(call: Request) -> RunningCall:
     return RunningCall(find_call_id(call.headers).decode("latin-1"), fingerprint_call(call))
--- a/packages/mesh/src/ragwort_mesh/_node.py
+++ b/packages/mesh/src/ragwort_mesh/_node.py
@@ -6,7 +6,6 @@
 import logging
 import random
 import signal
-import time
 from collections.abc import Coroutine
 from typing import Any
 
@@ -32,7 +31,7 @@
 )
 from ragwort_transport import HeldBodies, HttpServer, Link, PeerCalls
 
-from ragwort_mesh._clock import read_clock
+from ragwort_mesh._clock import read_clock, read_time_ms
 from ragwort_mesh._cold_server import find_cold_limit
 from ragwort_mesh._configuration import ActiveConfiguration
 from ragwort_mesh._control import (
@@ -142,7 +141,7 @@
         )
         self._gate.set_cold_limit(find_cold_limit(None, settings))
         self._calls = PeerCalls(self._gate.run_call, telemetry.counters, self._receive_other)
-        hello = Hello(settings.node, Incarnation(time.time_ns() // 1_000_000))
+        hello = Hello(settings.node, Incarnation(read_time_ms()))
         self._peers = Peers(
             hello,
             self._receive,
