--- a/tests/mesh/test_crashing_request.py
+++ b/tests/mesh/test_crashing_request.py
@@ -6,7 +6,7 @@
 import pytest
 from crashing_server import CrashingServer
 from helper import wait_until
-from mesh_cluster import HOST, make_route, run_scenario, stop_quickly
+from mesh_cluster import HOST, make_route, restart_node, run_scenario
 from ragwort_common import NodeId, RequestFingerprint
 from ragwort_flow import MAX_AGE_S, RunningCall
 from ragwort_flow._crash_history import FIRST_TRIAL_S
@@ -14,7 +14,6 @@
 from ragwort_mesh._crash_archive import MIN_WRITE_INTERVAL_S
 from ragwort_mesh._crash_ledger import MAX_CALLS, CrashLedger
 from ragwort_mesh._events import EventLog
-from ragwort_mesh._node import Node
 from ragwort_mesh._telemetry import Telemetry
 from ragwort_protocol import Refusal, Request
 from ragwort_standins.application import deregister
@@ -110,13 +109,6 @@
     run_scenario(run, ())
 
 
-async def restart_node(member):
-    """Restart a node without notice; its server goes on."""
-    await stop_quickly(member.node)
-    member.node = Node(member.settings, Telemetry(EventLog(member.settings.node)))
-    await member.node.start()
-
-
 @pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
 def test_request_that_crashed_three_servers_is_refused_at_every_host(kind):
     async def scenario(fleet):
--- a/tests/mesh/test_departures.py
+++ b/tests/mesh/test_departures.py
@@ -6,12 +6,11 @@
 
 import pytest
 from helper import wait_until
-from mesh_cluster import make_route, run_scenario, stop_quickly
+from mesh_cluster import make_route, restart_node, run_scenario
 from ragwort_common import NodeId
 from ragwort_flow._instance_tracker import MAX_INSTANCES
 from ragwort_mesh._departures import KEEP_S, MAX_KEPT, Departures
 from ragwort_mesh._events import EventLog
-from ragwort_mesh._node import Node
 from ragwort_mesh._store import StoreReply
 from ragwort_mesh._telemetry import Telemetry
 from ragwort_model import InstanceId, Leaving
@@ -29,13 +28,6 @@
     return member.node._gate
 
 
-async def kill_and_start(member):
-    """End a node's process without notice, and start another."""
-    await stop_quickly(member.node)
-    member.node = Node(member.settings, Telemetry(EventLog(member.settings.node)))
-    await member.node.start()
-
-
 async def start_pair(cluster):
     """Start two nodes of a failure domain, each with a server."""
     await cluster.configure(1, a=make_route("s"))
@@ -65,7 +57,7 @@
     async def scenario(cluster):
         members = await start_pair(cluster)
         assert await leave(members[0], how) == 200
-        await asyncio.gather(*map(kill_and_start, members[:killed]))
+        await asyncio.gather(*map(restart_node, members[:killed]))
         await cluster.wait_until_linked()
         await send_late_report(members[0])
         assert not get_gate(members[0]).accepting
@@ -78,7 +70,7 @@
         members = await start_pair(cluster)
         cluster.store.fault = StoreFault.UNAVAILABLE
         assert await leave(members[0], "goodbye") == 200
-        await kill_and_start(members[0])
+        await restart_node(members[0])
         await wait_until(lambda: members[0].node._departures._is_known)
         await send_late_report(members[0])
         assert not get_gate(members[0]).accepting
@@ -93,9 +85,9 @@
     # The goodbye doesn't state when the server started.
     async def scenario(cluster):
         members = await start_pair(cluster)
-        await kill_and_start(members[0])
+        await restart_node(members[0])
         assert await leave(members[0], "goodbye") == 200
-        await kill_and_start(members[0])
+        await restart_node(members[0])
         await send_late_report(members[0])
         assert not get_gate(members[0]).accepting
 
@@ -106,7 +98,7 @@
     async def scenario(cluster):
         members = await start_pair(cluster)
         assert await leave(members[0], "goodbye") == 200
-        await kill_and_start(members[0])
+        await restart_node(members[0])
         await wait_until(lambda: members[0].node._departures._is_known)
         gate = get_gate(members[0])
         await send_report(members[0].control, members[0].application, LATE_SEQUENCE, born=2)
@@ -125,7 +117,7 @@
         assert await leave(members[0], "goodbye") == 200
         if not is_stored:
             cluster.store.fault = StoreFault.UNAVAILABLE
-        await asyncio.gather(*map(kill_and_start, members))
+        await asyncio.gather(*map(restart_node, members))
         await wait_until(lambda: all(m.node._departures._is_known for m in members))
         # A new server at the old address, and one that was there all the time.
         assert await send_report(members[0].control, Application("i-new", "s"), 1, born=3) == 200
@@ -140,7 +132,7 @@
     async def scenario(cluster):
         members = await start_pair(cluster)
         assert await leave(members[0], "goodbye") == 200
-        await kill_and_start(members[0])
+        await restart_node(members[0])
         await wait_until(lambda: members[0].node._departures._is_known)
         await send_report(members[0].control, members[0].application, 1, born=2)
         assert get_gate(members[0]).accepting
@@ -164,7 +156,7 @@
     async def scenario(cluster):
         members = await start_pair(cluster)
         await cluster.store.put("departures", "n1", {"departures": [{"instance": 7}]})
-        await kill_and_start(members[0])
+        await restart_node(members[0])
         await wait_until(lambda: members[0].node._departures._is_known)
         await members[0].send_heartbeat()
         assert get_gate(members[0]).accepting
--- a/tests/mesh/test_evacuations.py
+++ b/tests/mesh/test_evacuations.py
@@ -5,11 +5,10 @@
 
 import pytest
 from helper import wait_until
-from mesh_cluster import make_route, run_scenario, stop_quickly
+from mesh_cluster import make_route, restart_node, run_scenario, stop_quickly
 from ragwort_mesh._configuration import RECOVERY_S
 from ragwort_mesh._evacuations import Evacuations
 from ragwort_mesh._events import EventLog
-from ragwort_mesh._node import Node
 from ragwort_mesh._store import WATCH_SLACK_S
 from ragwort_mesh._telemetry import Telemetry
 from ragwort_model import Bounds
@@ -96,9 +95,7 @@
         await evacuate(cluster, "a")
         cluster.store.fault = StoreFault.UNAVAILABLE
         member = cluster.members[0]
-        await stop_quickly(member.node)
-        member.node = Node(member.settings, Telemetry(EventLog("n1")))
-        await member.node.start()
+        await restart_node(member)
         await member.send_heartbeat()
         while not member.node._evacuations.is_known:
             assert not member.node._gate.accepting
--- a/tests/mesh_cluster.py
+++ b/tests/mesh_cluster.py
@@ -181,6 +181,13 @@
     await node._store.close()
 
 
+async def restart_node(member):
+    """End a node's process without notice, and start another; its server goes on."""
+    await stop_quickly(member.node)
+    member.node = Node(member.settings, Telemetry(EventLog(member.settings.node)))
+    await member.node.start()
+
+
 def run_scenario(scenario, services=("s",), regions=()):
     """Run a scenario on a new cluster, with a timeout."""
 
