Mark a server as leaving by one function

Cause: a notice in an answer went through process_leaving_notice, and since this issue through record_leaving too, which does the same for any announcement.

Change: process_leaving_notice is gone; its test calls record_leaving and asserts what it did.

--- a/packages/flow/src/ragwort_flow/__init__.py
+++ b/packages/flow/src/ragwort_flow/__init__.py
@@ -82,7 +82,6 @@
     is_ready,
     process_departure,
     process_heartbeat,
-    process_leaving_notice,
     record_leaving,
 )
 from ragwort_flow._limit_coordinator import (
@@ -258,14 +257,13 @@
     "plan_grants",
     "process_departure",
     "process_heartbeat",
-    "process_leaving_notice",
     "rank_coordinator",
     "record_accepted_connection",
     "record_broken_connection",
     "record_crash",
     "record_end",
-    "record_leaving",
     "record_failed_probe",
+    "record_leaving",
     "record_refused_connection",
     "record_reported_slowdown",
     "record_sent",
--- a/packages/flow/src/ragwort_flow/_instance_tracker.py
+++ b/packages/flow/src/ragwort_flow/_instance_tracker.py
@@ -77,7 +77,10 @@
 
 
 def record_leaving(tracker: InstanceTracker, leaving: Leaving) -> None:
-    """Record that a server has announced to leave, perhaps to an earlier process of this node."""
+    """Record that a server has announced to leave, perhaps to an earlier process of this node.
+
+    Reports of the starts that it covers don't make it ready again.
+    """
     table = tracker.departed if leaving.has_left else tracker.draining
     _remember(table, leaving.instance, leaving.born_ms)
     current = tracker.current
@@ -89,17 +92,6 @@
         tracker.current = replace(current, state=InstanceState.DRAINING)
 
 
-def process_leaving_notice(tracker: InstanceTracker, instance: InstanceId) -> None:
-    """Process a server's statement, made in an answer, that it is about to stop.
-
-    Its later reports don't make it ready again.
-    """
-    current = tracker.current
-    if current is not None and current.instance == instance:
-        tracker.current = replace(current, state=InstanceState.DRAINING)
-        _remember(tracker.draining, instance, current.born_ms)
-
-
 def is_ready(tracker: InstanceTracker) -> bool:
     """Return whether the latest report says that the server accepts new calls."""
     return tracker.current is not None and tracker.current.state is InstanceState.READY
--- a/packages/mesh/src/ragwort_mesh/_local_server.py
+++ b/packages/mesh/src/ragwort_mesh/_local_server.py
@@ -20,7 +20,6 @@
     needs_probe,
     process_departure,
     process_heartbeat,
-    process_leaving_notice,
     record_accepted_connection,
     record_broken_connection,
     record_leaving,
@@ -395,7 +394,6 @@
         if current is None or current.instance != instance:
             return
         if notices.is_leaving:
-            process_leaving_notice(self._tracker, instance)
             self._announce_leaving(current)
             self.mark_unavailable("leaving", notices)
         limit_rate(self._state, self._clock(), notices.max_calls_per_s)
--- a/tests/flow/test_instance_tracker.py
+++ b/tests/flow/test_instance_tracker.py
@@ -9,7 +9,6 @@
     is_ready,
     process_departure,
     process_heartbeat,
-    process_leaving_notice,
     record_leaving,
 )
 from ragwort_flow._instance_tracker import MAX_INSTANCES
@@ -96,9 +95,9 @@
 
 def test_notice_of_leaving_holds_for_the_instance_that_gave_it():
     tracker = make_tracker(FIRST)
-    process_leaving_notice(tracker, InstanceId("i-0"))
+    record_leaving(tracker, Leaving(InstanceId("i-0"), FIRST.born_ms, 0, False))
     assert is_ready(tracker)
-    process_leaving_notice(tracker, FIRST.instance)
+    record_leaving(tracker, Leaving(FIRST.instance, FIRST.born_ms, 0, False))
     assert not is_ready(tracker)
     assert not process_heartbeat(tracker, 0.1, make_heartbeat(sequence=2))
     assert process_heartbeat(tracker, 0.2, make_heartbeat(instance="i-2", born_ms=2000))
